Lay out the project with its ports, errors and wire codecs

Cause: an empty repository. Conclusion: slices can now grow against fixed ports and one error table.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+export PYTHONPATH := src
+
+.PHONY: demo test check format lint types unit bench measure capacity soak
+
+demo: $(STAMP)
+	$(BIN)/python -m lagoonstair.demo
+
+test: $(STAMP) check
+
+check: lint types unit
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+format:
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
+
+lint:
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+
+types:
+	$(BIN)/mypy
+
+unit:
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/src/lagoonstair/exceptions.py
@@ -0,0 +1,111 @@
+"""The closed list of error kinds and what each answers."""
+
+import enum
+from typing import NamedTuple
+
+
+class Outcome(enum.StrEnum):
+    """What is known about a request after its answer."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Retry(enum.StrEnum):
+    """What a caller may do after an error."""
+
+    NEVER = "never"
+    LATER = "later"
+    SAME_REQUEST_ID = "same_request_id"
+
+
+class ErrorKind(enum.StrEnum):
+    """Every kind of error a caller or an operator can get."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    REQUEST_ID_REUSED = "request_id_reused"
+    SESSION_INVALID = "session_invalid"
+    SESSION_LOST = "session_lost"
+    TRANSACTION_GONE = "transaction_gone"
+    STATEMENT_FAILED = "statement_failed"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    TOO_STALE = "too_stale"
+    UNAVAILABLE = "unavailable"
+    NOT_FRESH = "not_fresh"
+    DRAINING = "draining"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """What an error kind answers.
+
+    Attributes:
+        status: The HTTP status code.
+        outcome: Whether the request ran, as far as the system can prove.
+        retry: What the caller may do next.
+    """
+
+    status: int
+    outcome: Outcome
+    retry: Retry
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.TOO_LARGE: Answer(413, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.UNAUTHENTICATED: Answer(401, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.FORBIDDEN: Answer(403, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.NOT_FOUND: Answer(404, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.CONFLICT: Answer(409, Outcome.NOT_RUN, Retry.LATER),
+    ErrorKind.REQUEST_ID_REUSED: Answer(409, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.SESSION_INVALID: Answer(400, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.SESSION_LOST: Answer(410, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.TRANSACTION_GONE: Answer(410, Outcome.NOT_RUN, Retry.LATER),
+    ErrorKind.STATEMENT_FAILED: Answer(422, Outcome.NOT_RUN, Retry.NEVER),
+    ErrorKind.RATE_LIMITED: Answer(429, Outcome.NOT_RUN, Retry.LATER),
+    ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, Retry.LATER),
+    ErrorKind.TOO_STALE: Answer(503, Outcome.NOT_RUN, Retry.LATER),
+    ErrorKind.UNAVAILABLE: Answer(503, Outcome.NOT_RUN, Retry.LATER),
+    ErrorKind.NOT_FRESH: Answer(503, Outcome.NOT_RUN, Retry.LATER),
+    ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, Retry.LATER),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        504, Outcome.UNKNOWN, Retry.SAME_REQUEST_ID
+    ),
+    ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, Retry.SAME_REQUEST_ID),
+}
+"""The answer of each error kind."""
+
+
+class LagoonstairError(Exception):
+    """An error with a kind from the closed list.
+
+    Attributes:
+        kind: The kind, which decides the answer.
+        message: What went wrong, in words for the caller.
+        retry_after: Seconds after which a retry may succeed, if known.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(f"{kind}: {message}")
+        self.kind = kind
+        self.message = message
+        self.retry_after = retry_after
+
+    @property
+    def answer(self) -> Answer:
+        """The row of the answer table for this error."""
+        return ANSWERS[self.kind]
--- /dev/null
+++ b/src/lagoonstair/wire/__init__.py
@@ -0,0 +1,33 @@
+"""Bytes on sockets: HTTP/1.1 towards the outside, frames between instances."""
+
+from lagoonstair.wire._frames import (
+    FrameReader,
+    FrameTooLargeError,
+    write_frame,
+)
+from lagoonstair.wire._http_client import (
+    HttpAnswer,
+    HttpConnection,
+    HttpError,
+    NotSentError,
+)
+from lagoonstair.wire._http_server import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+
+__all__ = [
+    "FrameReader",
+    "FrameTooLargeError",
+    "HttpAnswer",
+    "HttpConnection",
+    "HttpError",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "NotSentError",
+    "write_frame",
+]
