--- /dev/null
+++ b/src/lagoonstair/peers/__init__.py
@@ -0,0 +1,17 @@
+"""Authenticated calls between the instances of the system."""
+
+from lagoonstair.peers._client import (
+    PeerClient,
+    PeerLostError,
+    PeerNotSentError,
+)
+from lagoonstair.peers._server import PeerContext, PeerServer, Registry
+
+__all__ = [
+    "PeerClient",
+    "PeerContext",
+    "PeerLostError",
+    "PeerNotSentError",
+    "PeerServer",
+    "Registry",
+]
--- /dev/null
+++ b/src/lagoonstair/peers/_client.py
@@ -0,0 +1,190 @@
+"""The side that calls other instances."""
+
+import secrets
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.peers._messages import (
+    Call,
+    Challenge,
+    Hello,
+    Reply,
+    Welcome,
+    sign,
+    verify,
+)
+from lagoonstair.peers._outbox import Outbox
+from lagoonstair.wire import FrameReader, FrameTooLargeError, write_frame
+
+NONCE_BYTES = 16
+CONNECT_SECONDS = 2.0
+
+AnswerT = TypeVar("AnswerT")
+
+
+class PeerNotSentError(Exception):
+    """No connection to the peer; the call was not sent."""
+
+
+class PeerLostError(Exception):
+    """The connection broke after the call may have been sent."""
+
+
+class _Pending:
+    """One call that waits for its reply."""
+
+    __slots__ = ("event", "reply")
+
+    def __init__(self) -> None:
+        self.event = trio.Event()
+        self.reply: Reply | None = None
+
+
+class _Connection:
+    """One multiplexed connection to a peer."""
+
+    def __init__(self, stream: trio.SocketStream, reader: FrameReader) -> None:
+        self._stream = stream
+        self._reader = reader
+        self._outbox = Outbox(stream)
+        self._pending: dict[int, _Pending] = {}
+        self._next_id = 0
+        self._encoder = msgspec.msgpack.Encoder()
+        self._replies = msgspec.msgpack.Decoder(Reply)
+        self.closed = False
+
+    async def run(self) -> None:
+        """Moves frames until the connection breaks."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._outbox.run)
+                await self._read()
+                nursery.cancel_scope.cancel()
+        except* (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            FrameTooLargeError,
+            msgspec.MsgspecError,
+            OSError,
+        ):
+            pass
+        finally:
+            self._close()
+
+    async def call(self, message: Any) -> Reply:
+        """Sends a call and waits for its reply."""
+        self._next_id += 1
+        call_id = self._next_id
+        pending = _Pending()
+        self._pending[call_id] = pending
+        body = msgspec.Raw(self._encoder.encode(message))
+        call = Call(call_id, type(message).__name__, body)
+        self._outbox.put(self._encoder.encode(call))
+        try:
+            await pending.event.wait()
+        finally:
+            self._pending.pop(call_id, None)
+        if pending.reply is None:
+            raise PeerLostError("connection broke before the reply")
+        return pending.reply
+
+    async def _read(self) -> None:
+        while (body := await self._reader.read()) is not None:
+            reply = self._replies.decode(body)
+            pending = self._pending.get(reply.call_id)
+            if pending is not None:
+                pending.reply = reply
+                pending.event.set()
+
+    def _close(self) -> None:
+        self.closed = True
+        self._stream.socket.close()
+        for pending in self._pending.values():
+            pending.event.set()
+
+
+class PeerClient:
+    """Calls peers, with one connection to each address in use."""
+
+    def __init__(self, name: str, secret: bytes, nursery: trio.Nursery) -> None:
+        self._name = name
+        self._secret = secret
+        self._nursery = nursery
+        self._conns: dict[Address, _Connection] = {}
+        self._locks: dict[Address, trio.Lock] = {}
+
+    async def call(
+        self, address: Address, message: Any, answer: type[AnswerT]
+    ) -> AnswerT:
+        """Calls a peer and returns its answer.
+
+        Raises:
+            LagoonstairError: The peer answered with an error.
+            PeerLostError: The call may have been sent; no answer came.
+            PeerNotSentError: The call was not sent.
+        """
+        conn = await self._connect(address)
+        reply = await conn.call(message)
+        if reply.failure is not None:
+            kind, text, retry_after = (
+                reply.failure.kind,
+                reply.failure.message,
+                reply.failure.retry_after,
+            )
+            raise LagoonstairError(kind, text, retry_after=retry_after)
+        return msgspec.msgpack.decode(reply.body, type=answer)
+
+    async def _connect(self, address: Address) -> _Connection:
+        lock = self._locks.setdefault(address, trio.Lock())
+        async with lock:
+            conn = self._conns.get(address)
+            if conn is None or conn.closed:
+                conn = await self._open(address)
+                self._conns[address] = conn
+                self._nursery.start_soon(conn.run)
+            return conn
+
+    async def _open(self, address: Address) -> _Connection:
+        stream = None
+        try:
+            with trio.fail_after(CONNECT_SECONDS):
+                stream = await trio.open_tcp_stream(*address)
+                reader = FrameReader(stream)
+                await self._authenticate(stream, reader)
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            trio.TooSlowError,
+            msgspec.MsgspecError,
+            FrameTooLargeError,
+        ) as exc:
+            if stream is not None:
+                stream.socket.close()
+            raise PeerNotSentError(f"{address}: {exc}") from exc
+        return _Connection(stream, reader)
+
+    async def _authenticate(
+        self, stream: trio.SocketStream, reader: FrameReader
+    ) -> None:
+        challenge = await _expect(reader, Challenge)
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        hello = Hello(
+            name=self._name,
+            nonce=nonce,
+            mac=sign(self._secret, "client", self._name, challenge.nonce),
+        )
+        await write_frame(stream, msgspec.msgpack.encode(hello))
+        welcome = await _expect(reader, Welcome)
+        if not verify(self._secret, "server", welcome.name, nonce, welcome.mac):
+            raise trio.BrokenResourceError("the peer's proof is wrong")
+
+
+async def _expect(reader: FrameReader, message: type[AnswerT]) -> AnswerT:
+    body = await reader.read()
+    if body is None:
+        raise trio.BrokenResourceError("closed during the handshake")
+    return msgspec.msgpack.decode(body, type=message)
--- /dev/null
+++ b/src/lagoonstair/peers/_server.py
@@ -0,0 +1,180 @@
+"""The side that answers calls of other instances."""
+
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+from loguru import logger
+
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.peers._messages import (
+    Call,
+    Challenge,
+    Failure,
+    Hello,
+    Reply,
+    Welcome,
+    sign,
+    verify,
+)
+from lagoonstair.peers._outbox import Outbox
+from lagoonstair.wire import FrameReader, FrameTooLargeError, write_frame
+
+NONCE_BYTES = 16
+HANDSHAKE_SECONDS = 5.0
+NIL = msgspec.Raw(msgspec.msgpack.encode(None))
+
+MessageT = TypeVar("MessageT")
+
+
+@dataclass(frozen=True, slots=True)
+class PeerContext:
+    """Who calls.
+
+    Attributes:
+        name: The calling instance's authenticated name.
+    """
+
+    name: str
+
+
+Handler = Callable[[Any, PeerContext], Awaitable[Any]]
+
+
+class Registry:
+    """Which handler answers which type of message."""
+
+    def __init__(self) -> None:
+        self._entries: dict[
+            str, tuple[msgspec.msgpack.Decoder[Any], Handler]
+        ] = {}
+
+    def add(
+        self,
+        message: type[MessageT],
+        handler: Callable[[MessageT, PeerContext], Awaitable[Any]],
+    ) -> None:
+        """Answers messages of a type with a handler.
+
+        A handler may raise ``LagoonstairError``; the caller gets the same.
+        """
+        decoder = msgspec.msgpack.Decoder(message)
+        self._entries[message.__name__] = (decoder, handler)
+
+    async def answer(self, call: Call, ctx: PeerContext) -> Any:
+        """Decodes a call's body and runs its handler."""
+        entry = self._entries.get(call.kind)
+        if entry is None:
+            raise LagoonstairError(
+                ErrorKind.BAD_REQUEST, f"unknown message {call.kind}"
+            )
+        decoder, handler = entry
+        try:
+            message = decoder.decode(call.body)
+        except msgspec.ValidationError as exc:
+            raise LagoonstairError(
+                ErrorKind.BAD_REQUEST, f"{call.kind}: {exc}"
+            ) from exc
+        return await handler(message, ctx)
+
+
+class PeerServer:
+    """Answers authenticated calls on one listener.
+
+    Attributes:
+        refused: How many connections failed to authenticate.
+    """
+
+    def __init__(self, name: str, secret: bytes, registry: Registry) -> None:
+        self._name = name
+        self._secret = secret
+        self._registry = registry
+        self._encoder = msgspec.msgpack.Encoder()
+        self._calls = msgspec.msgpack.Decoder(Call)
+        self.refused = 0
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listens until cancelled; reports the port once it listens."""
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        bound = listeners[0].socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            await nursery.start(trio.serve_listeners, self._serve, listeners)
+            task_status.started(bound)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        reader = FrameReader(stream)
+        try:
+            ctx = None
+            with trio.move_on_after(HANDSHAKE_SECONDS):
+                ctx = await self._authenticate(stream, reader)
+            if ctx is None:
+                self.refused += 1
+                logger.warning("refused an unknown peer")
+                return
+            await self._converse(stream, reader, ctx)
+        except* (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            FrameTooLargeError,
+            msgspec.MsgspecError,
+            OSError,
+        ):
+            pass
+        finally:
+            with trio.CancelScope(shield=True), trio.move_on_after(1):
+                await stream.aclose()
+
+    async def _authenticate(
+        self, stream: trio.SocketStream, reader: FrameReader
+    ) -> PeerContext | None:
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        await write_frame(stream, self._encoder.encode(Challenge(nonce)))
+        body = await reader.read()
+        if body is None:
+            return None
+        try:
+            hello = msgspec.msgpack.decode(body, type=Hello)
+        except msgspec.MsgspecError:
+            return None
+        if not verify(self._secret, "client", hello.name, nonce, hello.mac):
+            return None
+        mac = sign(self._secret, "server", self._name, hello.nonce)
+        welcome = Welcome(self._name, mac)
+        await write_frame(stream, self._encoder.encode(welcome))
+        return PeerContext(hello.name)
+
+    async def _converse(
+        self, stream: trio.SocketStream, reader: FrameReader, ctx: PeerContext
+    ) -> None:
+        outbox = Outbox(stream)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(outbox.run)
+            while (body := await reader.read()) is not None:
+                call = self._calls.decode(body)
+                nursery.start_soon(self._answer, call, ctx, outbox)
+            nursery.cancel_scope.cancel()
+
+    async def _answer(
+        self, call: Call, ctx: PeerContext, outbox: Outbox
+    ) -> None:
+        body = NIL
+        failure = None
+        try:
+            answer = await self._registry.answer(call, ctx)
+            body = msgspec.Raw(self._encoder.encode(answer))
+        except LagoonstairError as exc:
+            failure = Failure(exc.kind, exc.message, exc.retry_after)
+        except Exception as exc:
+            logger.error("call {} failed: {}", call.kind, type(exc).__name__)
+            failure = Failure(ErrorKind.INTERNAL, "internal error", None)
+        reply = Reply(call.call_id, body, failure)
+        outbox.put(self._encoder.encode(reply))
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,109 @@
+"""Calls between instances: authentication, errors, broken connections."""
+
+import msgspec
+import pytest
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.peers import (
+    PeerClient,
+    PeerLostError,
+    PeerNotSentError,
+    PeerServer,
+    Registry,
+)
+
+SECRET = b"s" * 32
+
+
+class Ask(msgspec.Struct, frozen=True):
+    number: int
+
+
+class Told(msgspec.Struct, frozen=True):
+    number: int
+
+
+async def _start(nursery, handler, *, secret=SECRET):
+    registry = Registry()
+    registry.add(Ask, handler)
+    server = PeerServer("b", secret, registry)
+    port = await nursery.start(server.serve, "127.0.0.1", 0)
+    return server, Address("127.0.0.1", port)
+
+
+async def test_crossed_replies_reach_their_own_calls(nursery):
+    gates = {n: trio.Event() for n in range(3)}
+
+    async def answer(message, ctx):
+        await gates[message.number].wait()
+        gates.get(message.number - 1, trio.Event()).set()
+        return Told(message.number * 10)
+
+    _, address = await _start(nursery, answer)
+    client = PeerClient("a", SECRET, nursery)
+    got = {}
+
+    async def ask(number):
+        got[number] = await client.call(address, Ask(number), Told)
+
+    async with trio.open_nursery() as calls:
+        for number in range(3):
+            calls.start_soon(ask, number)
+        gates[2].set()
+    assert got == {n: Told(n * 10) for n in range(3)}
+
+
+async def test_error_kind_travels(nursery):
+    async def answer(message, ctx):
+        raise LagoonstairError(ErrorKind.RATE_LIMITED, "no", retry_after=2)
+
+    _, address = await _start(nursery, answer)
+    client = PeerClient("a", SECRET, nursery)
+    with pytest.raises(LagoonstairError) as caught:
+        await client.call(address, Ask(1), Told)
+    assert caught.value.kind is ErrorKind.RATE_LIMITED
+    assert caught.value.retry_after == 2
+
+
+async def test_unknown_peer_is_refused_and_counted(nursery):
+    async def answer(message, ctx):
+        return Told(1)
+
+    server, address = await _start(nursery, answer)
+    client = PeerClient("a", b"wrong", nursery)
+    with pytest.raises(PeerNotSentError):
+        await client.call(address, Ask(1), Told)
+    assert server.refused == 1
+
+
+async def test_server_that_dies_after_the_call_means_lost():
+    received = trio.Event()
+
+    async def answer(message, ctx):
+        received.set()
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as outer, trio.open_nursery() as inner:
+        _, address = await _start(inner, answer)
+        client = PeerClient("a", SECRET, outer)
+
+        async def kill():
+            await received.wait()
+            inner.cancel_scope.cancel()
+
+        outer.start_soon(kill)
+
+        async def ask():
+            with pytest.raises(PeerLostError):
+                await client.call(address, Ask(1), Told)
+            outer.cancel_scope.cancel()
+
+        outer.start_soon(ask)
+
+
+async def test_nobody_listening_means_not_sent(nursery):
+    client = PeerClient("a", SECRET, nursery)
+    with pytest.raises(PeerNotSentError):
+        await client.call(Address("127.0.0.1", 1), Ask(1), Told)
