--- /dev/null
+++ b/src/lagoonstair/config/__init__.py
@@ -0,0 +1,65 @@
+"""Routes, templates, workspaces, keys and members, alike on every instance."""
+
+from lagoonstair.config._authorize import Grant, authorize, grant_holds
+from lagoonstair.config._changes import (
+    Batch,
+    Change,
+    IssueKey,
+    MemberJoined,
+    MemberLeft,
+    PutRoute,
+    PutTemplate,
+    PutWorkspace,
+    RemoveRoute,
+    RemoveTemplate,
+    RemoveWorkspace,
+    WithdrawKey,
+)
+from lagoonstair.config._faults import Fault, InvalidInputError
+from lagoonstair.config._model import (
+    KeyRecord,
+    KeyRole,
+    Member,
+    MemberId,
+    Objectives,
+    Param,
+    Route,
+    RouteKind,
+    Template,
+    Workspace,
+)
+from lagoonstair.config._policy import Limits, Policy
+from lagoonstair.config._state import Configuration
+
+__all__ = [
+    "Batch",
+    "Change",
+    "Configuration",
+    "Fault",
+    "Grant",
+    "InvalidInputError",
+    "IssueKey",
+    "KeyRecord",
+    "KeyRole",
+    "Limits",
+    "Member",
+    "MemberId",
+    "MemberJoined",
+    "MemberLeft",
+    "Objectives",
+    "Param",
+    "Policy",
+    "PutRoute",
+    "PutTemplate",
+    "PutWorkspace",
+    "RemoveRoute",
+    "RemoveTemplate",
+    "RemoveWorkspace",
+    "Route",
+    "RouteKind",
+    "Template",
+    "WithdrawKey",
+    "Workspace",
+    "authorize",
+    "grant_holds",
+]
--- /dev/null
+++ b/src/lagoonstair/keys/__init__.py
@@ -0,0 +1,19 @@
+"""Keys of callers and operators: issue, parse, hash, compare."""
+
+from lagoonstair.keys._keys import (
+    IssuedKey,
+    Key,
+    digest_matches,
+    hash_secret,
+    issue,
+    parse,
+)
+
+__all__ = [
+    "IssuedKey",
+    "Key",
+    "digest_matches",
+    "hash_secret",
+    "issue",
+    "parse",
+]
