Add the configuration's log, freshness and sync

Cause: a changed rule must be in force everywhere and never revert, with no consensus group of our own. The log's head in the table service orders the changes; a proof of freshness comes from the head, from a peer's own proof, or from a majority of the joined members. An accept counts a majority of each membership since the last accept, with runs that have stopped. Excluded: a lease on the head (an outage of the store stops serving) and time-outs alone (nobody could tell a cut from an outage).

--- a/src/lagoonstair/config/__init__.py
+++ b/src/lagoonstair/config/__init__.py
@@ -15,6 +15,7 @@
     RemoveWorkspace,
     WithdrawKey,
 )
+from lagoonstair.config._core import Advance
 from lagoonstair.config._faults import Fault, InvalidInputError
 from lagoonstair.config._model import (
     KeyRecord,
@@ -30,10 +31,17 @@
 )
 from lagoonstair.config._policy import Limits, Policy
 from lagoonstair.config._state import Configuration
+from lagoonstair.config._submit import Accepted
+from lagoonstair.config._sync import ConfigStatus, ConfigSync
+from lagoonstair.config._timing import SyncTiming
 
 __all__ = [
+    "Accepted",
+    "Advance",
     "Batch",
     "Change",
+    "ConfigStatus",
+    "ConfigSync",
     "Configuration",
     "Fault",
     "Grant",
@@ -57,6 +65,7 @@
     "RemoveWorkspace",
     "Route",
     "RouteKind",
+    "SyncTiming",
     "Template",
     "WithdrawKey",
     "Workspace",
--- /dev/null
+++ b/src/lagoonstair/config/_log.py
@@ -0,0 +1,272 @@
+"""The log of numbered changes and the state that it leads to."""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import Annotated, NamedTuple
+
+from pydantic import Field
+
+from lagoonstair.config._changes import (
+    Batch,
+    Change,
+    IssueKey,
+    MemberJoined,
+    MemberLeft,
+    Step,
+    items_of,
+    steps_of,
+)
+from lagoonstair.config._electorates import EMPTY, Electorate, prune
+from lagoonstair.config._model import (
+    STRICT,
+    KeyRecord,
+    Member,
+    MemberId,
+    Route,
+    Template,
+    Workspace,
+)
+from lagoonstair.config._parse import decode, encode
+from lagoonstair.config._state import Configuration, resolve
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+
+KEPT_OPERATIONS = 1024
+"""How many of the latest operation ids are remembered."""
+
+_BLANK_ID = "0" * 16
+_BLANK_SHA256 = "0" * 64
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """One entry of the log.
+
+    Attributes:
+        version: The version that the change leads to.
+        operation_id: Names the change, so that its author knows it again.
+        accepted: The greatest version that the author knew as accepted.
+        change: The change.
+    """
+
+    __pydantic_config__ = STRICT
+
+    version: int
+    operation_id: str
+    accepted: int
+    change: Annotated[Step | Batch, Field(discriminator="kind")]
+
+    @classmethod
+    def from_bytes(cls, content: bytes) -> "Entry":
+        """Reads an entry."""
+        return decode(cls, content)
+
+    def to_bytes(self) -> bytes:
+        """Writes the entry."""
+        return encode(Entry, self)
+
+
+class Operation(NamedTuple):
+    """A change that is in the log.
+
+    Attributes:
+        version: The version that it led to.
+        digest: The digest of the change.
+    """
+
+    version: int
+    digest: str
+
+
+def digest_of(change: Change) -> str:
+    """Computes a digest by which a repeated change is known again.
+
+    A repeated request to issue a key brings another random key, so the digest
+    leaves the id and the hash out.
+    """
+    steps = tuple(
+        replace(step, id=_BLANK_ID, sha256=_BLANK_SHA256)
+        if isinstance(step, IssueKey)
+        else step
+        for step in steps_of(change)
+    )
+    return hashlib.sha256(encode(Batch, Batch(steps))).hexdigest()[:32]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Snapshot:
+    """What is written of a state."""
+
+    __pydantic_config__ = STRICT
+
+    version: int
+    accepted: int
+    routes: tuple[Route, ...]
+    templates: tuple[Template, ...]
+    workspaces: tuple[Workspace, ...]
+    keys: tuple[KeyRecord, ...]
+    members: tuple[Member, ...]
+    changed: dict[str, int]
+    operations: dict[str, Operation]
+    electorates: tuple[Electorate, ...]
+    stopped: tuple[MemberId, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class History:
+    """The configuration and what its log says beside it.
+
+    Attributes:
+        configuration: The configuration.
+        accepted: The greatest version that the log tells as accepted.
+        operations: The latest operations by their ids, oldest first.
+        electorates: The members of each version since ``accepted``.
+        stopped: Former members that answer nobody any more.
+    """
+
+    configuration: Configuration = field(default_factory=Configuration)
+    accepted: int = 0
+    operations: Mapping[str, Operation] = field(default_factory=dict)
+    electorates: tuple[Electorate, ...] = EMPTY
+    stopped: frozenset[MemberId] = frozenset()
+
+    @property
+    def version(self) -> int:
+        """The configuration's version."""
+        return self.configuration.version
+
+    @property
+    def members(self) -> frozenset[MemberId]:
+        """The joined members of this version."""
+        return self.electorates[-1].members
+
+    def append(self, entry: Entry) -> "History":
+        """Returns the state after one more entry.
+
+        Raises:
+            ValueError: The entry is not the next one.
+            InvalidInputError: The change doesn't fit; this state stands.
+        """
+        if entry.version != self.version + 1:
+            raise ValueError(f"version {entry.version} after {self.version}")
+        cfg = self.configuration.apply(entry.change)
+        accepted = max(self.accepted, entry.accepted)
+        operation = Operation(entry.version, digest_of(entry.change))
+        operations = {**self.operations, entry.operation_id: operation}
+        if len(operations) > KEPT_OPERATIONS:
+            del operations[next(iter(operations))]
+        electorates = prune(_electorates(self, cfg), accepted)
+        return History(
+            configuration=cfg,
+            accepted=accepted,
+            operations=operations,
+            electorates=electorates,
+            stopped=_stopped(self, entry.change, electorates),
+        )
+
+    def check_edit(self, change: Change, expected_version: int) -> None:
+        """Checks that an edit's items are as its author saw them.
+
+        Raises:
+            LagoonstairError: ``CONFLICT``; names what changed since.
+        """
+        changed = self.configuration.changed
+        newer = sorted(
+            (item, changed[item])
+            for item in items_of(change)
+            if changed.get(item, 0) > expected_version
+        )
+        if newer:
+            what = ", ".join(
+                f"{item} changed at version {version}"
+                for item, version in newer
+            )
+            raise LagoonstairError(
+                ErrorKind.CONFLICT,
+                f"the edit is of version {expected_version}, but {what}",
+            )
+
+    def find_operation(
+        self, operation_id: str, change: Change
+    ) -> Operation | None:
+        """Finds an earlier run of the same operation.
+
+        Raises:
+            LagoonstairError: ``REQUEST_ID_REUSED``; the id names another
+                change.
+        """
+        found = self.operations.get(operation_id)
+        if found is not None and found.digest != digest_of(change):
+            raise LagoonstairError(
+                ErrorKind.REQUEST_ID_REUSED,
+                f"the operation id names another change, version "
+                f"{found.version}",
+            )
+        return found
+
+    @classmethod
+    def from_snapshot(cls, content: bytes) -> "History":
+        """Reads a state."""
+        snapshot = decode(_Snapshot, content)
+        cfg = Configuration(
+            version=snapshot.version,
+            routes={item.name: item for item in snapshot.routes},
+            templates={item.name: item for item in snapshot.templates},
+            workspaces={item.name: item for item in snapshot.workspaces},
+            keys={item.id: item for item in snapshot.keys},
+            members={item.name: item for item in snapshot.members},
+            changed=snapshot.changed,
+        )
+        return cls(
+            configuration=resolve(cfg),
+            accepted=snapshot.accepted,
+            operations=snapshot.operations,
+            electorates=snapshot.electorates,
+            stopped=frozenset(snapshot.stopped),
+        )
+
+    def to_snapshot(self) -> bytes:
+        """Writes the state."""
+        cfg = self.configuration
+        snapshot = _Snapshot(
+            version=cfg.version,
+            accepted=self.accepted,
+            routes=tuple(cfg.routes.values()),
+            templates=tuple(cfg.templates.values()),
+            workspaces=tuple(cfg.workspaces.values()),
+            keys=tuple(cfg.keys.values()),
+            members=tuple(cfg.members.values()),
+            changed=dict(cfg.changed),
+            operations=dict(self.operations),
+            electorates=self.electorates,
+            stopped=tuple(sorted(self.stopped)),
+        )
+        return encode(_Snapshot, snapshot)
+
+
+def _electorates(old: History, new: Configuration) -> tuple[Electorate, ...]:
+    members = frozenset(member.id for member in new.members.values())
+    if members == old.members:
+        return old.electorates
+    return (*old.electorates, Electorate(new.version, members))
+
+
+def _stopped(
+    old: History, change: Change, electorates: tuple[Electorate, ...]
+) -> frozenset[MemberId]:
+    """Adds the runs that a change tells as stopped; drops those forgotten."""
+    known = frozenset().union(*(set(e.members) for e in electorates))
+    stopped = set(old.stopped)
+    for step in steps_of(change):
+        match step:
+            case MemberJoined(member):
+                stopped |= {
+                    other
+                    for other in known
+                    if other.name == member.name and other != member.id
+                }
+            case MemberLeft(name, incarnation, stopped=True):
+                stopped.add(MemberId(name, incarnation))
+            case _:
+                pass
+    return frozenset(stopped & known)
--- a/src/lagoonstair/config/_parse.py
+++ b/src/lagoonstair/config/_parse.py
@@ -3,11 +3,10 @@
 import json
 from collections.abc import Hashable
 from functools import cache
-from typing import Annotated, Any, TypeVar
+from typing import Any, TypeVar
 
-from pydantic import Field, TypeAdapter, ValidationError
+from pydantic import TypeAdapter, ValidationError
 
-from lagoonstair.config._changes import Batch, Step
 from lagoonstair.config._faults import (
     Fault,
     InvalidInputError,
@@ -16,8 +15,9 @@
 
 ValueT = TypeVar("ValueT")
 
-AnyChange = Annotated[Step | Batch, Field(discriminator="kind")]
-"""A change with its discriminator, for reading."""
+
+class UnreadableError(Exception):
+    """What was kept or sent can't be read by this program."""
 
 
 @cache
@@ -62,8 +62,16 @@
 
 
 def decode(kind: type[ValueT], content: bytes) -> ValueT:
-    """Reads what ``encode`` wrote."""
-    read: ValueT = _adapter(kind).validate_json(content)
+    """Reads what ``encode`` wrote.
+
+    Raises:
+        UnreadableError: Another program version wrote it, or it is damaged.
+    """
+    try:
+        read: ValueT = _adapter(kind).validate_json(content)
+    except ValidationError as exc:
+        message = f"no {kind.__name__}: {exc.error_count()} faults"
+        raise UnreadableError(message) from exc
     return read
 
 
--- /dev/null
+++ b/src/lagoonstair/config/_sync.py
@@ -0,0 +1,346 @@
+"""Keeps the configuration of one instance alike with that of the others."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+from loguru import logger
+
+from lagoonstair._types import Address
+from lagoonstair.config._changes import Change, MemberJoined, MemberLeft
+from lagoonstair.config._core import Advance, Core
+from lagoonstair.config._local import Local
+from lagoonstair.config._messages import (
+    ConfigAsk,
+    ConfigFetch,
+    ConfigPush,
+    Delta,
+    Word,
+)
+from lagoonstair.config._model import Member, MemberId
+from lagoonstair.config._neighbours import Caller, Neighbours
+from lagoonstair.config._parse import UnreadableError
+from lagoonstair.config._reaper import Reaper
+from lagoonstair.config._state import Configuration
+from lagoonstair.config._store import LogStore
+from lagoonstair.config._submit import Accepted, Durable, Submitter
+from lagoonstair.config._timing import SyncTiming
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.peers import PeerContext, Registry
+from lagoonstair.ports import Platform, PlatformUnavailableError
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigStatus:
+    """The state of one instance's configuration.
+
+    Attributes:
+        version: The version in force here.
+        accepted: The greatest version known as accepted.
+        fresh: Whether it may be served.
+        proof_age: Seconds since the latest proof was asked for; infinite
+            without one.
+        joined: Whether this instance is a member.
+        waiting_for: What is missing, in words; ``None`` if nothing.
+        last_change_seconds: Seconds from when the latest change was submitted
+            here until every member had it in force; ``None`` if not yet.
+    """
+
+    version: int
+    accepted: int
+    fresh: bool
+    proof_age: float
+    joined: bool
+    waiting_for: str | None
+    last_change_seconds: float | None
+
+
+class ConfigSync:
+    """The configuration of one instance, and its part in the others'."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        failure_domain: str,
+        peers: Address,
+        platform: Platform,
+        caller: Caller,
+        registry: Registry,
+        seeds: Iterable[Address] = (),
+        timing: SyncTiming | None = None,
+        rng: Random | None = None,
+    ) -> None:
+        """Prepares the instance; ``run`` starts it.
+
+        Args:
+            name: The instance's name.
+            incarnation: Tells this run from every other of the name.
+            failure_domain: The failure domain it runs in.
+            peers: Where it listens for other instances.
+            platform: The platform.
+            caller: Calls other instances, as ``PeerClient`` does.
+            registry: Gets the handlers for other instances' calls.
+            seeds: Where instances may listen, for a start without the store.
+            timing: The times.
+            rng: The source of jitter and of operation ids.
+        """
+        self._timing = timing or SyncTiming()
+        self._rng = rng or Random()
+        self._base = incarnation
+        self._joins = 0
+        self._failure_domain = failure_domain
+        self._peers = peers
+        self._core = Core(
+            MemberId(name, incarnation),
+            bound=self._timing.bound,
+            now=trio.current_time(),
+        )
+        self._local = Local(self._core)
+        self._neighbours = Neighbours(
+            self._local, caller, peers, seeds, self._timing, self._rng
+        )
+        self._submitter = Submitter(
+            self._local, LogStore(platform), self._timing, self._rng
+        )
+        self._reaper = Reaper(name, platform, self._timing)
+        self._pushes, self._push_requests = trio.open_memory_channel[None](1)
+        self._submitted: tuple[int, float] | None = None
+        self._last_change_seconds: float | None = None
+        registry.add(ConfigPush, self._on_push)
+        registry.add(ConfigFetch, self._on_fetch)
+        registry.add(ConfigAsk, self._on_ask)
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration in force; check ``require_fresh`` beside it."""
+        return self._core.history.configuration
+
+    def fresh(self, now: float) -> bool:
+        """Tells whether the configuration in force may be served."""
+        return self._core.fresh(now)
+
+    def require_fresh(self, now: float) -> Configuration:
+        """Returns the configuration in force.
+
+        Raises:
+            LagoonstairError: ``NOT_FRESH``; a newer one may be accepted.
+        """
+        if not self._core.fresh(now):
+            raise LagoonstairError(
+                ErrorKind.NOT_FRESH,
+                "this instance can't tell whether its configuration holds",
+                retry_after=self._timing.poll,
+            )
+        return self._core.history.configuration
+
+    async def wait_fresh(self) -> None:
+        """Waits until the configuration may be served."""
+        await self._local.wait_until(
+            lambda: self._core.fresh(trio.current_time())
+        )
+
+    def on_change(self, listener: Callable[[Advance], None]) -> None:
+        """Calls the listener after each step to newer versions."""
+        self._local.subscribe(listener)
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Keeps the configuration alike until cancelled.
+
+        It reports as started once it answers peers; ``wait_fresh`` tells when
+        the configuration may be served.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._keep_polling)
+            nursery.start_soon(self._keep_asking)
+            nursery.start_soon(self._keep_ticking)
+            nursery.start_soon(self._keep_joined)
+            nursery.start_soon(self._keep_pushing)
+            nursery.start_soon(self._keep_measuring)
+            nursery.start_soon(self._keep_reaping)
+            task_status.started()
+
+    async def submit(
+        self,
+        change: Change,
+        *,
+        expected_version: int | None = None,
+        operation_id: str | None = None,
+    ) -> Accepted:
+        """Makes a change durable and waits until a majority has it in force.
+
+        Args:
+            change: The change.
+            expected_version: The version whose content the edit is based on;
+                without it, the newest in the store.
+            operation_id: Names the change; a repeat has no further effect.
+
+        Raises:
+            InvalidInputError: The change doesn't fit; nothing was changed.
+            LagoonstairError: ``CONFLICT`` after another edit of its items;
+                ``REQUEST_ID_REUSED``; ``UNAVAILABLE`` when the store does not
+                answer; ``OUTCOME_UNKNOWN`` when the change may be durable.
+        """
+        started = trio.current_time()
+        durable = await self._commit(change, expected_version, operation_id)
+        self._submitted = (durable.version, started)
+        return await self._submitter.wait_in_force(durable)
+
+    async def words(self) -> dict[str, Word]:
+        """Asks every member what it has in force; absent if no answer."""
+        own = self._core.word(trio.current_time())
+        return {own.name: own, **await self._neighbours.words()}
+
+    async def leave(self) -> None:
+        """Leaves the members; nothing counts on this instance any more."""
+        self._core.leaving = True
+        name, incarnation = self._core.me
+        if not self._core.joined:
+            return
+        try:
+            await self._commit(MemberLeft(name, incarnation), None, None)
+        except LagoonstairError as exc:
+            logger.warning("left without a word: {}", exc.kind)
+
+    def status(self) -> ConfigStatus:
+        """Returns the state of this instance's configuration."""
+        now = trio.current_time()
+        return ConfigStatus(
+            version=self._core.version,
+            accepted=self._core.accepted,
+            fresh=self._core.fresh(now),
+            proof_age=self._core.freshness.age(now),
+            joined=self._core.joined,
+            waiting_for=self._waiting_for(now),
+            last_change_seconds=self._last_change_seconds,
+        )
+
+    def _waiting_for(self, now: float) -> str | None:
+        if self._core.freshness.ahead.version > self._core.version:
+            return f"version {self._core.freshness.ahead.version}"
+        if not self._core.fresh(now):
+            return "the store, or a majority of the joined instances"
+        if not self._core.joined and not self._core.leaving:
+            return "the store, to join the members"
+        pending = self._core.pending(self._core.version)
+        if self._core.accepted < self._core.version and pending:
+            return f"{', '.join(pending)} to confirm {self._core.version}"
+        return None
+
+    async def _commit(
+        self,
+        change: Change,
+        expected: int | None,
+        operation_id: str | None,
+    ) -> Durable:
+        operation_id = operation_id or f"{self._rng.getrandbits(128):032x}"
+        durable = await self._submitter.make_durable(
+            change, expected=expected, operation_id=operation_id
+        )
+        self._ask_for_push()
+        return durable
+
+    def _ask_for_push(self) -> None:
+        try:
+            self._pushes.send_nowait(None)
+        except trio.WouldBlock:
+            return
+
+    async def _keep_pushing(self) -> None:
+        async with trio.open_nursery() as nursery:
+            async for _ in self._push_requests:
+                nursery.start_soon(self._neighbours.push)
+                nursery.start_soon(self._submitter.save_snapshot)
+
+    async def _keep_measuring(self) -> None:
+        """Measures how long the latest change took to all members."""
+        while True:
+            await self._local.wait_until(self._reached_all)
+            if self._submitted is not None:
+                started = self._submitted[1]
+                self._last_change_seconds = trio.current_time() - started
+                self._submitted = None
+
+    def _reached_all(self) -> bool:
+        if self._submitted is None:
+            return False
+        return not self._core.pending(self._submitted[0])
+
+    async def _keep_polling(self) -> None:
+        while True:
+            try:
+                with trio.move_on_after(self._timing.bound):
+                    await self._submitter.read_head()
+            except PlatformUnavailableError:
+                pass
+            except UnreadableError as exc:
+                logger.error("the log can't be read: {}", exc)
+            interval = self._timing.poll_interval(len(self.current.members))
+            await trio.sleep(self._rng.uniform(interval / 2, interval))
+
+    async def _keep_asking(self) -> None:
+        while True:
+            await trio.sleep(self._rng.uniform(0.5, 1) * self._timing.tick)
+            if self._proof_age() < self._timing.ask_after:
+                continue
+            await self._neighbours.ask_relays()
+            # The spread lets a few ask a majority and the others relay.
+            patience = self._rng.uniform(0, self._timing.ask_after)
+            if self._proof_age() >= self._timing.ask_after + patience:
+                await self._neighbours.ask_majority()
+
+    def _proof_age(self) -> float:
+        return self._core.freshness.age(trio.current_time())
+
+    async def _keep_ticking(self) -> None:
+        while True:
+            self._core.tick(trio.current_time())
+            await trio.sleep(self._timing.tick)
+
+    async def _keep_joined(self) -> None:
+        while True:
+            await self._local.wait_until(
+                lambda: not self._core.joined and not self._core.leaving
+            )
+            try:
+                await self._commit(MemberJoined(self._member()), None, None)
+            except LagoonstairError as exc:
+                logger.warning("did not join: {}", exc.kind)
+            await trio.sleep(self._rng.uniform(0.5, 1) * self._timing.poll)
+
+    def _member(self) -> Member:
+        """Returns this run as a member, under an incarnation never used."""
+        self._joins += 1
+        self._core.renew(f"{self._base}.{self._joins}")
+        return Member(
+            name=self._core.me.name,
+            incarnation=self._core.me.incarnation,
+            failure_domain=self._failure_domain,
+            peers=self._peers,
+        )
+
+    async def _keep_reaping(self) -> None:
+        while True:
+            interval = self._timing.reap_after / 3
+            await trio.sleep(self._rng.uniform(interval / 2, interval))
+            members = self.current.members.values()
+            for gone in await self._reaper.look(members):
+                left = MemberLeft(gone.name, gone.incarnation)
+                try:
+                    await self._commit(left, None, None)
+                except LagoonstairError as exc:
+                    logger.warning("{} stays listed: {}", gone.name, exc.kind)
+
+    async def _on_push(self, push: ConfigPush, ctx: PeerContext) -> Word:
+        self._local.take(push.delta)
+        return self._core.word(trio.current_time())
+
+    async def _on_fetch(self, fetch: ConfigFetch, ctx: PeerContext) -> Delta:
+        return self._core.delta_after(fetch.after)
+
+    async def _on_ask(self, ask: ConfigAsk, ctx: PeerContext) -> Word:
+        return self._core.word(trio.current_time())
