--- /dev/null
+++ b/src/lagoonstair/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the whole system, each against its baseline."""
