--- /dev/null
+++ b/src/lagoonstair/sessions/__init__.py
@@ -0,0 +1,6 @@
+"""Session tokens: what a caller carries so that it reads its own writes."""
+
+from lagoonstair.sessions._state import GroupMark, SessionState
+from lagoonstair.sessions._token import TokenCodec, TransactionToken
+
+__all__ = ["GroupMark", "SessionState", "TokenCodec", "TransactionToken"]
--- /dev/null
+++ b/src/lagoonstair/settings/__init__.py
@@ -0,0 +1,22 @@
+"""The settings of one instance, read from a JSON file and checked whole."""
+
+from lagoonstair.settings._load import load_settings, parse_settings
+from lagoonstair.settings._settings import (
+    CallerLimits,
+    Listener,
+    LogSettings,
+    Settings,
+    StatsdSettings,
+    Timing,
+)
+
+__all__ = [
+    "CallerLimits",
+    "Listener",
+    "LogSettings",
+    "Settings",
+    "StatsdSettings",
+    "Timing",
+    "load_settings",
+    "parse_settings",
+]
