Benchmark the transports and give silent peers up

Cause: a frozen owner accepts bytes and answers nothing, so its callers would wait until their deadline; and the choice of transport needs figures. Excluded: a heartbeat to every peer all the time (at 910 instances it alone is over the control budget); peers are asked only while a call waits. Conclusion: frames between instances, HTTP towards the outside; grpcio stays in the benchmark only.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 unit:
 	$(BIN)/python -m pytest
+
+bench: $(STAMP)
+	$(BIN)/python -m lagoonstair.bench
--- /dev/null
+++ b/src/lagoonstair/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Kept benchmarks: the cost of a call over each transport."""
--- /dev/null
+++ b/src/lagoonstair/bench/_transports.py
@@ -0,0 +1,113 @@
+"""The transports that were weighed, each answering a body of 200 bytes."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import grpc
+import msgspec
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.bench._load import IN_FLIGHT, Cost, OneCall, measure
+from lagoonstair.peers import PeerClient, PeerContext, PeerServer, Registry
+from lagoonstair.wire import (
+    HttpConnection,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+
+BODY = b"x" * 200
+HOST = "127.0.0.1"
+SECRET = b"benchmark"
+GRPC_METHOD = "/lagoonstair.Bench/Echo"
+GRPC_THREADS = 4
+
+
+class Echo(msgspec.Struct, frozen=True):
+    """A body to send back."""
+
+    body: bytes
+
+
+async def measure_frames(calls: int) -> Cost:
+    """Measures msgpack in frames over one multiplexed connection."""
+
+    async def answer(message: Echo, ctx: PeerContext) -> Echo:
+        return message
+
+    registry = Registry()
+    registry.add(Echo, answer)
+    async with trio.open_nursery() as nursery:
+        server = PeerServer("server", SECRET, registry)
+        port = await nursery.start(server.serve, HOST, 0)
+        client = PeerClient("client", SECRET, nursery)
+        address = Address(HOST, port)
+
+        async def call() -> Echo:
+            return await client.call(address, Echo(BODY), Echo)
+
+        cost = await measure("frames", [call] * IN_FLIGHT, calls=calls)
+        nursery.cancel_scope.cancel()
+    return cost
+
+
+async def measure_http(calls: int) -> Cost:
+    """Measures HTTP/1.1 with h11, a connection per call in flight."""
+
+    async def answer(req: HttpRequest) -> HttpResponse:
+        return HttpResponse(status=200, body=req.body)
+
+    def caller(conn: HttpConnection) -> OneCall:
+        return lambda: conn.call("POST", "/", BODY)
+
+    async with trio.open_nursery() as nursery:
+        server = HttpServer(answer)
+        port = await nursery.start(server.serve, HOST, 0)
+        address = Address(HOST, port)
+        conns = [await HttpConnection.open(address) for _ in range(IN_FLIGHT)]
+        cost = await measure("http", [caller(c) for c in conns], calls=calls)
+        nursery.cancel_scope.cancel()
+    return cost
+
+
+async def measure_grpc(calls: int) -> Cost:
+    """Measures grpcio with its threads, bridged to trio by a token."""
+    server = _grpc_server()
+    port = server.add_insecure_port(f"{HOST}:0")
+    server.start()
+    channel = grpc.insecure_channel(f"{HOST}:{port}")
+    echo = channel.unary_unary(GRPC_METHOD)
+    token = trio.lowlevel.current_trio_token()
+
+    async def call() -> Any:
+        done = trio.Event()
+        fut = echo.future(BODY)
+        fut.add_done_callback(_waker(token, done))
+        await done.wait()
+        return fut.result()
+
+    cost = await measure("grpcio", [call] * IN_FLIGHT, calls=calls)
+    channel.close()
+    server.stop(None).wait()
+    return cost
+
+
+def _waker(
+    token: trio.lowlevel.TrioToken, done: trio.Event
+) -> Callable[[Any], None]:
+    return lambda _: token.run_sync_soon(done.set)
+
+
+def _grpc_server() -> Any:
+    def echo(body: bytes, ctx: Any) -> bytes:
+        return body
+
+    service, method = GRPC_METHOD.strip("/").split("/")
+    handlers = {method: grpc.unary_unary_rpc_method_handler(echo)}
+    server = grpc.server(ThreadPoolExecutor(GRPC_THREADS))
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(service, handlers),)
+    )
+    return server
--- a/src/lagoonstair/membership/__init__.py
+++ b/src/lagoonstair/membership/__init__.py
@@ -1,5 +1,6 @@
 """Which instance has which duty."""
 
+from lagoonstair.membership._listing import ListingWatch
 from lagoonstair.membership._ranking import (
     HOLDERS,
     OWNERS,
@@ -9,4 +10,12 @@
 )
 from lagoonstair.membership._suspects import Suspects
 
-__all__ = ["HOLDERS", "OWNERS", "Ranked", "Ranking", "Suspects", "rank"]
+__all__ = [
+    "HOLDERS",
+    "OWNERS",
+    "ListingWatch",
+    "Ranked",
+    "Ranking",
+    "Suspects",
+    "rank",
+]
--- a/src/lagoonstair/peers/_client.py
+++ b/src/lagoonstair/peers/_client.py
@@ -12,6 +12,7 @@
     Call,
     Challenge,
     Hello,
+    Ping,
     Reply,
     Welcome,
     sign,
@@ -21,7 +22,12 @@
 from lagoonstair.wire import FrameReader, FrameTooLargeError, write_frame
 
 NONCE_BYTES = 16
-CONNECT_SECONDS = 2.0
+CONNECT_SECONDS = 0.5
+KEEPALIVE_SECONDS = 0.5
+MAX_SILENT_CHECKS = 2
+PING_ID = 0
+
+PING = Call(PING_ID, Ping.__name__, msgspec.Raw(msgspec.msgpack.encode(Ping())))
 
 AnswerT = TypeVar("AnswerT")
 
@@ -52,7 +58,9 @@
         self._reader = reader
         self._outbox = Outbox(stream)
         self._pending: dict[int, _Pending] = {}
-        self._next_id = 0
+        self._next_id = PING_ID
+        self._received = 0
+        self._waiting = trio.Event()
         self._encoder = msgspec.msgpack.Encoder()
         self._replies = msgspec.msgpack.Decoder(Reply)
         self.closed = False
@@ -62,6 +70,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._outbox.run)
+                nursery.start_soon(self._keep_alive)
                 await self._read()
                 nursery.cancel_scope.cancel()
         except* (
@@ -81,6 +90,7 @@
         call_id = self._next_id
         pending = _Pending()
         self._pending[call_id] = pending
+        self._waiting.set()
         body = msgspec.Raw(self._encoder.encode(message))
         call = Call(call_id, type(message).__name__, body)
         self._outbox.put(self._encoder.encode(call))
@@ -92,8 +102,24 @@
             raise PeerLostError("connection broke before the reply")
         return pending.reply
 
+    async def _keep_alive(self) -> None:
+        """Ends the connection when the peer is silent while calls wait."""
+        while True:
+            if not self._pending:
+                self._waiting = trio.Event()
+                await self._waiting.wait()
+            silent = 0
+            while self._pending:
+                received = self._received
+                self._outbox.put(self._encoder.encode(PING))
+                await trio.sleep(KEEPALIVE_SECONDS)
+                silent = silent + 1 if self._received == received else 0
+                if silent >= MAX_SILENT_CHECKS:
+                    raise trio.BrokenResourceError("the peer is silent")
+
     async def _read(self) -> None:
         while (body := await self._reader.read()) is not None:
+            self._received += 1
             reply = self._replies.decode(body)
             pending = self._pending.get(reply.call_id)
             if pending is not None:
--- a/src/lagoonstair/peers/_messages.py
+++ b/src/lagoonstair/peers/_messages.py
@@ -37,6 +37,10 @@
     body: msgspec.Raw
 
 
+class Ping(msgspec.Struct, frozen=True):
+    """Asks whether the peer still answers; every instance does."""
+
+
 class Failure(msgspec.Struct, frozen=True, array_like=True):
     """An error of the closed list, in transit."""
 
--- a/src/lagoonstair/peers/_server.py
+++ b/src/lagoonstair/peers/_server.py
@@ -15,6 +15,7 @@
     Challenge,
     Failure,
     Hello,
+    Ping,
     Reply,
     Welcome,
     sign,
@@ -51,6 +52,7 @@
         self._entries: dict[
             str, tuple[msgspec.msgpack.Decoder[Any], Handler]
         ] = {}
+        self.add(Ping, _answer_ping)
 
     def add(
         self,
@@ -81,6 +83,10 @@
         return await handler(message, ctx)
 
 
+async def _answer_ping(message: Ping, ctx: PeerContext) -> None:
+    """Answers nothing: the reply itself is the answer."""
+
+
 class PeerServer:
     """Answers authenticated calls on one listener.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,6 +13,7 @@
     PeerServer,
     Registry,
 )
+from lagoonstair.peers._messages import Ping
 
 SECRET = b"s" * 32
 
@@ -107,3 +108,45 @@
     client = PeerClient("a", SECRET, nursery)
     with pytest.raises(PeerNotSentError):
         await client.call(Address("127.0.0.1", 1), Ask(1), Told)
+
+
+async def test_silent_peer_is_given_up_while_a_call_waits(nursery):
+    address = await _start_silent(nursery)
+    client = PeerClient("a", SECRET, nursery)
+    with pytest.raises(PeerLostError):
+        await client.call(address, Ask(1), Told)
+
+
+async def test_slow_answer_of_a_live_peer_is_awaited(nursery):
+    answered_pings = trio.Event()
+
+    async def answer(message, ctx):
+        await answered_pings.wait()
+        return Told(1)
+
+    _, address = await _start(nursery, answer)
+    client = PeerClient("a", SECRET, nursery)
+    done = []
+
+    async def ask():
+        done.append(await client.call(address, Ask(1), Told))
+
+    async with trio.open_nursery() as calls:
+        calls.start_soon(ask)
+        await client.call(address, Ping(), type(None))
+        answered_pings.set()
+    assert done == [Told(1)]
+
+
+async def _start_silent(nursery):
+    """Starts a peer that proves itself and then answers nothing."""
+    registry = Registry()
+
+    async def answer(message, ctx):
+        await trio.sleep_forever()
+
+    registry.add(Ask, answer)
+    registry.add(Ping, answer)
+    server = PeerServer("b", SECRET, registry)
+    port = await nursery.start(server.serve, "127.0.0.1", 0)
+    return Address("127.0.0.1", port)
