--- /dev/null
+++ b/src/lagoonstair/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoint port over HTTP/1.1 with JSON."""
--- /dev/null
+++ b/src/lagoonstair/standins/database/_server.py
@@ -0,0 +1,333 @@
+"""Serves one member over HTTP/1.1 with JSON."""
+
+import functools
+import urllib.parse
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.endpoints._messages import (
+    CALL_HEADER,
+    INSTANCE_HEADER,
+    REFUSED_STATUS,
+    Connect,
+    Done,
+    Fence,
+    Follow,
+    Promote,
+    Refusal,
+    Rollback,
+)
+from lagoonstair.ports import (
+    Commit,
+    EndpointRefusal,
+    EndpointRefusedError,
+    Execute,
+    Run,
+)
+from lagoonstair.standins.database._config import (
+    DatabaseConfig,
+    FaultControl,
+)
+from lagoonstair.standins.database._log import LogPage
+from lagoonstair.standins.database._member import Member
+from lagoonstair.standins.database._replication import Replication
+from lagoonstair.standins.database._slots import Slots
+from lagoonstair.wire import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+KEPT_CALLS = 100_000
+MAX_LOG_WAIT_SECONDS = 2.0
+
+StatementCall = Connect | Run | Execute | Commit | Rollback
+
+
+class Received(msgspec.Struct, frozen=True, kw_only=True):
+    """Something that reached the member.
+
+    Attributes:
+        connection: The number of the connection.
+        target: The path, or ``closed`` when the connection has ended.
+        headers: The headers.
+        body: The body as text.
+    """
+
+    connection: int
+    target: str
+    headers: Mapping[str, str] = {}
+    body: str = ""
+
+
+class _NoAnswer(bytes):
+    """A body that closes the connection in place of being sent."""
+
+    def __len__(self) -> int:
+        raise trio.BrokenResourceError("the answer is dropped")
+
+
+class Database:
+    """One member of a group as a server.
+
+    Attributes:
+        member: Its decisions.
+        faults: Its fault controls.
+        received: What has reached it, if it records.
+        open_connections: The connections that were claimed for statements.
+    """
+
+    def __init__(self, cfg: DatabaseConfig) -> None:
+        self._cfg = cfg
+        self._members = dict(cfg.members)
+        self.member = Member(cfg)
+        self.faults = FaultControl()
+        self.received: deque[Received] = deque(maxlen=KEPT_CALLS)
+        self.open_connections: set[int] = set()
+        self._slots = Slots(cfg.slots, self.member.in_transaction)
+        self._replication = Replication(self.member, self.faults, self._members)
+        self._written = trio.Event()
+        self._previous: HttpResponse | None = None
+
+    @classmethod
+    def from_config(cls, cfg: DatabaseConfig) -> "Database":
+        """Makes a member from its settings."""
+        return cls(cfg)
+
+    def meet(self, members: Mapping[str, Address]) -> None:
+        """Tells the member the addresses of its group."""
+        self._members.update(members)
+        self._replication.restart()
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until cancelled; reports the port once it listens."""
+        server = HttpServer(
+            self._handle,
+            limits=HttpLimits(body_bytes=MAX_BODY_BYTES, idle=float("inf")),
+            on_close=self._closed,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._replication.run)
+            bound = await nursery.start(server.serve, host, port)
+            task_status.started(bound)
+
+    async def _handle(self, req: HttpRequest) -> HttpResponse:
+        path, _, query = req.target.partition("?")
+        try:
+            if path.startswith("/admin/"):
+                return self._admin(path, req.body)
+            return await self._guarded(path, query, req)
+        except EndpointRefusedError as exc:
+            return self._refusal(req, 0, exc)
+        except (msgspec.MsgspecError, ValueError) as exc:
+            bad = EndpointRefusedError(EndpointRefusal.BAD_REQUEST, str(exc))
+            return self._refusal(req, 0, bad)
+
+    async def _guarded(
+        self, path: str, query: str, req: HttpRequest
+    ) -> HttpResponse:
+        caller = req.headers.get(INSTANCE_HEADER, "")
+        await self.faults.pass_gate(caller)
+        self._record(req)
+        if message := STATEMENT_CALLS.get(path):
+            resp = await self._statement(message, req)
+        else:
+            resp = await self._control(path, query, req)
+        await self.faults.pass_gate(caller)
+        return resp
+
+    async def _control(
+        self, path: str, query: str, req: HttpRequest
+    ) -> HttpResponse:
+        match path:
+            case "/v1/status":
+                return _answer(req, self.member.status())
+            case "/v1/fence":
+                fence = msgspec.json.decode(req.body, type=Fence)
+                granted = self.member.fence(fence.term, fence.candidate)
+                self._after_control()
+                return _answer(req, granted)
+            case "/v1/promote":
+                ask = msgspec.json.decode(req.body, type=Promote)
+                status = self.member.promote(ask.term, ask.candidate)
+                self._after_control()
+                return _answer(req, status)
+            case "/v1/follow":
+                follow = msgspec.json.decode(req.body, type=Follow)
+                status = self.member.follow(follow.term, follow.primary)
+                self._after_control()
+                return _answer(req, status)
+            case "/v1/log":
+                return _answer(req, await self._log(query))
+            case _:
+                return HttpResponse(status=404, body=b"{}")
+
+    async def _log(self, query: str) -> LogPage:
+        asked = dict(urllib.parse.parse_qsl(query))
+        if "term" not in asked:
+            return self.member.page(0, whole=True)
+        after = int(asked.get("after", "0"))
+        wait = min(float(asked.get("wait", "0")), MAX_LOG_WAIT_SECONDS)
+        term = int(asked["term"])
+        with trio.move_on_after(wait):
+            self.member.check_replica(term)
+            while self.member.last.offset <= after:
+                await self._written.wait()
+                self.member.check_replica(term)
+        self.member.check_replica(term)
+        return self.member.page(after)
+
+    async def _statement(
+        self, message: type[StatementCall], req: HttpRequest
+    ) -> HttpResponse:
+        faults = self.faults
+        call = msgspec.json.decode(req.body, type=message)
+        if faults.take("drop_before"):
+            return HttpResponse(status=200, body=_NoAnswer())
+        try:
+            body = await self._perform(call, req.connection)
+            resp = _answer(req, body)
+        except EndpointRefusedError as exc:
+            resp = self._refusal(req, call.call_id, exc)
+        if faults.take("hold_after"):
+            await faults.pass_hold()
+        return self._spoil(resp)
+
+    def _spoil(self, resp: HttpResponse) -> HttpResponse:
+        faults = self.faults
+        previous, self._previous = self._previous, resp
+        if faults.take("drop_after"):
+            return HttpResponse(status=200, body=_NoAnswer())
+        if previous is not None and faults.take("crossed"):
+            return previous
+        if faults.take("truncated"):
+            half = resp.body[: len(resp.body) // 2]
+            return HttpResponse(status=resp.status, body=half)
+        return resp
+
+    async def _perform(self, call: StatementCall, conn_id: int) -> Any:
+        await self._claim(conn_id)
+        match call:
+            case Connect():
+                return Done(call.call_id)
+            case Rollback():
+                self.member.rollback(conn_id)
+                self._slots.leave(conn_id)
+                return Done(call.call_id)
+            case Run():
+                if self.member.in_transaction(conn_id):
+                    raise EndpointRefusedError(
+                        EndpointRefusal.BAD_REQUEST, "a transaction is open"
+                    )
+                work = functools.partial(self.member.run, call)
+            case Execute():
+                work = functools.partial(self.member.execute, conn_id, call)
+            case Commit():
+                work = functools.partial(self.member.commit, conn_id, call)
+        return await self._in_slot(conn_id, work)
+
+    async def _in_slot(self, conn_id: int, work: Callable[[], Any]) -> Any:
+        async with self._slots.use(conn_id):
+            seconds = self._cfg.service_seconds + self.faults.faults.slow
+            if seconds:
+                await trio.sleep(seconds)
+            answer = work()
+        self._notify()
+        return answer
+
+    async def _claim(self, conn_id: int) -> None:
+        if conn_id in self.open_connections:
+            return
+        if len(self.open_connections) >= self._cfg.connections:
+            raise EndpointRefusedError(
+                EndpointRefusal.BUSY, "no connection is left"
+            )
+        self.open_connections.add(conn_id)
+        await trio.sleep(self._cfg.connect_seconds)
+
+    def _closed(self, conn_id: int) -> None:
+        self.member.rollback(conn_id)
+        self._slots.leave(conn_id)
+        self.open_connections.discard(conn_id)
+        if self._cfg.record:
+            self.received.append(Received(connection=conn_id, target="closed"))
+
+    def _after_control(self) -> None:
+        self._slots.sweep()
+        self._replication.notice()
+        self._notify()
+
+    def _notify(self) -> None:
+        self._written.set()
+        self._written = trio.Event()
+
+    def _record(self, req: HttpRequest) -> None:
+        if self._cfg.record:
+            self.received.append(
+                Received(
+                    connection=req.connection,
+                    target=req.target,
+                    headers=req.headers,
+                    body=req.body.decode("utf-8", "replace"),
+                )
+            )
+
+    def _refusal(
+        self, req: HttpRequest, call_id: int, exc: EndpointRefusedError
+    ) -> HttpResponse:
+        body = Refusal(
+            call_id=call_id,
+            refusal=exc.refusal,
+            message=exc.message,
+            term=self.member.term,
+        )
+        return _answer(req, body, status=REFUSED_STATUS)
+
+    def _admin(self, path: str, body: bytes) -> HttpResponse:
+        match path:
+            case "/admin/faults":
+                changes = msgspec.json.decode(body, type=dict[str, Any])
+                content: Any = self.faults.change(changes)
+            case "/admin/members":
+                self.meet(msgspec.json.decode(body, type=dict[str, Address]))
+                content = self._members
+            case "/admin/received":
+                content = list(self.received)
+            case "/admin/usage":
+                content = {
+                    "connections": len(self.open_connections),
+                    "slots": self._slots.used,
+                }
+            case _:
+                return HttpResponse(status=404, body=b"{}")
+        return HttpResponse(status=200, body=msgspec.json.encode(content))
+
+
+STATEMENT_CALLS: dict[str, type[StatementCall]] = {
+    "/v1/connect": Connect,
+    "/v1/run": Run,
+    "/v1/execute": Execute,
+    "/v1/commit": Commit,
+    "/v1/rollback": Rollback,
+}
+
+
+def _answer(req: HttpRequest, body: Any, *, status: int = 200) -> HttpResponse:
+    call_id = req.headers.get(CALL_HEADER)
+    headers = () if call_id is None else ((CALL_HEADER, call_id),)
+    return HttpResponse(
+        status=status, body=msgspec.json.encode(body), headers=headers
+    )
