--- a/src/lagoonstair/standins/database/_server.py
+++ b/src/lagoonstair/standins/database/_server.py
@@ -82,6 +82,7 @@
         faults: Its fault controls.
         received: What has reached it, if it records.
         open_connections: The connections that were claimed for statements.
+        arrived: How many calls to it have arrived, run or not.
     """
 
     def __init__(self, cfg: DatabaseConfig) -> None:
@@ -91,11 +92,19 @@
         self.faults = FaultControl()
         self.received: deque[Received] = deque(maxlen=KEPT_CALLS)
         self.open_connections: set[int] = set()
+        self.arrived = 0
+        self._arrival = trio.Event()
+        self._closure = trio.Event()
         self._slots = Slots(cfg.slots, self.member.in_transaction)
         self._replication = Replication(self.member, self.faults, self._members)
         self._written = trio.Event()
         self._previous: HttpResponse | None = None
 
+    @property
+    def slots_used(self) -> int:
+        """How many slots are held."""
+        return self._slots.used
+
     @classmethod
     def from_config(cls, cfg: DatabaseConfig) -> "Database":
         """Makes a member from its settings."""
@@ -106,6 +115,16 @@
         self._members.update(members)
         self._replication.restart()
 
+    async def wait_arrived(self, count: int) -> None:
+        """Waits until so many calls have arrived."""
+        while self.arrived < count:
+            await self._arrival.wait()
+
+    async def wait_idle(self) -> None:
+        """Waits until no connection for statements is open."""
+        while self.open_connections:
+            await self._closure.wait()
+
     async def serve(
         self,
         host: str,
@@ -139,6 +158,9 @@
     async def _guarded(
         self, path: str, query: str, req: HttpRequest
     ) -> HttpResponse:
+        self.arrived += 1
+        self._arrival.set()
+        self._arrival = trio.Event()
         caller = req.headers.get(INSTANCE_HEADER, "")
         await self.faults.pass_gate(caller)
         self._record(req)
@@ -262,6 +284,8 @@
         self.member.rollback(conn_id)
         self._slots.leave(conn_id)
         self.open_connections.discard(conn_id)
+        self._closure.set()
+        self._closure = trio.Event()
         if self._cfg.record:
             self.received.append(Received(connection=conn_id, target="closed"))
 
--- a/tests/databases.py
+++ b/tests/databases.py
@@ -3,6 +3,7 @@
 import trio
 
 from lagoonstair._types import Address
+from lagoonstair.endpoints import HttpEndpoint
 from lagoonstair.ports import Run, Statement
 from lagoonstair.standins.database import Database, DatabaseConfig
 from lagoonstair.wire import HttpConnection
@@ -45,13 +46,16 @@
     return members, addresses
 
 
-async def until(address: Address, reached) -> None:
-    """Waits for the member to report a status, by asking it again."""
-    from lagoonstair.endpoints import HttpEndpoint
+async def start_one(nursery: trio.Nursery, **settings):
+    """Starts a lone primary; returns it and its endpoint."""
+    members, addresses = await start(nursery, **settings)
+    return members["db1"], HttpEndpoint(addresses["db1"], "test")
 
-    endpoint = HttpEndpoint(address, "test")
+
+async def until(endpoint: HttpEndpoint, reached) -> None:
+    """Asks the member for its status until it is as wished."""
     while not reached(await endpoint.status()):
-        await trio.lowlevel.checkpoint()
+        pass
 
 
 async def ask(address: Address, target: str, body: bytes = b"") -> bytes:
