Add the platform stand-in and its HTTP adapter

Cause: the daemon needs tables, objects and the list from a process of its own, with faults that a test sets, behind ports.Platform. Excluded: a retry inside the adapter; it cannot know whether a change is idempotent, so it only says whether the change may be done. Seen failing: maybe_done always false fails the cases of slow and cut changes; 'sent' true from the start fails the unreachable address and the change that waited for a connection.

--- /dev/null
+++ b/src/lagoonstair/standins/platform/__init__.py
@@ -0,0 +1,15 @@
+"""A stand-in for the platform, with faults that a test can set."""
+
+from lagoonstair.standins.platform._config import PlatformConfig
+from lagoonstair.standins.platform._faults import Faults, FaultSet
+from lagoonstair.standins.platform._listing import ListingChange
+from lagoonstair.standins.platform._server import Counters, PlatformStandin
+
+__all__ = [
+    "Counters",
+    "FaultSet",
+    "Faults",
+    "ListingChange",
+    "PlatformConfig",
+    "PlatformStandin",
+]
--- /dev/null
+++ b/src/lagoonstair/standins/platform/_tables.py
@@ -0,0 +1,62 @@
+"""The rows of the table service and the objects, in memory."""
+
+from collections.abc import Sequence
+from itertools import islice
+
+from lagoonstair.ports import Row, Transaction
+
+NO_ROW = Row(0, b"")
+
+
+class Tables:
+    """Rows with versions and objects.
+
+    A row that is deleted and written again goes on counting its versions, so
+    that a condition on an earlier version never holds by accident.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+        self._deleted: dict[str, int] = {}
+        self._objects: dict[str, bytes] = {}
+
+    def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Reads rows in one snapshot; a missing row has version 0."""
+        return {key: self._rows.get(key, NO_ROW) for key in keys}
+
+    def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> list[tuple[str, Row]]:
+        """Reads at most ``limit`` rows past ``after``, in key order."""
+        keys = sorted(
+            key for key in self._rows if key.startswith(prefix) and key > after
+        )
+        return [(key, self._rows[key]) for key in islice(keys, limit)]
+
+    def transact(self, transaction: Transaction) -> bool:
+        """Applies the writes if every condition holds."""
+        holds = all(
+            self._rows.get(key, NO_ROW).version == version
+            for key, version in transaction.conditions.items()
+        )
+        if not holds:
+            return False
+        for key, value in transaction.writes.items():
+            self._write(key, value)
+        return True
+
+    def put_object(self, name: str, content: bytes) -> None:
+        """Stores an object whole."""
+        self._objects[name] = content
+
+    def get_object(self, name: str) -> bytes | None:
+        """Reads an object whole."""
+        return self._objects.get(name)
+
+    def _write(self, key: str, value: bytes | None) -> None:
+        row = self._rows.pop(key, None)
+        last = row.version if row else self._deleted.get(key, 0)
+        if value is None:
+            self._deleted[key] = last
+            return
+        self._rows[key] = Row(last + 1, value)
