--- /dev/null
+++ b/tests/test_groups_history.py
@@ -0,0 +1,137 @@
+"""Rows 1, 2 and the age bound as histories, against the baselines."""
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from groups_history import (
+    NAMES,
+    GroupHistory,
+    Write,
+    by_term_alone,
+    doubled_terms,
+    missing_writes,
+)
+from lagoonstair._types import Position
+from lagoonstair.groups import Confirmation
+from lagoonstair.groups._promotion import Promotion
+from lagoonstair.measure._member import Entry, Member
+
+SETTINGS = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=150,
+    stateful_step_count=60,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_histories_keep_every_answered_write_and_bound():
+    run_state_machine_as_test(GroupHistory, settings=SETTINGS)
+
+
+class ByTermAlone(GroupHistory):
+    def judge(self, write, observer):
+        return by_term_alone(write, observer)
+
+
+class AtThePrimaryOnly(GroupHistory):
+    def judge(self, write, observer):
+        return Confirmation.CONFIRMED
+
+
+class OffsetPromotion(Promotion):
+    def _rank(self, member):
+        return (self._granted[member].last.offset, member)
+
+
+class ByOffsetAlone(GroupHistory):
+    promotion_type = OffsetPromotion
+
+
+class TailCounts(GroupHistory):
+    def judge(self, write, observer):
+        statuses = observer.asked_since(write.committed_at)
+        held = [s for s in statuses if s.last >= write.position]
+        if len(held) >= observer.quorum:
+            return Confirmation.CONFIRMED
+        return Confirmation.UNCONFIRMED
+
+
+class OneVotePromotion(Promotion):
+    def _choose(self):
+        self._members, members = self._members[:1], self._members
+        effects = super()._choose()
+        self._members = members
+        return effects
+
+
+class OneVoteIsEnough(GroupHistory):
+    promotion_type = OneVotePromotion
+
+
+class SessionIsIgnored(GroupHistory):
+    def session(self, write):
+        return {}
+
+
+@pytest.mark.parametrize(
+    "baseline",
+    [
+        ByTermAlone,
+        AtThePrimaryOnly,
+        ByOffsetAlone,
+        TailCounts,
+        OneVoteIsEnough,
+        SessionIsIgnored,
+    ],
+)
+def test_histories_find_the_fault_of_each_baseline(baseline):
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(
+            baseline,
+            settings=settings(
+                SETTINGS, max_examples=1000, phases=[Phase.generate]
+            ),
+        )
+
+
+def test_checkers_find_a_bad_history():
+    lost = Write("w", Position(1, 1), 0.0, acked_at=1.0)
+    assert missing_writes([lost], [Entry(2, "v")]) == ["w"]
+    assert doubled_terms([(1, "a"), (2, "a"), (2, "b")]) == [2]
+
+
+def elect(members, term):
+    for member in members:
+        member.fence(term, f"owner/{term}")
+    members[0].promote(term, f"owner/{term}")
+    for member in members[1:]:
+        member.follow(term, members[0].name)
+        member.replicate(members[0], 9)
+
+
+def test_a_lease_lets_a_paused_owner_acknowledge_a_lost_write():
+    members = [Member(name) for name in NAMES]
+    elect(members, 1)
+    lease_ends = 10.0
+    holds_lease = lease_ends > 9.0
+    # The owner is paused from 9.0 to 12.0; the lease passes on at 10.0.
+    elect([members[1], members[2]], 2)
+    position = members[0].commit(1, "w")
+    acked = Write("w", position, 12.0, acked_at=12.0 if holds_lease else None)
+    members[0].follow(2, "b")
+    members[0].replicate(members[1], 9)
+    assert missing_writes([acked], members[0].log) == ["w"]
+
+
+def test_a_term_check_at_the_primary_acknowledges_a_lost_write():
+    members = [Member(name) for name in NAMES]
+    elect(members, 1)
+    elect([members[1], members[2]], 2)
+    position = members[0].commit(1, "w")
+    acked = Write("w", position, 1.0, acked_at=1.0)
+    members[0].follow(2, "b")
+    members[0].replicate(members[1], 9)
+    assert missing_writes([acked], members[0].log) == ["w"]
