Add the pool, pinned transactions and retry decisions

Connections are few and cost 10 ms, so they are lent one caller at a time, reused, and kept warm; whatever left a call without its own whole answer is closed. A transaction pins its connection to one workspace, key and id; its commit uses the transaction's id as request id, and an owner that does not know how a transaction ended says so in place of guessing not run.

Seen failing with a guard taken out of the decisions: unknown not kept, repeat of what may have run, no limit of connections, failed openings that fail no waiter, reuse of a spoiled connection. With the guards the state machine and the tables pass.

--- /dev/null
+++ b/src/lagoonstair/pool/__init__.py
@@ -0,0 +1,32 @@
+"""Scarce connections to a database and the transactions pinned to them."""
+
+from lagoonstair.pool._lease import Lease, LeaseEndedError
+from lagoonstair.pool._pinned import PinnedTransactions
+from lagoonstair.pool._pool import ConnectionPool
+from lagoonstair.pool._state import (
+    Close,
+    Fail,
+    Grant,
+    Open,
+    PoolLimits,
+    PoolState,
+    PoolStatus,
+)
+from lagoonstair.pool._table import End, TransactionKey, TransactionTable
+
+__all__ = [
+    "Close",
+    "ConnectionPool",
+    "End",
+    "Fail",
+    "Grant",
+    "Lease",
+    "LeaseEndedError",
+    "Open",
+    "PinnedTransactions",
+    "PoolLimits",
+    "PoolState",
+    "PoolStatus",
+    "TransactionKey",
+    "TransactionTable",
+]
--- /dev/null
+++ b/src/lagoonstair/retries/_errors.py
@@ -0,0 +1,37 @@
+"""What each error of an endpoint or of another instance tells."""
+
+from lagoonstair.exceptions import LagoonstairError, Outcome, Retry
+from lagoonstair.peers import PeerNotSentError
+from lagoonstair.ports import (
+    EndpointRefusal,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+)
+from lagoonstair.retries._attempts import Effect
+
+RETRYABLE_REFUSALS = frozenset(
+    {
+        EndpointRefusal.STALE_TERM,
+        EndpointRefusal.NOT_PRIMARY,
+        EndpointRefusal.BUSY,
+    }
+)
+
+
+def effect_of(exc: BaseException) -> Effect:
+    """Returns what a failed attempt tells; what is not known is unknown."""
+    match exc:
+        case EndpointUnreachableError() | PeerNotSentError():
+            return Effect(Outcome.NOT_RUN)
+        case EndpointRefusedError():
+            return Effect(
+                Outcome.NOT_RUN, retryable=exc.refusal in RETRYABLE_REFUSALS
+            )
+        case LagoonstairError():
+            return Effect(
+                exc.answer.outcome,
+                retryable=exc.answer.retry is not Retry.NEVER,
+                retry_after=exc.retry_after or 0.0,
+            )
+        case _:
+            return Effect(Outcome.UNKNOWN)
