--- a/tests/test_pool_state.py
+++ b/tests/test_pool_state.py
@@ -148,3 +148,16 @@
     assert table.idle(5.0) == [idle]
     table.leave(busy, 6.0)
     assert table.idle(10.9) == [idle]
+
+
+def test_failed_opening_fails_one_waiter_unless_some_are_lent():
+    state = PoolState(LIMITS)
+    state.acquire(1, 0.0)
+    state.acquire(2, 0.0)
+    assert state.failed(0.0) == []
+    assert state.failed(0.0) == [Fail(1)]
+    assert state.opened(10, 0.0) == [Grant(2, 10), Open()]
+    state.acquire(3, 0.0)
+    state.failed(0.0)
+    assert state.status.waiting == 1
+    assert state.release(10, 0.5, reusable=True) == [Grant(3, 10)]
