--- a/src/lagoonstair/standins/__init__.py
+++ b/src/lagoonstair/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for what the users run, for tests and the demo."""
+"""Small programs that take the place of databases and platform in tests."""
