--- /dev/null
+++ b/src/lagoonstair/report/_metrics.py
@@ -0,0 +1,52 @@
+"""Counters, gauges and timings over statsd."""
+
+import statsd
+
+from lagoonstair.settings import StatsdSettings
+
+MILLISECONDS = 1000.0
+
+
+class Metrics:
+    """Sends metrics as UDP datagrams, and none when no server is set.
+
+    A send never blocks the loop: a datagram that the socket doesn't take at
+    once is dropped.
+    """
+
+    def __init__(self, client: statsd.StatsClient | None) -> None:
+        self._client = client
+
+    @classmethod
+    def from_settings(cls, settings: StatsdSettings | None) -> "Metrics":
+        """Makes metrics that go where the settings say."""
+        if settings is None:
+            return cls(None)
+        client = statsd.StatsClient(
+            str(settings.host),
+            settings.port,
+            prefix=settings.prefix,
+            ipv6=settings.host.version == 6,
+        )
+        client._sock.setblocking(False)
+        return cls(client)
+
+    def count(self, name: str, number: int = 1) -> None:
+        """Adds to a counter."""
+        if self._client is not None:
+            self._client.incr(name, number)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Sets a gauge."""
+        if self._client is not None:
+            self._client.gauge(name, value)
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Records a duration."""
+        if self._client is not None:
+            self._client.timing(name, seconds * MILLISECONDS)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._client is not None:
+            self._client.close()
