--- a/src/lagoonstair/bench/_transports.py
+++ b/src/lagoonstair/bench/_transports.py
@@ -54,7 +54,7 @@
 
 
 async def measure_http(calls: int) -> Cost:
-    """Measures HTTP/1.1 with h11, a connection per call in flight."""
+    """Measures HTTP/1.1, a connection per call in flight."""
 
     async def answer(req: HttpRequest) -> HttpResponse:
         return HttpResponse(status=200, body=req.body)
--- a/src/lagoonstair/peers/_server.py
+++ b/src/lagoonstair/peers/_server.py
@@ -9,6 +9,7 @@
 import trio
 from loguru import logger
 
+from lagoonstair._faults import describe_fault
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.peers._messages import (
     Call,
@@ -180,7 +181,7 @@
         except LagoonstairError as exc:
             failure = Failure(exc.kind, exc.message, exc.retry_after)
         except Exception as exc:
-            logger.error("call {} failed: {}", call.kind, type(exc).__name__)
+            logger.error("call {} failed: {}", call.kind, describe_fault(exc))
             failure = Failure(ErrorKind.INTERNAL, "internal error", None)
         reply = Reply(call.call_id, body, failure)
         outbox.put(self._encoder.encode(reply))
--- a/src/lagoonstair/sessions/_token.py
+++ b/src/lagoonstair/sessions/_token.py
@@ -23,14 +23,12 @@
         workspace: The workspace that the transaction belongs to.
         group: The group that it runs in.
         owner: The instance that holds its connection.
-        incarnation: The run of that instance.
         transaction_id: The transaction's number at the owner.
     """
 
     workspace: str
     group: str
     owner: str
-    incarnation: str
     transaction_id: str
 
 
--- a/src/lagoonstair/settings/_settings.py
+++ b/src/lagoonstair/settings/_settings.py
@@ -4,7 +4,12 @@
 from typing import Annotated, Literal
 
 from annotated_types import Ge, Gt, Le, MinLen
-from pydantic import AfterValidator, ConfigDict, IPvAnyAddress
+from pydantic import (
+    AfterValidator,
+    ConfigDict,
+    IPvAnyAddress,
+    model_validator,
+)
 from pydantic.dataclasses import dataclass
 
 from lagoonstair._types import Address
@@ -98,6 +103,14 @@
     transaction_idle: Seconds = 30.0
     owner_suspect: Seconds = 1.0
 
+    @model_validator(mode="after")
+    def _check_polls(self) -> "Timing":
+        if self.freshness_bound < 2 * self.config_poll:
+            raise ValueError(
+                "freshness_bound must be at least twice config_poll"
+            )
+        return self
+
 
 @settings_dataclass()
 class StatsdSettings:
--- a/src/lagoonstair/wire/_http_client.py
+++ b/src/lagoonstair/wire/_http_client.py
@@ -1,12 +1,16 @@
-"""An HTTP/1.1 client connection on trio with the h11 codec."""
+"""An HTTP/1.1 client connection on trio."""
 
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-import h11
 import trio
 
 from lagoonstair._types import Address
+from lagoonstair.wire._http_parser import (
+    BadHttpError,
+    ParsedResponse,
+    ResponseParser,
+)
 
 READ_BYTES = 64 * 1024
 
@@ -43,7 +47,7 @@
     def __init__(self, stream: trio.SocketStream, address: Address) -> None:
         self._stream = stream
         self._address = address
-        self._codec = h11.Connection(h11.CLIENT)
+        self._parser = ResponseParser()
         self.usable = True
 
     @classmethod
@@ -78,71 +82,45 @@
             raise HttpError("connection is not usable")
         self.usable = False
         try:
-            await self._send(method, target, body, headers)
-            answer = await self._receive()
-        except (h11.ProtocolError, trio.BrokenResourceError, OSError) as exc:
+            await self._stream.send_all(
+                self._encode(method, target, body, headers)
+            )
+            parsed = await self._receive()
+        except (BadHttpError, trio.BrokenResourceError, OSError) as exc:
             self.close()
             raise HttpError(f"{self._address}: {exc}") from exc
-        if self._ready_for_next():
-            self._codec.start_next_cycle()
+        if parsed.keep_alive and self._parser.quiet:
             self.usable = True
         else:
             self.close()
-        return answer
+        return HttpAnswer(parsed.status, parsed.headers, parsed.body)
 
     def close(self) -> None:
         """Closes the connection at once."""
         self.usable = False
         self._stream.socket.close()
 
-    def _ready_for_next(self) -> bool:
-        return (
-            self._codec.our_state is h11.DONE
-            and self._codec.their_state is h11.DONE
-            and not self._codec.trailing_data[0]
-        )
-
-    async def _send(
+    def _encode(
         self,
         method: str,
         target: str,
         body: bytes,
         headers: Sequence[tuple[str, str]],
-    ) -> None:
-        req = h11.Request(
-            method=method,
-            target=target,
-            headers=[
-                ("host", str(self._address)),
-                ("content-length", str(len(body))),
-                *headers,
-            ],
-        )
-        parts = [self._codec.send(req)]
-        if body:
-            parts.append(self._codec.send(h11.Data(data=body)))
-        parts.append(self._codec.send(h11.EndOfMessage()))
-        await self._stream.send_all(b"".join(p for p in parts if p))
-
-    async def _receive(self) -> HttpAnswer:
-        status = 0
-        headers: dict[str, str] = {}
-        body = bytearray()
-        while True:
-            event = self._codec.next_event()
-            match event:
-                case h11.NEED_DATA:
-                    chunk = await self._stream.receive_some(READ_BYTES)
-                    self._codec.receive_data(chunk)
-                case h11.Response():
-                    status = event.status_code
-                    headers = {
-                        name.decode("latin-1"): value.decode("latin-1")
-                        for name, value in event.headers
-                    }
-                case h11.Data():
-                    body += event.data
-                case h11.EndOfMessage():
-                    return HttpAnswer(status, headers, bytes(body))
-                case h11.ConnectionClosed():
-                    raise h11.RemoteProtocolError("connection closed early")
+    ) -> bytes:
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"host: {self._address}",
+            f"content-length: {len(body)}",
+            *(f"{name}: {value}" for name, value in headers),
+        ]
+        if any("\r" in line or "\n" in line for line in lines):
+            raise ValueError("a line break in the head of a request")
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+    async def _receive(self) -> ParsedResponse:
+        while (parsed := self._parser.next_response()) is None:
+            chunk = await self._stream.receive_some(READ_BYTES)
+            if not chunk:
+                raise BadHttpError(502, "the connection was closed early")
+            self._parser.feed(chunk)
+        return parsed
--- a/src/lagoonstair/wire/_http_server.py
+++ b/src/lagoonstair/wire/_http_server.py
@@ -1,14 +1,27 @@
-"""A small HTTP/1.1 server on trio with the h11 codec."""
+"""A small HTTP/1.1 server on trio."""
 
-import contextlib
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
-import h11
+import msgspec
 import trio
 from loguru import logger
 
+from lagoonstair._faults import describe_fault
+from lagoonstair.wire._http_parser import (
+    BadHttpError,
+    ParsedRequest,
+    RequestParser,
+)
+
 READ_BYTES = 64 * 1024
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+TOO_LARGE = frozenset({413, 431})
+STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}"
+    for status in HTTPStatus
+}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,14 +79,16 @@
     headers: tuple[tuple[str, str], ...] = field(default=())
 
 
+INTERNAL_ERROR = HttpResponse(
+    status=500,
+    body=b'{"outcome":"unknown","error":{"kind":"internal",'
+    b'"message":"internal error","retry":"same_request_id"}}',
+)
+
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 ConnectionHook = Callable[[int], None]
 
 
-class _TooLargeError(Exception):
-    """The request is over a limit."""
-
-
 class HttpServer:
     """Serves requests on one listener.
 
@@ -144,124 +159,83 @@
                 await stream.aclose()
 
     async def _converse(self, stream: trio.SocketStream, conn_id: int) -> None:
-        codec = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        parser = RequestParser(
+            header_bytes=self._limits.header_bytes,
+            body_bytes=self._limits.body_bytes,
         )
-        while True:
+        while not self.draining:
             try:
-                req = await self._receive(stream, codec, conn_id)
-            except _TooLargeError as exc:
-                await self._refuse(stream, codec, 413, str(exc))
-                return
-            except h11.RemoteProtocolError as exc:
-                await self._refuse(
-                    stream, codec, exc.error_status_hint, str(exc)
-                )
+                parsed = await self._receive(stream, parser, conn_id)
+            except BadHttpError as exc:
+                resp = _refusal(exc)
+                await stream.send_all(encode_response(resp, close=True))
                 return
-            if req is None:
+            if parsed is None:
                 return
+            req = HttpRequest(
+                method=parsed.method,
+                target=parsed.target,
+                headers=parsed.headers,
+                body=parsed.body,
+                connection=conn_id,
+            )
             resp = await self._answer(req)
-            await _send(stream, codec, resp, close=self.draining)
+            close = self.draining or not parsed.keep_alive
+            await stream.send_all(encode_response(resp, close=close))
             self._busy.discard(conn_id)
-            if codec.our_state is not h11.DONE or self.draining:
-                return
-            if codec.their_state is not h11.DONE:
+            if close:
                 return
-            codec.start_next_cycle()
 
     async def _answer(self, req: HttpRequest) -> HttpResponse:
         try:
             return await self._handler(req)
         except Exception as exc:
-            logger.error("handler failed: {}", type(exc).__name__)
-            return HttpResponse(
-                status=500,
-                body=b'{"outcome":"unknown","error":{"kind":"internal",'
-                b'"message":"internal error"}}',
-            )
+            logger.error("handler failed: {}", describe_fault(exc))
+            return INTERNAL_ERROR
 
     async def _receive(
-        self, stream: trio.SocketStream, codec: h11.Connection, conn_id: int
-    ) -> HttpRequest | None:
-        with trio.move_on_after(self._limits.idle) as idle:
-            event = await _next_event(stream, codec)
-        if idle.cancelled_caught or not isinstance(event, h11.Request):
-            return None
-        self._busy.add(conn_id)
-        body = bytearray()
-        with trio.move_on_after(self._limits.request) as whole:
-            while True:
-                part = await _next_event(stream, codec)
-                if isinstance(part, h11.EndOfMessage):
-                    break
-                if not isinstance(part, h11.Data):
+        self, stream: trio.SocketStream, parser: RequestParser, conn_id: int
+    ) -> ParsedRequest | None:
+        """Receives a request; None when the client closed or was silent.
+
+        Raises:
+            BadHttpError: What arrived can't be answered otherwise.
+        """
+        parsed = parser.next_request()
+        with trio.move_on_after(self._limits.idle) as scope:
+            while parsed is None:
+                chunk = await stream.receive_some(READ_BYTES)
+                if not chunk:
                     return None
-                body += part.data
-                if len(body) > self._limits.body_bytes:
-                    raise _TooLargeError(
-                        f"body is over {self._limits.body_bytes} bytes"
-                    )
-        if whole.cancelled_caught:
-            raise h11.RemoteProtocolError("request timed out", 408)
-        return HttpRequest(
-            method=event.method.decode("ascii"),
-            target=event.target.decode("latin-1"),
-            headers={
-                name.decode("latin-1"): value.decode("latin-1")
-                for name, value in event.headers
-            },
-            body=bytes(body),
-            connection=conn_id,
-        )
+                if conn_id not in self._busy:
+                    self._busy.add(conn_id)
+                    scope.deadline = trio.current_time() + self._limits.request
+                parser.feed(chunk)
+                if parser.wants_continue:
+                    parser.wants_continue = False
+                    await stream.send_all(CONTINUE)
+                parsed = parser.next_request()
+        if parsed is None and parser.began:
+            raise BadHttpError(408, "the request did not arrive whole")
+        self._busy.add(conn_id)
+        return parsed
 
-    async def _refuse(
-        self,
-        stream: trio.SocketStream,
-        codec: h11.Connection,
-        status: int,
-        message: str,
-    ) -> None:
-        if codec.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        kind = "too_large" if status in (413, 431) else "bad_request"
-        text = message.replace("\\", "").replace('"', "'")
-        body = (
-            f'{{"outcome":"not_run","error":{{"kind":"{kind}",'
-            f'"message":"{text}"}}}}'
-        )
-        resp = HttpResponse(status=status, body=body.encode())
-        with contextlib.suppress(trio.BrokenResourceError):
-            await _send(stream, codec, resp, close=True)
-
-
-async def _next_event(
-    stream: trio.SocketStream, codec: h11.Connection
-) -> object:
-    while True:
-        event = codec.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        if codec.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            await stream.send_all(codec.send(go_on) or b"")
-        codec.receive_data(await stream.receive_some(READ_BYTES))
-
-
-async def _send(
-    stream: trio.SocketStream,
-    codec: h11.Connection,
-    resp: HttpResponse,
-    *,
-    close: bool,
-) -> None:
-    headers = [
-        ("content-type", resp.content_type),
-        ("content-length", str(len(resp.body))),
-        *resp.headers,
+
+def encode_response(resp: HttpResponse, *, close: bool) -> bytes:
+    """Encodes a response whole."""
+    lines = [
+        STATUS_LINES[resp.status],
+        f"content-type: {resp.content_type}",
+        f"content-length: {len(resp.body)}",
+        *(f"{name}: {value}" for name, value in resp.headers),
     ]
     if close:
-        headers.append(("connection", "close"))
-    head = codec.send(h11.Response(status_code=resp.status, headers=headers))
-    data = codec.send(h11.Data(data=resp.body))
-    end = codec.send(h11.EndOfMessage())
-    await stream.send_all(b"".join(p for p in (head, data, end) if p))
+        lines.append("connection: close")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + resp.body
+
+
+def _refusal(exc: BadHttpError) -> HttpResponse:
+    kind = "too_large" if exc.status in TOO_LARGE else "bad_request"
+    error = {"kind": kind, "message": str(exc), "retry": "never"}
+    body = msgspec.json.encode({"outcome": "not_run", "error": error})
+    return HttpResponse(status=exc.status, body=body)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -15,7 +15,7 @@
     "g", GroupMark(Position(2, 7), Position(2, 9))
 )
 TRANSACTION = TransactionToken(
-    workspace="w", group="g", owner="i1", incarnation="x", transaction_id="t"
+    workspace="w", group="g", owner="i1", transaction_id="t"
 )
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -40,6 +40,7 @@
         ),
         ({"timing": {"freshness_bound": -1}}, ["timing.freshness_bound", "-1"]),
         ({"timing": {"freshness_bound": "6"}}, ["timing.freshness_bound"]),
+        ({"timing": {"freshness_bound": 1.0}}, ["timing", "config_poll"]),
         ({"operator_keys_sha256": ["zz"]}, ["operator_keys_sha256.0"]),
     ],
 )
