Add the command-line tool

Cause: operators drive the fleet by keys, templates and one document in version control, while traffic runs. Excluded: a key as an option's value, since other users of a machine can read command lines; the key comes from a file, the environment or a profile. Seen failing: sending a caller's request twice, asking only once for a lost answer, a report without the joined instances that gave no counts, taking a whole key for its id, and exit 0 for a change that is not in force each fail one or more of the 31 tests.

--- /dev/null
+++ b/src/lagoonstair/cli/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the tool as ``python -m lagoonstair.cli``."""
+
+from lagoonstair.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lagoonstair/cli/_client.py
@@ -0,0 +1,179 @@
+"""Calls to the listeners of instances."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.cli._exits import UnreachableError
+from lagoonstair.cli._target import Target
+from lagoonstair.exceptions import ErrorKind, LagoonstairError, Outcome
+from lagoonstair.wire import (
+    HttpAnswer,
+    HttpConnection,
+    HttpError,
+    NotSentError,
+)
+
+TIMEOUT_SECONDS = 30.0
+CONNECT_SECONDS = 3.0
+ATTEMPTS = 3
+MAX_STATUS_OF_SUCCESS = 299
+
+Header = tuple[str, str]
+
+
+class Error(msgspec.Struct):
+    """The error inside an answer."""
+
+    kind: ErrorKind
+    message: str
+    retry_after: float | None = None
+
+
+class Failure(msgspec.Struct):
+    """An answer that is an error."""
+
+    outcome: Outcome
+    error: Error
+
+
+class Client:
+    """Calls instances, trying each address in turn.
+
+    Attributes:
+        target: The addresses and the key.
+    """
+
+    def __init__(
+        self, target: Target, *, timeout: float = TIMEOUT_SECONDS
+    ) -> None:
+        self.target = target
+        self._timeout = timeout
+
+    async def get(self, path: str) -> Any:
+        """Reads something; a lost answer is asked for again.
+
+        Raises:
+            LagoonstairError: The answer is an error, or none came.
+            UnreachableError: No instance could be reached.
+        """
+        return await self._call("GET", path, b"", (), repeatable=True)
+
+    async def change(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        *,
+        operation_id: str,
+        if_version: int | None = None,
+    ) -> Any:
+        """Changes something, at most once by its operation id.
+
+        Raises:
+            LagoonstairError: The answer is an error, or none came.
+            UnreachableError: No instance could be reached.
+        """
+        headers = [("idempotency-key", operation_id)]
+        if if_version is not None:
+            headers.append(("if-match", str(if_version)))
+        return await self._call(method, path, body, headers, repeatable=True)
+
+    async def post_once(self, path: str, body: bytes) -> Any:
+        """Posts something that is not sent twice.
+
+        Raises:
+            LagoonstairError: The answer is an error, or none came.
+            UnreachableError: No instance could be reached.
+        """
+        return await self._call("POST", path, body, (), repeatable=False)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Sequence[Header],
+        *,
+        repeatable: bool,
+    ) -> Any:
+        """Calls until an answer tells what became of the request.
+
+        A request that may have been sent is sent again only if it is
+        repeatable; an answer that came is never asked for twice unless it
+        says that the outcome is unknown.
+        """
+        maybe_sent = False
+        problem: Exception = UnreachableError("no address")
+        for address in self._addresses():
+            try:
+                return await self._call_one(
+                    address, method, path, body, headers
+                )
+            except NotSentError as exc:
+                if not maybe_sent:
+                    problem = UnreachableError(str(exc))
+            except LagoonstairError as exc:
+                if exc.answer.outcome is not Outcome.UNKNOWN:
+                    raise
+                problem = exc
+                maybe_sent = True
+            if maybe_sent and not repeatable:
+                break
+        raise problem
+
+    def _addresses(self) -> list[Address]:
+        addresses = self.target.addresses
+        rounds = -(-ATTEMPTS // len(addresses))
+        return list(addresses * rounds)
+
+    async def _call_one(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Sequence[Header],
+    ) -> Any:
+        conn = await _open(address)
+        all_headers = [*headers, ("content-type", "application/json")]
+        if self.target.key:
+            all_headers.append(("authorization", f"Bearer {self.target.key}"))
+        try:
+            with trio.fail_after(self._timeout):
+                answer = await conn.call(
+                    method, path, body, headers=all_headers
+                )
+        except (HttpError, trio.TooSlowError) as exc:
+            raise LagoonstairError(
+                ErrorKind.OUTCOME_UNKNOWN, f"{address}: no whole answer"
+            ) from exc
+        finally:
+            conn.close()
+        return _decode(address, answer)
+
+
+async def _open(address: Address) -> HttpConnection:
+    try:
+        with trio.fail_after(CONNECT_SECONDS):
+            return await HttpConnection.open(address)
+    except trio.TooSlowError as exc:
+        raise NotSentError(f"{address}: no connection in time") from exc
+
+
+def _decode(address: Address, answer: HttpAnswer) -> Any:
+    try:
+        if answer.status <= MAX_STATUS_OF_SUCCESS:
+            return msgspec.json.decode(answer.body)
+        error = msgspec.json.decode(answer.body, type=Failure).error
+    except msgspec.MsgspecError as exc:
+        raise LagoonstairError(
+            ErrorKind.OUTCOME_UNKNOWN,
+            f"{address}: answered {answer.status} and no readable body",
+        ) from exc
+    raise LagoonstairError(
+        error.kind, error.message, retry_after=error.retry_after
+    )
--- /dev/null
+++ b/src/lagoonstair/cli/_command.py
@@ -0,0 +1,176 @@
+"""Turns an async function into a command with the common options."""
+
+import functools
+import inspect
+import json as json_codec
+import sys
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import trio
+
+from lagoonstair.cli._client import Client
+from lagoonstair.cli._exits import (
+    Exit,
+    UnreachableError,
+    UsageError,
+    exit_of,
+)
+from lagoonstair.cli._target import caller_target, operator_target
+from lagoonstair.exceptions import LagoonstairError
+
+CLIENT_DOC = "    client: Calls the instances.\n"
+COMMON_DOC = """
+    {address}: Where to call, as http://HOST:PORT{several}.
+    key_file: A file that holds the key.
+    profile: A JSON file with addresses and keys.
+    json: Write JSON, for a program to read.
+"""
+
+
+class Output(NamedTuple):
+    """What a command shows.
+
+    Attributes:
+        data: What ``--json`` writes.
+        text: What a person reads.
+        exit: The exit code.
+    """
+
+    data: Any
+    text: str
+    exit: Exit = Exit.DONE
+
+
+Body = Callable[..., Awaitable[Output]]
+Command = Callable[..., Exit]
+
+
+def operator_command(body: Body) -> Command:
+    """Makes a command that calls the operators' listeners."""
+
+    async def run(
+        operator: str, key_file: str, profile: str, options: dict[str, Any]
+    ) -> Output:
+        target = operator_target(operator, key_file, profile)
+        return await body(Client(target), **options)
+
+    return _wrap(body, run, "operator", " (several: with commas between)")
+
+
+def caller_command(body: Body) -> Command:
+    """Makes a command that calls a callers' listener."""
+
+    async def run(
+        caller: str, key_file: str, profile: str, options: dict[str, Any]
+    ) -> Output:
+        target = caller_target(caller, key_file, profile)
+        return await body(Client(target), **options)
+
+    return _wrap(body, run, "caller", "")
+
+
+def new_operation_id(given: str) -> str:
+    """Returns the id given, or a new one that the operator can repeat."""
+    if given:
+        return given
+    operation_id = uuid.uuid4().hex
+    print(f"operation id {operation_id}", file=sys.stderr)
+    return operation_id
+
+
+def finish(run: Callable[[], Awaitable[Output]], *, json: bool) -> Exit:
+    """Runs a command, shows its output or error, and returns the code."""
+    try:
+        output = trio.run(run)
+    except (LagoonstairError, UnreachableError, UsageError) as exc:
+        return _fail(exc, json=json)
+    if json:
+        print(json_codec.dumps(output.data, indent=2, sort_keys=True))
+    else:
+        print(output.text)
+    return output.exit
+
+
+def _fail(exc: Exception, *, json: bool) -> Exit:
+    code = exit_of(exc)
+    if json:
+        print(json_codec.dumps(_error_data(exc, code)))
+    else:
+        print(f"lagoonstair: {exc}", file=sys.stderr)
+        if isinstance(exc, LagoonstairError):
+            print(f"lagoonstair: {_advice(exc)}", file=sys.stderr)
+    return code
+
+
+def _error_data(exc: Exception, code: Exit) -> dict[str, Any]:
+    error: dict[str, Any] = {"exit": code.name.lower(), "message": str(exc)}
+    if isinstance(exc, LagoonstairError):
+        error["kind"] = exc.kind.value
+        error["outcome"] = exc.answer.outcome.value
+        error["retry"] = exc.answer.retry.value
+        error["retry_after"] = exc.retry_after
+    return {"error": error}
+
+
+def _advice(exc: LagoonstairError) -> str:
+    after = f" after {exc.retry_after:g} s" if exc.retry_after else ""
+    outcome, retry = exc.answer.outcome.value, exc.answer.retry.value
+    return f"outcome {outcome}, retry {retry}{after}"
+
+
+def _wrap(
+    body: Body,
+    run: Callable[..., Awaitable[Output]],
+    address_name: str,
+    several: str,
+) -> Command:
+    """Adds the common options to a command's signature and help."""
+
+    def command(*args: Any, **options: Any) -> Exit:
+        json = options.pop("json")
+        address = options.pop(address_name)
+        key_file, profile = options.pop("key_file"), options.pop("profile")
+        bound = dict(zip(positional, args, strict=True)) | options
+        return finish(
+            functools.partial(run, address, key_file, profile, bound), json=json
+        )
+
+    own = list(inspect.signature(body, eval_str=True).parameters.values())[1:]
+    positional = [
+        param.name
+        for param in own
+        if param.kind is inspect.Parameter.POSITIONAL_OR_KEYWORD
+    ]
+    command.__name__ = body.__name__
+    command.__doc__ = _help(body, address_name, several)
+    signature = inspect.Signature(
+        [*own, *_common_options(address_name)], return_annotation=Exit
+    )
+    command.__signature__ = signature  # type: ignore[attr-defined]
+    command.__annotations__ = {
+        param.name: param.annotation for param in signature.parameters.values()
+    }
+    return command
+
+
+def _help(body: Body, address_name: str, several: str) -> str:
+    doc = (inspect.getdoc(body) or "").replace(CLIENT_DOC, "")
+    common = COMMON_DOC.format(address=address_name, several=several)
+    start = "" if "Args:" in doc else "\n\nArgs:"
+    return f"{doc.rstrip()}{start}{common}"
+
+
+def _common_options(address_name: str) -> list[inspect.Parameter]:
+    names = (address_name, "key_file", "profile")
+    text_options = [
+        inspect.Parameter(
+            name, inspect.Parameter.KEYWORD_ONLY, default="", annotation=str
+        )
+        for name in names
+    ]
+    json_option = inspect.Parameter(
+        "json", inspect.Parameter.KEYWORD_ONLY, default=False, annotation=bool
+    )
+    return [*text_options, json_option]
--- /dev/null
+++ b/src/lagoonstair/cli/_keys.py
@@ -0,0 +1,86 @@
+"""Issues, withdraws and lists keys."""
+
+import json
+import urllib.parse
+from typing import Any
+
+from lagoonstair.cli._changes import change_output
+from lagoonstair.cli._client import Client
+from lagoonstair.cli._command import Output, new_operation_id
+from lagoonstair.cli._exits import UsageError
+from lagoonstair.cli._table import table
+
+KEY_PREFIX = "ls_"
+
+
+async def issue(
+    client: Client,
+    *,
+    workspace: str = "",
+    for_operator: bool = False,
+    operation_id: str = "",
+) -> Output:
+    """Issues a key and prints it, this once.
+
+    Example: lagoonstair keys issue --workspace zlab
+
+    Args:
+        client: Calls the instances.
+        workspace: Whose key it is; none for an operator's key.
+        for_operator: Issue an operator's key.
+        operation_id: Repeats an earlier command whose outcome is unknown.
+    """
+    if for_operator == bool(workspace):
+        raise UsageError("use either --workspace or --for-operator")
+    body = {"role": "operator"} if for_operator else {"workspace": workspace}
+    answer = await client.change(
+        "POST",
+        "/v1/keys",
+        json.dumps(body).encode(),
+        operation_id=new_operation_id(operation_id),
+    )
+    text = f"id  {answer['id']}\nkey {answer['key']}"
+    return change_output(answer, text)
+
+
+async def withdraw(
+    client: Client, key_id: str, *, operation_id: str = ""
+) -> Output:
+    """Withdraws a key; callers already connected lose it too.
+
+    Example: lagoonstair keys withdraw 0123456789abcdef
+
+    Args:
+        client: Calls the instances.
+        key_id: The key's public part, as ``keys list`` shows it.
+        operation_id: Repeats an earlier command whose outcome is unknown.
+    """
+    if key_id.startswith(KEY_PREFIX):
+        raise UsageError("give the key's id, not the key")
+    answer = await client.change(
+        "DELETE",
+        f"/v1/keys/{urllib.parse.quote(key_id, safe='')}",
+        b"",
+        operation_id=new_operation_id(operation_id),
+    )
+    return change_output(answer, f"withdrawn {key_id}")
+
+
+async def list_keys(client: Client, *, workspace: str = "") -> Output:
+    """Lists the live keys, without their secrets.
+
+    Example: lagoonstair keys list --workspace zlab
+
+    Args:
+        client: Calls the instances.
+        workspace: Only this workspace's keys.
+    """
+    query = urllib.parse.urlencode({"workspace": workspace})
+    path = f"/v1/keys?{query}" if workspace else "/v1/keys"
+    answer = await client.get(path)
+    return Output(answer, _key_table(answer["keys"]))
+
+
+def _key_table(keys: list[dict[str, Any]]) -> str:
+    names = ("id", "workspace", "role", "created_version")
+    return table(names, ([key[name] for name in names] for key in keys))
