--- a/tests/databases.py
+++ b/tests/databases.py
@@ -5,7 +5,7 @@
 from lagoonstair._types import Address
 from lagoonstair.endpoints import HttpEndpoint
 from lagoonstair.ports import Run, Statement
-from lagoonstair.standins.database import Database, DatabaseConfig
+from lagoonstair.standins.database import Database, DatabaseConfig, Member
 from lagoonstair.wire import HttpConnection
 
 SCHEMA = "CREATE TABLE stock (item TEXT PRIMARY KEY, held INTEGER);"
@@ -64,3 +64,46 @@
         return (await conn.call("POST", target, body)).body
     finally:
         conn.close()
+
+
+class MemoryEndpoint:
+    """A member without sockets, for tests on a virtual clock."""
+
+    def __init__(self) -> None:
+        cfg = DatabaseConfig(name="db1", primary="db1", schema=SCHEMA)
+        self.member = Member(cfg)
+        self.opened = 0
+        self.closed: set[int] = set()
+        self.connect_seconds = 0.0
+        self.call_seconds = 0.0
+
+    async def connect(self) -> "MemoryConnection":
+        await trio.sleep(self.connect_seconds)
+        self.opened += 1
+        return MemoryConnection(self, self.opened)
+
+
+class MemoryConnection:
+    def __init__(self, endpoint: MemoryEndpoint, conn_id: int) -> None:
+        self._endpoint = endpoint
+        self._member = endpoint.member
+        self._conn_id = conn_id
+
+    async def run(self, call):
+        await trio.sleep(self._endpoint.call_seconds)
+        return self._member.run(call)
+
+    async def execute(self, call):
+        await trio.sleep(self._endpoint.call_seconds)
+        return self._member.execute(self._conn_id, call)
+
+    async def commit(self, call):
+        await trio.sleep(self._endpoint.call_seconds)
+        return self._member.commit(self._conn_id, call)
+
+    async def rollback(self):
+        self._member.rollback(self._conn_id)
+
+    def close(self):
+        self._member.rollback(self._conn_id)
+        self._endpoint.closed.add(self._conn_id)
