--- a/src/lagoonstair/peers/_server.py
+++ b/src/lagoonstair/peers/_server.py
@@ -9,12 +9,14 @@
 import trio
 from loguru import logger
 
+from lagoonstair._faults import describe_fault
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.peers._messages import (
     Call,
     Challenge,
     Failure,
     Hello,
+    Ping,
     Reply,
     Welcome,
     sign,
@@ -51,6 +53,7 @@
         self._entries: dict[
             str, tuple[msgspec.msgpack.Decoder[Any], Handler]
         ] = {}
+        self.add(Ping, _answer_ping)
 
     def add(
         self,
@@ -81,6 +84,10 @@
         return await handler(message, ctx)
 
 
+async def _answer_ping(message: Ping, ctx: PeerContext) -> None:
+    """Answers nothing: the reply itself is the answer."""
+
+
 class PeerServer:
     """Answers authenticated calls on one listener.
 
@@ -174,7 +181,7 @@
         except LagoonstairError as exc:
             failure = Failure(exc.kind, exc.message, exc.retry_after)
         except Exception as exc:
-            logger.error("call {} failed: {}", call.kind, type(exc).__name__)
+            logger.error("call {} failed: {}", call.kind, describe_fault(exc))
             failure = Failure(ErrorKind.INTERNAL, "internal error", None)
         reply = Reply(call.call_id, body, failure)
         outbox.put(self._encoder.encode(reply))
