Add rate limits by lent token shares and fair slots

Holders accrue shares of rate and burst and lend tokens to the admitting instance; slots of a database are scheduled by start-time fair queueing.

--- /dev/null
+++ b/src/lagoonstair/limits/_holder.py
@@ -0,0 +1,161 @@
+"""One instance's share of one workspace's rate and burst."""
+
+from collections import deque
+from typing import NamedTuple
+
+from lagoonstair.limits._settings import LimitSettings, WorkspaceLimit
+from lagoonstair.limits._units import NANOS, to_nanos
+
+
+class _Part(NamedTuple):
+    """A place among the holders.
+
+    Attributes:
+        holders: How many holders there are; 0 when the instance is none.
+        rank: The instance's place among them, from 0.
+    """
+
+    holders: int
+    rank: int
+
+    def of(self, total: int) -> int:
+        """This place's part of a total; the parts of all places add up."""
+        if self.holders == 0:
+            return 0
+        return total // self.holders + (self.rank < total % self.holders)
+
+
+class _Past(NamedTuple):
+    """An earlier place, which limits the share until ``until`` (ns)."""
+
+    part: _Part
+    until: int
+
+
+NO_PART = _Part(0, 0)
+
+
+class ShareHolder:
+    """Accrues a share's tokens and counts those that are lent.
+
+    The balance plus what is lent never exceeds the share of the burst. The
+    share is the least of the current one and of those it replaced within
+    ``LimitSettings.share_delay``, so shares never sum to more than one while
+    instances learn of a change at different times. A new holder starts empty.
+
+    Attributes:
+        version: The configuration version of the limit.
+        limit: The limit, or ``None`` when the workspace has none.
+        lent: Micro-tokens lent, and neither reported spent nor expired.
+    """
+
+    def __init__(self, name: str, settings: LimitSettings) -> None:
+        self._name = name
+        self._delay = to_nanos(settings.share_delay)
+        self._part = NO_PART
+        self._past: deque[_Past] = deque()
+        self._balance = 0
+        self._remainder = 0
+        self._at = 0
+        self.version = 0
+        self.limit: WorkspaceLimit | None = None
+        self.lent = 0
+
+    def configure(
+        self, now: float, version: int, limit: WorkspaceLimit | None
+    ) -> None:
+        """Takes a limit over from a configuration version.
+
+        Versions are to be given one by one. After a skipped version the share
+        starts anew, because the skipped one may have given it to others.
+        """
+        if version <= self.version:
+            return
+        self._advance(now)
+        skipped = self.version > 0 and version > self.version + 1
+        part = self._place(limit)
+        if part != self._part or skipped:
+            self._replace_part(now, part, skipped)
+        self.version = version
+        self.limit = limit
+        self._clamp()
+
+    def available(self, now: float) -> int:
+        """Micro-tokens that may be spent or lent now."""
+        self._advance(now)
+        return self._balance
+
+    def take(self, now: float, amount: int) -> int:
+        """Spends up to ``amount`` micro-tokens; returns how many."""
+        taken = min(amount, self.available(now))
+        self._balance -= taken
+        return taken
+
+    def lend(self, now: float, amount: int) -> int:
+        """Lends up to ``amount`` micro-tokens; returns how many."""
+        taken = self.take(now, amount)
+        self.lent += taken
+        return taken
+
+    def settle(self, now: float, amount: int) -> None:
+        """Notes that lent micro-tokens were spent or have expired."""
+        self._advance(now)
+        self.lent -= amount
+
+    def refund(self, now: float, amount: int) -> None:
+        """Takes lent micro-tokens back that can no longer be spent."""
+        self._advance(now)
+        self.lent -= amount
+        self._balance += amount
+        self._clamp()
+
+    def _place(self, limit: WorkspaceLimit | None) -> _Part:
+        if limit is None or self._name not in limit.holders:
+            return NO_PART
+        return _Part(len(limit.holders), limit.holders.index(self._name))
+
+    def _replace_part(self, now: float, part: _Part, skipped: bool) -> None:
+        until = to_nanos(now) + self._delay
+        self._past.append(_Past(self._part, until))
+        if skipped:
+            self._past.append(_Past(NO_PART, until))
+        self._part = part
+        self._remainder = 0
+
+    def _advance(self, now: float) -> None:
+        now_ns = to_nanos(now)
+        while self._past and self._past[0].until <= now_ns:
+            self._accrue(self._past[0].until)
+            self._past.popleft()
+            self._remainder = 0
+        self._accrue(now_ns)
+
+    def _accrue(self, until: int) -> None:
+        elapsed = until - self._at
+        if elapsed <= 0:
+            return
+        self._at = until
+        if self.limit is None:
+            return
+        parts = [self._part, *(past.part for past in self._past)]
+        if any(part.holders == 0 for part in parts):
+            self._clamp()
+            return
+        divisor = max(part.holders for part in parts) * NANOS
+        total = self.limit.rate * elapsed + self._remainder
+        gain, self._remainder = divmod(total, divisor)
+        self._balance += gain
+        self._clamp()
+
+    def _clamp(self) -> None:
+        room = max(0, self._cap() - self.lent)
+        if self._balance >= room:
+            self._balance = room
+            self._remainder = 0
+
+    def _cap(self) -> int:
+        if self.limit is None:
+            return 0
+        burst = self.limit.burst
+        parts = [self._part, *(past.part for past in self._past)]
+        return min(part.of(burst) for part in parts)
--- /dev/null
+++ b/src/lagoonstair/limits/_service.py
@@ -0,0 +1,230 @@
+"""The shell of the limits slice: admits requests and talks to holders."""
+
+import secrets
+from collections.abc import Callable, Mapping
+from typing import TypedDict
+
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.limits._limiter import Admit, Effect, Limiter, Refuse, SendAsk
+from lagoonstair.limits._messages import TokenAsk, TokenGrant
+from lagoonstair.limits._settings import LimitSettings, WorkspaceLimit
+from lagoonstair.peers import (
+    PeerClient,
+    PeerContext,
+    PeerLostError,
+    PeerNotSentError,
+    Registry,
+)
+
+TIDY_SECONDS = 5.0
+MESSAGES = {
+    ErrorKind.RATE_LIMITED: "the workspace is over its rate",
+    ErrorKind.NOT_FRESH: "the configuration may be out of date",
+    ErrorKind.NOT_FOUND: "the workspace has no rate",
+}
+
+
+class LimitStatus(TypedDict):
+    """Counts since the start, and tokens by workspace."""
+
+    admitted: int
+    refused: int
+    asks_sent: int
+    asks_lost: int
+    waiting: int
+    tokens: dict[str, float]
+
+
+class _Waiter:
+    """A request that waits for its verdict."""
+
+    __slots__ = ("event", "refusal")
+
+    def __init__(self) -> None:
+        self.event = trio.Event()
+        self.refusal: Refuse | None = None
+
+
+class LimitService:
+    """Keeps workspaces to their rate and burst across all instances."""
+
+    def __init__(
+        self,
+        name: str,
+        peers: PeerClient,
+        registry: Registry,
+        addresses: Callable[[str], Address | None],
+        fresh: Callable[[float], bool],
+        clock: Callable[[], float] = trio.current_time,
+        *,
+        settings: LimitSettings | None = None,
+    ) -> None:
+        """Registers the handler of asks.
+
+        Args:
+            name: This instance's name.
+            peers: Calls other instances.
+            registry: Where the handler of ``TokenAsk`` is added.
+            addresses: Gives the address of an instance, if known.
+            fresh: Whether the configuration may be relied on at a time.
+            clock: The monotonic time in seconds.
+            settings: Times of lending and waiting.
+        """
+        self._peers = peers
+        self._addresses = addresses
+        self._fresh = fresh
+        self._clock = clock
+        self._settings = settings or LimitSettings()
+        self._limiter = Limiter(name, secrets.token_hex(8), self._settings)
+        self._waiters: dict[int, _Waiter] = {}
+        self._last_ticket = 0
+        self._asks: list[SendAsk] = []
+        self._wake = trio.Event()
+        self._workspaces: set[str] = set()
+        self._counts = {"admitted": 0, "refused": 0, "sent": 0, "lost": 0}
+        registry.add(TokenAsk, self._answer)
+
+    def apply(self, version: int, limits: Mapping[str, WorkspaceLimit]) -> None:
+        """Takes over the limits of all workspaces from a configuration.
+
+        To be called on every instance for every version in order, at boot
+        too: a share counts from the version that first named its holder.
+        """
+        self._workspaces = set(limits)
+        self._limiter.apply(self._clock(), version, limits)
+
+    async def admit(
+        self,
+        workspace: str,
+        *,
+        rate: float,
+        burst: float,
+        holders: tuple[str, ...],
+        config_version: int,
+    ) -> None:
+        """Returns once the request may run.
+
+        Args:
+            workspace: The workspace of the request.
+            rate: Requests a second.
+            burst: Requests at once.
+            holders: The instances that hold shares, best ranked first.
+            config_version: The configuration version of these arguments.
+
+        Raises:
+            LagoonstairError: ``RATE_LIMITED`` with the time after which a
+                token is due, or ``NOT_FRESH``.
+        """
+        now = self._clock()
+        limit = WorkspaceLimit.from_config(
+            rate=rate, burst=burst, holders=holders
+        )
+        self._workspaces.add(workspace)
+        self._limiter.learn(now, config_version, workspace, limit)
+        self._last_ticket += 1
+        ticket = self._last_ticket
+        waiter = _Waiter()
+        self._waiters[ticket] = waiter
+        try:
+            fresh = self._fresh(now)
+            self._perform(
+                self._limiter.request(now, workspace, ticket, fresh=fresh)
+            )
+            await waiter.event.wait()
+        finally:
+            del self._waiters[ticket]
+            self._limiter.cancel(ticket)
+        if waiter.refusal is not None:
+            raise LagoonstairError(
+                waiter.refusal.kind,
+                MESSAGES[waiter.refusal.kind],
+                retry_after=waiter.refusal.retry_after,
+            )
+
+    async def run(self) -> None:
+        """Sends asks and wakes waiting requests, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tidy)
+            while True:
+                now = self._clock()
+                fresh = self._fresh(now)
+                self._perform(self._limiter.tick(now, fresh=fresh))
+                asks, self._asks = self._asks, []
+                for ask in asks:
+                    nursery.start_soon(self._send, ask)
+                self._wake = trio.Event()
+                await self._sleep()
+
+    def status(self) -> LimitStatus:
+        """Counts since the start, and the tokens at hand by workspace."""
+        now = self._clock()
+        tokens = {
+            name: self._limiter.available(now, name) / 1_000_000
+            for name in sorted(self._workspaces)
+        }
+        return LimitStatus(
+            admitted=self._counts["admitted"],
+            refused=self._counts["refused"],
+            asks_sent=self._counts["sent"],
+            asks_lost=self._counts["lost"],
+            waiting=len(self._waiters),
+            tokens=tokens,
+        )
+
+    async def _sleep(self) -> None:
+        now = self._clock()
+        wake_at = self._limiter.wake_at(now)
+        seconds = TIDY_SECONDS if wake_at is None else wake_at - now
+        with trio.move_on_after(seconds):
+            await self._wake.wait()
+
+    async def _tidy(self) -> None:
+        while True:
+            await trio.sleep(TIDY_SECONDS)
+            self._limiter.tidy(self._clock())
+
+    def _perform(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Admit():
+                    self._counts["admitted"] += 1
+                    self._waiters[effect.ticket].event.set()
+                case Refuse():
+                    self._counts["refused"] += 1
+                    waiter = self._waiters[effect.ticket]
+                    waiter.refusal = effect
+                    waiter.event.set()
+                case SendAsk():
+                    self._asks.append(effect)
+                    self._wake.set()
+
+    async def _send(self, send: SendAsk) -> None:
+        self._counts["sent"] += 1
+        grant = await self._call(send)
+        now = self._clock()
+        if grant is None:
+            self._counts["lost"] += 1
+            self._limiter.lost(now, send.lender, send.ask.seq)
+            return
+        fresh = self._fresh(now)
+        effects = self._limiter.granted(now, send.lender, grant, fresh=fresh)
+        self._perform(effects)
+
+    async def _call(self, send: SendAsk) -> TokenGrant | None:
+        address = self._addresses(send.lender)
+        if address is None:
+            return None
+        with trio.move_on_after(self._settings.ask_timeout):
+            try:
+                return await self._peers.call(address, send.ask, TokenGrant)
+            except (LagoonstairError, PeerLostError, PeerNotSentError):
+                return None
+        return None
+
+    async def _answer(self, ask: TokenAsk, ctx: PeerContext) -> TokenGrant:
+        now = self._clock()
+        fresh = self._fresh(now)
+        return self._limiter.answer(now, ctx.name, ask, fresh=fresh)
--- /dev/null
+++ b/src/lagoonstair/queueing/_scheduler.py
@@ -0,0 +1,137 @@
+"""The shell of the fair queue: slots of one database for trio tasks."""
+
+import math
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+
+import trio
+
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.queueing._queue import (
+    FairQueue,
+    QueueEffect,
+    QueueSettings,
+    Reject,
+    Start,
+)
+
+MESSAGES = {
+    ErrorKind.OVERLOADED: "the database is busy; nothing was run",
+    ErrorKind.UNAUTHENTICATED: "the key was withdrawn; nothing was run",
+}
+
+
+class _Waiter:
+    """A task that waits for a slot."""
+
+    __slots__ = ("event", "reject")
+
+    def __init__(self) -> None:
+        self.event = trio.Event()
+        self.reject: Reject | None = None
+
+
+class SlotScheduler:
+    """Shares the slots of one database fairly among workspaces."""
+
+    def __init__(
+        self,
+        slots: int,
+        *,
+        settings: QueueSettings | None = None,
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        """Makes a scheduler with all slots free.
+
+        Args:
+            slots: How many calls the database runs at once.
+            settings: The bounds of the queue.
+            clock: The monotonic time in seconds.
+        """
+        self._settings = settings or QueueSettings()
+        self._queue = FairQueue(slots, self._settings)
+        self._clock = clock
+        self._waiters: dict[int, _Waiter] = {}
+        self._last_ticket = 0
+
+    @asynccontextmanager
+    async def slot(
+        self,
+        workspace: str,
+        *,
+        deadline: float = math.inf,
+        key_id: str = "",
+    ) -> AsyncIterator[None]:
+        """Holds a slot inside the block; a transaction holds it to its end.
+
+        Args:
+            workspace: On whose behalf the block runs.
+            deadline: When the slot must have been got, in the clock's time.
+            key_id: The key of the request, for ``withdraw``.
+
+        Raises:
+            LagoonstairError: ``OVERLOADED`` or, after ``withdraw``,
+                ``UNAUTHENTICATED``; the block did not run.
+        """
+        self._last_ticket += 1
+        ticket = self._last_ticket
+        try:
+            await self._wait(workspace, ticket, deadline, key_id)
+            yield
+        finally:
+            self._perform(self._queue.leave(self._clock(), ticket))
+
+    def resize(self, slots: int) -> None:
+        """Changes the number of slots."""
+        self._perform(self._queue.resize(self._clock(), slots))
+
+    def withdraw(self, key_id: str) -> None:
+        """Refuses all requests of a key that still wait."""
+        self._perform(self._queue.withdraw(key_id))
+
+    @property
+    def running(self) -> int:
+        """How many slots are held."""
+        return self._queue.running
+
+    def waiting(self, workspace: str) -> int:
+        """How many requests of a workspace wait."""
+        return self._queue.waiting(workspace)
+
+    async def _wait(
+        self, workspace: str, ticket: int, deadline: float, key_id: str
+    ) -> None:
+        waiter = _Waiter()
+        self._waiters[ticket] = waiter
+        try:
+            now = self._clock()
+            effects = self._queue.enter(
+                now, workspace, ticket, deadline=deadline, key_id=key_id
+            )
+            self._perform(effects)
+            deadline = min(deadline, now + self._settings.max_wait)
+            await self._until_event(waiter, deadline)
+        finally:
+            del self._waiters[ticket]
+        if waiter.reject is not None:
+            raise LagoonstairError(
+                waiter.reject.kind,
+                MESSAGES[waiter.reject.kind],
+                retry_after=waiter.reject.retry_after,
+            )
+
+    async def _until_event(self, waiter: _Waiter, deadline: float) -> None:
+        while not waiter.event.is_set():
+            with trio.move_on_after(max(0.0, deadline - self._clock())):
+                await waiter.event.wait()
+            self._perform(self._queue.tick(self._clock()))
+
+    def _perform(self, effects: Sequence[QueueEffect]) -> None:
+        for effect in effects:
+            waiter = self._waiters[effect.ticket]
+            match effect:
+                case Start():
+                    pass
+                case Reject():
+                    waiter.reject = effect
+            waiter.event.set()
--- /dev/null
+++ b/tests/test_limits_service.py
@@ -0,0 +1,137 @@
+"""Admission through the shell, with peers joined in memory."""
+
+import pytest
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.limits import LimitService, LimitSettings, WorkspaceLimit
+from lagoonstair.peers import PeerContext, PeerLostError
+
+NAMES = ("a", "b", "c")
+SETTINGS = LimitSettings()
+ASKED = 60
+
+
+class Registry:
+    def add(self, message, handler):
+        self.handler = handler
+
+
+class Fleet:
+    """Services whose calls reach each other's handlers directly."""
+
+    def __init__(self, nursery):
+        self.fresh = dict.fromkeys(NAMES, True)
+        self.dead = set()
+        self.registries = {name: Registry() for name in NAMES}
+        self.services = {
+            name: LimitService(
+                name,
+                _Peers(self, name),
+                self.registries[name],
+                lambda peer: Address(peer, 1),
+                lambda now, name=name: self.fresh[name],
+            )
+            for name in NAMES
+        }
+        self.version = 0
+        for service in self.services.values():
+            nursery.start_soon(service.run)
+
+    def apply(self, *, rate, burst):
+        self.version += 1
+        self.policy = {"rate": rate, "burst": burst, "holders": NAMES}
+        limit = WorkspaceLimit.from_config(**self.policy)
+        for service in self.services.values():
+            service.apply(self.version, {"w": limit})
+
+    async def admit(self, name):
+        await self.services[name].admit(
+            "w", **self.policy, config_version=self.version
+        )
+
+
+class _Peers:
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+
+    async def call(self, address, message, answer):
+        if address.host in self.fleet.dead:
+            raise PeerLostError("dead")
+        handler = self.fleet.registries[address.host].handler
+        return await handler(message, PeerContext(self.name))
+
+
+@pytest.fixture
+async def fleet(nursery, autojump_clock):
+    fleet = Fleet(nursery)
+    fleet.apply(rate=10, burst=30)
+    await trio.sleep(SETTINGS.share_delay + 10)
+    return fleet
+
+
+async def _drain(fleet, name):
+    """Sends many requests at once; returns how many ran, and a refusal."""
+    refusals = []
+
+    async def request():
+        try:
+            await fleet.admit(name)
+        except LagoonstairError as exc:
+            refusals.append(exc)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(ASKED):
+            nursery.start_soon(request)
+    return ASKED - len(refusals), refusals[-1]
+
+
+async def test_one_instance_gets_the_whole_burst(fleet, autojump_clock):
+    began = trio.current_time()
+    count, exc = await _drain(fleet, "b")
+    elapsed = trio.current_time() - began
+    assert 29 <= count <= 30 + 10 * elapsed
+    assert exc.kind is ErrorKind.RATE_LIMITED
+    assert exc.retry_after > 0
+
+
+async def test_retry_after_is_true(fleet, autojump_clock):
+    _, exc = await _drain(fleet, "b")
+    await trio.sleep(exc.retry_after)
+    await fleet.admit("b")
+
+
+async def test_dead_holders_leave_the_own_share(fleet, autojump_clock):
+    fleet.dead |= {"a", "c"}
+    count, exc = await _drain(fleet, "b")
+    assert 10 <= count <= 12
+    assert exc.kind is ErrorKind.RATE_LIMITED
+
+
+async def test_nothing_is_admitted_or_lent_without_freshness(
+    fleet, autojump_clock
+):
+    fleet.fresh["b"] = False
+    with pytest.raises(LagoonstairError) as caught:
+        await fleet.admit("b")
+    assert caught.value.kind is ErrorKind.NOT_FRESH
+    fleet.fresh.update(a=False, b=True, c=False)
+    count, _ = await _drain(fleet, "b")
+    assert 10 <= count <= 12
+
+
+async def test_waiting_requests_are_admitted_in_order(fleet, autojump_clock):
+    await _drain(fleet, "b")
+    order = []
+
+    async def request(number):
+        await fleet.admit("b")
+        order.append(number)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(2):
+            nursery.start_soon(request, number)
+            await trio.testing.wait_all_tasks_blocked()
+    assert order == [0, 1]
