Answer the operators' requests on configuration and keys

Cause: operators edit items one by one or as a whole document, from any instance, and must be told every fault with its place. A repeated issue of a key can't show the secret again, as it is kept nowhere, so it answers a conflict that names the key to withdraw.

--- a/src/lagoonstair/config/__init__.py
+++ b/src/lagoonstair/config/__init__.py
@@ -29,6 +29,7 @@
     Template,
     Workspace,
 )
+from lagoonstair.config._operator_api import OperatorApi
 from lagoonstair.config._policy import Limits, Policy
 from lagoonstair.config._state import Configuration
 from lagoonstair.config._submit import Accepted
@@ -55,6 +56,7 @@
     "MemberJoined",
     "MemberLeft",
     "Objectives",
+    "OperatorApi",
     "Param",
     "Policy",
     "PutRoute",
--- /dev/null
+++ b/src/lagoonstair/config/_operator_api.py
@@ -0,0 +1,320 @@
+"""Answers the operators' requests on configuration and keys."""
+
+import hmac
+import re
+import secrets
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
+import trio
+
+from lagoonstair import keys
+from lagoonstair.config._api_types import (
+    ApplyAnswer,
+    ChangeAnswer,
+    InstanceBody,
+    InstancesAnswer,
+    IssueAnswer,
+    ItemAnswer,
+    KeysAnswer,
+)
+from lagoonstair.config._changes import Change, IssueKey, WithdrawKey
+from lagoonstair.config._faults import Fault, InvalidInputError, show
+from lagoonstair.config._model import KeyRole
+from lagoonstair.config._operator_bodies import (
+    SECTIONS,
+    ItemPath,
+    batch_of,
+    config_body,
+    differing_items,
+    error_body,
+    item_body,
+    key_body,
+    not_found,
+    put_step,
+    remove_step,
+)
+from lagoonstair.config._parse import parse_json
+from lagoonstair.config._submit import Accepted
+from lagoonstair.config._sync import ConfigSync
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.wire import HttpRequest, HttpResponse
+
+BEARER = "Bearer "
+_OPERATION_ID = re.compile(r"[!-~]{1,128}")
+_VERSION = re.compile(r'"?(\d{1,12})"?')
+_SINGLE = frozenset({"config", "instances", "apply", "keys"})
+
+
+class _Answer(NamedTuple):
+    """An answer before it is written."""
+
+    status: int
+    body: Any
+
+
+class OperatorApi:
+    """The operators' side of the configuration."""
+
+    def __init__(
+        self,
+        sync: ConfigSync,
+        *,
+        operator_keys_sha256: Iterable[str],
+        random_bytes: Callable[[int], bytes] = secrets.token_bytes,
+    ) -> None:
+        """Prepares the handlers.
+
+        Args:
+            sync: The configuration.
+            operator_keys_sha256: The SHA-256 of each operator key of the
+                settings, whole, in hexadecimal digits.
+            random_bytes: The source of new keys.
+        """
+        self._sync = sync
+        self._operator_keys = tuple(operator_keys_sha256)
+        self._random_bytes = random_bytes
+
+    async def handle(self, req: HttpRequest) -> HttpResponse | None:
+        """Answers a request; ``None`` if its path is not one of these."""
+        parts = _path_parts(req)
+        if not _is_known(parts):
+            return None
+        try:
+            self.authenticate(req)
+            answer = await self._answer(req, parts)
+        except LagoonstairError as exc:
+            answer = _Answer(exc.answer.status, error_body(exc))
+        body = msgspec.json.encode(answer.body)
+        return HttpResponse(status=answer.status, body=body)
+
+    def authenticate(self, req: HttpRequest) -> None:
+        """Checks that a request brings an operator's key.
+
+        Raises:
+            LagoonstairError: ``UNAUTHENTICATED`` without a live key,
+                ``FORBIDDEN`` with a caller's, ``NOT_FRESH`` when this instance
+                can't tell whether the key is live.
+        """
+        header = req.headers.get("authorization", "")
+        if not header.startswith(BEARER):
+            raise LagoonstairError(
+                ErrorKind.UNAUTHENTICATED, "an operator's key is needed"
+            )
+        text = header.removeprefix(BEARER)
+        digest = keys.hash_secret(text)
+        found = [hmac.compare_digest(digest, k) for k in self._operator_keys]
+        if any(found):
+            return
+        cfg = self._sync.require_fresh(trio.current_time())
+        if cfg.authenticate(text).role is not KeyRole.OPERATOR:
+            raise LagoonstairError(
+                ErrorKind.FORBIDDEN, "the key is not an operator's"
+            )
+
+    async def _answer(self, req: HttpRequest, parts: list[str]) -> _Answer:
+        match req.method, parts:
+            case "GET", ["config"]:
+                return _Answer(200, config_body(self._sync.current))
+            case "GET", ["instances"]:
+                return await self._instances()
+            case "POST", ["apply"]:
+                return await self._apply(req)
+            case "GET", ["keys"]:
+                return self._list_keys(req)
+            case "POST", ["keys"]:
+                return await self._issue(req)
+            case "DELETE", ["keys", key_id]:
+                return await self._change(req, WithdrawKey(key_id))
+            case method, [section, name]:
+                path = ItemPath(section, name)
+                return await self._item(req, method, path)
+            case _:
+                raise _wrong_method(req)
+
+    async def _item(
+        self, req: HttpRequest, method: str, path: ItemPath
+    ) -> _Answer:
+        match method:
+            case "GET" if path.section in SECTIONS:
+                return self._show(path)
+            case "PUT" if path.section in SECTIONS:
+                step = put_step(path, parse_json(req.body))
+                return await self._change(req, step)
+            case "DELETE" if path.section in SECTIONS:
+                return await self._change(req, remove_step(path))
+            case _:
+                raise _wrong_method(req)
+
+    def _show(self, path: ItemPath) -> _Answer:
+        cfg = self._sync.current
+        item = getattr(cfg, path.section).get(path.name)
+        if item is None:
+            raise not_found("/".join(path))
+        body = ItemAnswer(
+            version=cfg.version,
+            changed=cfg.changed["/".join(path)],
+            item=item_body(item),
+        )
+        return _Answer(200, body)
+
+    async def _change(self, req: HttpRequest, change: Change) -> _Answer:
+        accepted = await self._submit(req, change)
+        return _Answer(_status(accepted), _change_body(accepted))
+
+    async def _submit(self, req: HttpRequest, change: Change) -> Accepted:
+        return await self._sync.submit(
+            change,
+            expected_version=_expected_version(req),
+            operation_id=_operation_id(req),
+        )
+
+    async def _apply(self, req: HttpRequest) -> _Answer:
+        batch = batch_of(parse_json(req.body))
+        cfg = self._sync.current
+        changes = differing_items(cfg, cfg.apply(batch))
+        if _query(req, "check") == "1":
+            body = ApplyAnswer(
+                version=cfg.version,
+                in_force=False,
+                pending=[],
+                checked_only=True,
+                changes=changes,
+            )
+            return _Answer(200, body)
+        accepted = await self._submit(req, batch)
+        body = ApplyAnswer(
+            **_change_body(accepted), checked_only=False, changes=changes
+        )
+        return _Answer(_status(accepted), body)
+
+    def _list_keys(self, req: HttpRequest) -> _Answer:
+        cfg = self._sync.current
+        workspace = _query(req, "workspace")
+        shown = [
+            key_body(record)
+            for record in cfg.keys.values()
+            if workspace is None or record.workspace == workspace
+        ]
+        return _Answer(200, KeysAnswer(version=cfg.version, keys=shown))
+
+    async def _issue(self, req: HttpRequest) -> _Answer:
+        body = parse_json(req.body)
+        workspace, role = _read_issue(body)
+        key = keys.issue(self._random_bytes)
+        change = IssueKey(key.id, workspace, key.sha256, role=role)
+        accepted = await self._submit(req, change)
+        if accepted.repeated:
+            raise self._issued_before(accepted.version)
+        answer = IssueAnswer(**_change_body(accepted), id=key.id, key=key.text)
+        return _Answer(_status(accepted), answer)
+
+    def _issued_before(self, version: int) -> LagoonstairError:
+        found = [
+            record.id
+            for record in self._sync.current.keys.values()
+            if record.created_version == version
+        ]
+        return LagoonstairError(
+            ErrorKind.CONFLICT,
+            f"this operation issued key {', '.join(found) or '(withdrawn)'}, "
+            "which can't be shown again; withdraw it and issue another",
+        )
+
+    async def _instances(self) -> _Answer:
+        status = self._sync.status()
+        words = await self._sync.words()
+        shown = [
+            InstanceBody(
+                name=name,
+                answered=name in words,
+                version=words[name].version if name in words else None,
+                proof_age=words[name].proof_age if name in words else None,
+            )
+            for name in sorted({*self._sync.current.members, *words})
+        ]
+        body = InstancesAnswer(
+            version=status.version,
+            accepted=status.accepted,
+            last_change_seconds=status.last_change_seconds,
+            waiting_for=status.waiting_for,
+            instances=shown,
+        )
+        return _Answer(200, body)
+
+
+def _path_parts(req: HttpRequest) -> list[str]:
+    """Returns the parts of the path after ``/v1/``; none for another path."""
+    path = urlsplit(req.target).path
+    root, _, rest = path.removeprefix("/").partition("/")
+    return [unquote(part) for part in rest.split("/")] if root == "v1" else []
+
+
+def _is_known(parts: list[str]) -> bool:
+    match parts:
+        case [single]:
+            return single in _SINGLE
+        case [section, name]:
+            return section in (*SECTIONS, "keys") and name != ""
+        case _:
+            return False
+
+
+def _query(req: HttpRequest, name: str) -> str | None:
+    values = parse_qs(urlsplit(req.target).query).get(name)
+    return values[0] if values else None
+
+
+def _wrong_method(req: HttpRequest) -> LagoonstairError:
+    fault = Fault("method", "one that this path has", show(req.method))
+    return InvalidInputError([fault])
+
+
+def _expected_version(req: HttpRequest) -> int | None:
+    text = req.headers.get("if-match")
+    if text is None:
+        return None
+    match = _VERSION.fullmatch(text)
+    if match is None:
+        raise InvalidInputError([Fault("If-Match", "a version", show(text))])
+    return int(match[1])
+
+
+def _operation_id(req: HttpRequest) -> str | None:
+    text = req.headers.get("idempotency-key")
+    if text is not None and _OPERATION_ID.fullmatch(text) is None:
+        expected = "1 to 128 visible ASCII characters"
+        raise InvalidInputError(
+            [Fault("Idempotency-Key", expected, show(text))]
+        )
+    return text
+
+
+def _read_issue(body: dict[str, Any]) -> tuple[str, KeyRole]:
+    role = body.get("role", KeyRole.CALLER.value)
+    workspace = body.get("workspace", "")
+    faults = [
+        Fault(field, "no such field", show(body[field]))
+        for field in sorted(set(body) - {"role", "workspace"})
+    ]
+    if role not in list(KeyRole):
+        faults.append(Fault("role", "caller or operator", show(role)))
+    if not isinstance(workspace, str):
+        faults.append(Fault("workspace", "a name", show(workspace)))
+    if faults:
+        raise InvalidInputError(faults)
+    return workspace, KeyRole(role)
+
+
+def _status(accepted: Accepted) -> int:
+    return 200 if accepted.in_force else 202
+
+
+def _change_body(accepted: Accepted) -> ChangeAnswer:
+    return ChangeAnswer(
+        version=accepted.version,
+        in_force=accepted.in_force,
+        pending=list(accepted.pending),
+    )
