Run the watch against a model group in virtual time

Cause: the shell of the watch needs its own faults: killed, cut off and frozen primaries, owners lost or cut off with them, and half-way promotions. Excluded: counting promotions by the watch in tests, as the new primary is seen before the counter moves; the log's own entries are counted instead.

--- a/src/lagoonstair/groups/_promoter.py
+++ b/src/lagoonstair/groups/_promoter.py
@@ -54,7 +54,7 @@
         self._outcome: Finish | GiveUp | None = None
 
     async def run(self) -> Finish | GiveUp:
-        """Runs the promotion to its end."""
+        """Runs the promotion until there is a primary or none will be."""
         send, receive = trio.open_memory_channel[Event](1)
         async with trio.open_nursery() as nursery, send, receive:
             nursery.start_soon(self._end_grace, send)
@@ -63,7 +63,6 @@
                 event = await receive.receive()
                 effects = self._promotion.handle(event)
                 self._perform(effects, nursery, send)
-            await self._spread()
             nursery.cancel_scope.cancel()
         return self._outcome
 
@@ -123,7 +122,8 @@
             pass
         await send.send(event)
 
-    async def _spread(self) -> None:
+    async def spread(self) -> None:
+        """Tells the other members; the watch repeats lost calls."""
         async with trio.open_nursery() as nursery:
             for order in self._followers:
                 nursery.start_soon(self._follow, order)
--- a/src/lagoonstair/groups/_watch.py
+++ b/src/lagoonstair/groups/_watch.py
@@ -189,7 +189,7 @@
                 until = deadline
                 if latest.targets:
                     until = min(deadline, self._clock() + latest.wait)
-                if not await self._wait_change(until):
+                if not await self.wait_change(until):
                     return plan()
                 latest = plan()
         return latest
@@ -218,7 +218,7 @@
                 )
                 if result is not Confirmation.UNCONFIRMED:
                     return result
-                if not await self._wait_change(deadline):
+                if not await self.wait_change(deadline):
                     return result
 
     async def wait_primary(self, *, deadline: float) -> GroupState:
@@ -232,14 +232,14 @@
             state = self.snapshot()
             if state.primary is not None:
                 return state
-            if not await self._wait_change(deadline):
+            if not await self.wait_change(deadline):
                 return self.snapshot()
 
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
-    async def _wait_change(self, deadline: float) -> bool:
+    async def wait_change(self, deadline: float) -> bool:
         """Waits for news; false when the deadline passed."""
         left = max(0.0, deadline - self._clock())
         with trio.move_on_after(left) as scope:
@@ -308,6 +308,7 @@
         if isinstance(outcome, Finish):
             self.promotions += 1
         logger.info("{} promotion: {}", order.cause, outcome)
+        await promoter.spread()
 
     async def _may_promote(self, order: Begin) -> bool:
         """Asks the other watchers whether to promote."""
--- /dev/null
+++ b/tests/test_groups_watch.py
@@ -0,0 +1,209 @@
+"""The watch's shell against the model group, in virtual time."""
+
+import random
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from groups_history import Write, missing_writes
+from lagoonstair._types import Position
+from lagoonstair.groups import Confirmation, Obstacle
+from lagoonstair.measure._model import MEDOSTREH, ModelFleet, ModelGroup
+from lagoonstair.ports import Role
+
+
+@asynccontextmanager
+async def running(seed=1, **more):
+    rng = random.Random(seed)
+    group = ModelGroup(MEDOSTREH, rng)
+    fleet = ModelFleet(group, rng, **more)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(group.replicate)
+        nursery.start_soon(fleet.run)
+        await write(group, fleet.watches["instance0"], "first")
+        yield group, fleet
+        nursery.cancel_scope.cancel()
+
+
+async def primary_of(watch, *, other_than=None):
+    while True:
+        state = await watch.wait_primary(deadline=trio.current_time() + 30)
+        assert state.primary is not None
+        if state.primary != other_than:
+            return state.primary
+        await watch.wait_change(trio.current_time() + 30)
+
+
+def elections(group):
+    return sum(not entry.payload for entry in group.primaries()[0].log)
+
+
+async def write(group, watch, payload):
+    state = await watch.wait_primary(deadline=trio.current_time() + 30)
+    position = await group.call(
+        "client", state.primary, lambda m: m.commit(state.term, payload)
+    )
+    now = trio.current_time()
+    result = await watch.confirm(position, deadline=now + 1)
+    return Write(payload, position, now), result
+
+
+async def test_a_new_group_gets_one_primary_and_confirms(autojump_clock):
+    async with running() as (group, fleet):
+        assert elections(group) == 1
+        _, result = await write(group, fleet.watches["instance0"], "w")
+        assert result is Confirmation.CONFIRMED
+
+
+async def test_many_writes_share_confirmation_rounds(autojump_clock):
+    async with running() as (group, fleet):
+        watch = fleet.watches["instance0"]
+        before = group.control_calls
+        results = []
+
+        async def one(i):
+            results.append((await write(group, watch, f"w{i}"))[1])
+
+        async with trio.open_nursery() as nursery:
+            for i in range(100):
+                nursery.start_soon(one, i)
+        assert results == [Confirmation.CONFIRMED] * 100
+        assert group.control_calls - before < 60
+
+
+def kill(group, fleet, name):
+    group.faults.killed.add(name)
+
+
+def cut(group, fleet, name):
+    group.faults.cut.add(name)
+
+
+def freeze(group, fleet, name):
+    group.faults.frozen[name] = trio.Event()
+
+
+def lose_owner_too(group, fleet, name):
+    group.faults.killed.add(name)
+    fleet.kill("instance0")
+
+
+def cut_owner_with_it(group, fleet, name):
+    group.faults.cut |= {name, "instance0"}
+
+
+@pytest.mark.parametrize(
+    "fault", [kill, cut, freeze, lose_owner_too, cut_owner_with_it]
+)
+async def test_a_lost_primary_is_replaced_and_no_answered_write_is_lost(
+    fault, autojump_clock
+):
+    async with running() as (group, fleet):
+        first = await primary_of(fleet.watches["instance0"])
+        kept, result = await write(group, fleet.watches["instance0"], "kept")
+        kept.acked_at = kept.committed_at
+        assert result is Confirmation.CONFIRMED
+        fault(group, fleet, first)
+        # A client still writes at the lost primary.
+        old = group.members[first]
+        tail = old.commit(old.term, "tail")
+        watch = fleet.watches["instance1"]
+        second = await primary_of(watch, other_than=first)
+        assert elections(group) == 2
+        later, result = await write(group, watch, "later")
+        assert result is Confirmation.CONFIRMED
+        later.acked_at = later.committed_at
+        deadline = trio.current_time() + 5
+        assert await watch.confirm(tail, deadline=deadline) is (
+            Confirmation.REPLACED
+        )
+        group.faults.killed.discard(first)
+        group.faults.cut.clear()
+        for event in group.faults.frozen.values():
+            event.set()
+        group.faults.frozen.clear()
+        if fault is lose_owner_too:
+            watch.set_watchers(["instance1", "instance2"])
+        while old.role is Role.PRIMARY or old.log != group.members[second].log:
+            await watch.wait_change(trio.current_time() + 5)
+        assert missing_writes([kept, later], old.log) == []
+        assert len(group.primaries()) == 1
+        assert elections(group) == 2
+
+
+async def test_no_write_is_confirmed_by_a_primary_cut_off_with_its_owner(
+    autojump_clock,
+):
+    async with running() as (group, fleet):
+        watch = fleet.watches["instance0"]
+        first = await primary_of(watch)
+        others = set(group.members) | set(fleet.watches)
+        others -= {first, "instance0"}
+        sides = {(a, b) for a in (first, "instance0") for b in others}
+        group.faults.unreachable |= sides
+        _, result = await write(group, watch, "w")
+        assert result is Confirmation.UNCONFIRMED
+        plan = watch.choose(max_age=0.5)
+        assert plan.obstacle is Obstacle.TOO_STALE
+        other = fleet.watches["instance1"]
+        await primary_of(other, other_than=first)
+        assert elections(group) == 2
+
+
+async def test_an_owner_that_alone_lost_the_primary_steps_aside(
+    autojump_clock,
+):
+    async with running() as (group, fleet):
+        watch = fleet.watches["instance0"]
+        first = await primary_of(watch)
+        group.faults.unreachable.add(("instance0", first))
+        while not watch.snapshot().stepped_aside:
+            await watch.wait_change(trio.current_time() + 30)
+        assert fleet.serving() is fleet.watches["instance1"]
+        _, result = await write(group, fleet.watches["instance1"], "w")
+        assert result is Confirmation.CONFIRMED
+        group.faults.unreachable.clear()
+        while watch.snapshot().primary != first:
+            await watch.wait_change(trio.current_time() + 30)
+        assert elections(group) == 1
+
+
+async def test_a_promotion_that_died_half_way_is_superseded(autojump_clock):
+    async with running() as (group, fleet):
+        watch = fleet.watches["instance0"]
+        first = await primary_of(watch)
+        term = watch.snapshot().term
+        for member in group.members.values():
+            member.fence(term + 1, "dead/1")
+        while watch.snapshot().term < term + 2:
+            await watch.wait_change(trio.current_time() + 30)
+        assert await primary_of(watch) == first
+        assert elections(group) == 2
+
+
+async def test_reads_wait_for_a_replica_and_fall_back_to_the_primary(
+    autojump_clock,
+):
+    async with running() as (group, fleet):
+        watch = fleet.watches["instance0"]
+        first = await primary_of(watch)
+        replicas = set(group.members) - {first}
+        group.replication.update(dict.fromkeys(replicas, 0.5))
+        done, _ = await write(group, watch, "w0")
+        await watch.plan_read(max_age=0.0, deadline=trio.current_time() + 5)
+        done, _ = await write(group, watch, "w1")
+        last = group.members[first].commit(done.position.term, "w2")
+        for wait_limit, primary in ((0.01, True), (2.0, False)):
+            plan = await watch.plan_read(
+                write=last,
+                max_age=None,
+                deadline=trio.current_time() + 5,
+                wait_limit=wait_limit,
+            )
+            assert plan.targets[0].primary is primary
+        beyond = Position(last.term + 1, 1)
+        plan = await watch.plan_read(
+            write=beyond, max_age=None, deadline=trio.current_time() + 0.1
+        )
+        assert plan.obstacle is Obstacle.BEHIND
