--- /dev/null
+++ b/src/lagoonstair/capacity/__main__.py
@@ -0,0 +1,83 @@
+"""Measures the slopes, one run in one process at a time."""
+
+import datetime
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import defopt
+import msgspec
+
+from lagoonstair.capacity._fit import Point, Slope
+from lagoonstair.capacity._measures import MEASURES, Measure
+
+OUTPUT = Path("build/capacity")
+
+
+def run(*, only: str = "", one: str = "", size: int = 0) -> None:
+    """Measures slopes and writes them as JSON and as a table.
+
+    Args:
+        only: Measure only what has this in its name.
+        one: Run one measure at one size and print its cost.
+        size: The size for ``--one``.
+    """
+    if one:
+        print(MEASURES[one].run(size))
+        return
+    slopes = []
+    for name, measure in MEASURES.items():
+        if only in name:
+            slopes.append(_measure(name, measure))
+            print(_row(slopes[-1]), flush=True)
+    _write(slopes)
+
+
+def _write(slopes: list[Slope]) -> None:
+    OUTPUT.mkdir(parents=True, exist_ok=True)
+    (OUTPUT / "slopes.json").write_bytes(
+        msgspec.json.format(msgspec.json.encode(slopes))
+    )
+    head = "| measure | slope | least | greatest | unit | sizes |"
+    line = "| --- " * 6 + "|"
+    rows = "\n".join(_row(slope) for slope in slopes)
+    load = os.getloadavg()[0]
+    note = f"{datetime.date.today()}, load {load:.1f}, {os.cpu_count()} cores"
+    (OUTPUT / "slopes.md").write_text(f"{note}\n\n{head}\n{line}\n{rows}\n")
+
+
+def _measure(name: str, measure: Measure) -> Slope:
+    repeats = [
+        [
+            Point(size, _run_one(name, size) * measure.scale)
+            for size in measure.sizes
+        ]
+        for _ in range(measure.repeats)
+    ]
+    return Slope.from_repeats(name, measure.unit, repeats)
+
+
+def _run_one(name: str, size: int) -> float:
+    """Runs a measure in a process of its own, with clean memory."""
+    command = [
+        sys.executable,
+        "-m",
+        "lagoonstair.capacity",
+        f"--one={name}",
+        f"--size={size}",
+    ]
+    done = subprocess.run(command, check=True, capture_output=True, text=True)
+    return float(done.stdout)
+
+
+def _row(slope: Slope) -> str:
+    sizes = ", ".join(str(point.size) for point in slope.repeats[0])
+    return (
+        f"| {slope.name} | {slope.value:.3g} | {slope.low:.3g} "
+        f"| {slope.high:.3g} | {slope.unit} | {sizes} |"
+    )
+
+
+if __name__ == "__main__":
+    defopt.run(run)
--- /dev/null
+++ b/src/lagoonstair/capacity/_records.py
@@ -0,0 +1,173 @@
+"""Processor time and memory of configuration records and counts."""
+
+import time
+
+from lagoonstair._types import Address
+from lagoonstair.capacity._process import resident_bytes
+from lagoonstair.config import (
+    Batch,
+    Configuration,
+    IssueKey,
+    Member,
+    MemberJoined,
+    PutRoute,
+    PutTemplate,
+    PutWorkspace,
+    Route,
+    RouteKind,
+    Template,
+    WithdrawKey,
+    Workspace,
+)
+from lagoonstair.membership import Ranked, Ranking
+from lagoonstair.report import Recorder
+
+ROUTES = 3
+DOMAINS = 3
+CHANGES = 20
+NODES = 910
+
+
+def base() -> Configuration:
+    """Returns a configuration with one template of a few routes."""
+    names = [f"route{number}" for number in range(ROUTES)]
+    routes = [
+        PutRoute(
+            Route(
+                name=name,
+                kind=RouteKind.READ,
+                statements=("SELECT price FROM prices WHERE sku = :sku",),
+            )
+        )
+        for name in names
+    ]
+    template = Template(
+        name="shop", routes=tuple(names), rate=50.0, burst=100.0
+    )
+    steps = (*routes, PutTemplate(template))
+    return Configuration().apply(Batch(steps))
+
+
+def with_workspaces(count: int) -> Configuration:
+    """Returns a configuration with workspaces."""
+    steps = tuple(
+        PutWorkspace(
+            Workspace(
+                name=f"ws{number}", template="shop", group=f"g{number % 700}"
+            )
+        )
+        for number in range(count)
+    )
+    return base().apply(Batch(steps))
+
+
+def with_keys(count: int) -> Configuration:
+    """Returns a configuration of one workspace with keys."""
+    cfg = with_workspaces(1)
+    steps = tuple(
+        IssueKey(id=f"{number:016x}", workspace="ws0", sha256=f"{number:064x}")
+        for number in range(count)
+    )
+    return cfg.apply(Batch(steps))
+
+
+def with_members(count: int) -> Configuration:
+    """Returns a configuration with members."""
+    return base().apply(
+        Batch(tuple(MemberJoined(_member(number)) for number in range(count)))
+    )
+
+
+def workspace_memory(count: int) -> float:
+    """Resident bytes of workspaces, with what is resolved for them."""
+    before = resident_bytes()
+    kept = with_workspaces(count)
+    return _grown(before, kept)
+
+
+def key_memory(count: int) -> float:
+    """Resident bytes of keys."""
+    before = resident_bytes()
+    kept = with_keys(count)
+    return _grown(before, kept)
+
+
+def member_memory(count: int) -> float:
+    """Resident bytes of members."""
+    before = resident_bytes()
+    kept = with_members(count)
+    return _grown(before, kept)
+
+
+def recorder_memory(count: int) -> float:
+    """Resident bytes of the counts of active workspaces, for one minute."""
+    before = resident_bytes()
+    recorder = Recorder()
+    for number in range(count):
+        recorder.record(f"ws{number}", None, 0.01, now=0.0)
+    return _grown(before, recorder)
+
+
+def recorder_window_memory(windows: int) -> float:
+    """Resident bytes of further windows, of ten workspaces together."""
+    before = resident_bytes()
+    recorder = Recorder()
+    for minute in range(windows // 10):
+        for number in range(10):
+            recorder.record(f"ws{number}", None, 0.01, now=minute * 60.0)
+    return _grown(before, recorder)
+
+
+def recorded_request(requests: int) -> float:
+    """CPU seconds of counting requests."""
+    recorder = Recorder()
+    began = time.process_time()
+    for number in range(requests):
+        recorder.record("ws", None, 0.01, now=number / 500)
+    return time.process_time() - began
+
+
+def key_change(keys: int) -> float:
+    """CPU seconds of one withdrawal of a key, beside that many others."""
+    cfg = with_keys(keys)
+    began = time.process_time()
+    for number in range(CHANGES):
+        cfg = cfg.apply(WithdrawKey(id=f"{number:016x}"))
+    return (time.process_time() - began) / CHANGES
+
+
+def template_change(workspaces: int) -> float:
+    """CPU seconds of one edit of a template that many workspaces use."""
+    cfg = with_workspaces(workspaces)
+    template = cfg.templates["shop"]
+    began = time.process_time()
+    for _ in range(CHANGES):
+        cfg = cfg.apply(PutTemplate(template))
+    return (time.process_time() - began) / CHANGES
+
+
+def ranked_duty(duties: int) -> float:
+    """CPU seconds of ranking 910 instances for duties, once a change."""
+    ranking = Ranking(
+        Ranked(f"i{number:03}", f"domain{number % DOMAINS}")
+        for number in range(NODES)
+    )
+    began = time.process_time()
+    for number in range(duties):
+        ranking.owners(f"g{number}")
+    return time.process_time() - began
+
+
+def _member(number: int) -> Member:
+    return Member(
+        name=f"i{number:03}",
+        incarnation=f"{number:032x}.1",
+        failure_domain=f"domain{number % DOMAINS}",
+        peers=Address("127.0.0.1", 1 + number),
+    )
+
+
+def _grown(before: int, kept: object) -> float:
+    grown = resident_bytes() - before
+    del kept
+    return float(grown)
--- /dev/null
+++ b/src/lagoonstair/capacity/_server_process.py
@@ -0,0 +1,59 @@
+"""Runs a server in a forked process, to tell its cost from the client's."""
+
+import contextlib
+import os
+import time
+from collections.abc import Awaitable, Callable, Iterator
+
+import trio
+
+Serve = Callable[[trio.TaskStatus[int]], Awaitable[None]]
+
+TEXT_BYTES = 64
+
+
+class ServerProcess:
+    """A server in a process of its own.
+
+    Attributes:
+        port: The port that it listens on.
+        cpu_seconds: Processor time of its serving, once it has stopped.
+    """
+
+    def __init__(self, make_serve: Callable[[], Serve]) -> None:
+        self._make_serve = make_serve
+        self.port = 0
+        self.cpu_seconds = 0.0
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator["ServerProcess"]:
+        """Runs the server inside the block."""
+        results, stop = os.pipe(), os.pipe()
+        pid = os.fork()
+        if pid == 0:
+            trio.run(self._main, results[1], stop[0])
+            os._exit(0)
+        self.port = int(os.read(results[0], TEXT_BYTES))
+        try:
+            yield self
+        finally:
+            os.write(stop[1], b"1")
+            self.cpu_seconds = float(os.read(results[0], TEXT_BYTES))
+            os.waitpid(pid, 0)
+
+    async def _main(self, results: int, stop: int) -> None:
+        serve = self._make_serve()
+
+        async def run(
+            *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            await serve(task_status)
+
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(run)
+            began = time.process_time()
+            os.write(results, str(port).encode())
+            await trio.lowlevel.wait_readable(stop)
+            spent = time.process_time() - began
+            os.write(results, str(spent).encode())
+            nursery.cancel_scope.cancel()
