--- a/src/lagoonstair/capacity/_records.py
+++ b/src/lagoonstair/capacity/_records.py
@@ -44,8 +44,7 @@
     template = Template(
         name="shop", routes=tuple(names), rate=50.0, burst=100.0
     )
-    steps = (*routes, PutTemplate(template))
-    return Configuration().apply(Batch(steps))
+    return Configuration().apply(Batch((*routes, PutTemplate(template))))
 
 
 def with_workspaces(count: int) -> Configuration:
