--- a/src/lagoonstair/config/__init__.py
+++ b/src/lagoonstair/config/__init__.py
@@ -1,5 +1,6 @@
 """Routes, templates, workspaces, keys and members, alike on every instance."""
 
+from lagoonstair.config._api_types import ApplyBody
 from lagoonstair.config._authorize import Grant, authorize, grant_holds
 from lagoonstair.config._changes import (
     Batch,
@@ -39,6 +40,7 @@
 __all__ = [
     "Accepted",
     "Advance",
+    "ApplyBody",
     "Batch",
     "Change",
     "ConfigStatus",
--- a/src/lagoonstair/config/_core.py
+++ b/src/lagoonstair/config/_core.py
@@ -140,7 +140,11 @@
         if delta.snapshot is not None:
             self.load(History.from_snapshot(delta.snapshot))
         self.learn(map(Entry.from_bytes, delta.entries))
-        self.accepted = max(self.accepted, min(delta.accepted, self.version))
+        self.note_accepted(delta.accepted)
+
+    def note_accepted(self, version: int) -> None:
+        """Notes that a version was accepted, if it is in force here."""
+        self.accepted = max(self.accepted, min(version, self.version))
 
     def word(self, now: float) -> Word:
         """Returns what this instance says of itself."""
--- a/src/lagoonstair/config/_local.py
+++ b/src/lagoonstair/config/_local.py
@@ -32,9 +32,10 @@
         self._listeners.append(listener)
 
     def learn(self, entries: Iterable[Entry]) -> None:
-        """Puts committed entries in force."""
-        with self._telling():
-            self.core.learn(entries)
+        """Puts committed entries in force, and tells of each one by one."""
+        for entry in entries:
+            with self._telling():
+                self.core.learn([entry])
 
     def load(self, history: History) -> None:
         """Puts a committed state in force."""
@@ -42,9 +43,14 @@
             self.core.load(history)
 
     def take(self, delta: Delta) -> None:
-        """Puts what a peer sent in force."""
-        with self._telling():
-            self.core.take(delta)
+        """Puts what a peer sent in force, and tells of each entry."""
+        if delta.snapshot is not None:
+            with self._telling():
+                self.core.load(History.from_snapshot(delta.snapshot))
+        for content in delta.entries:
+            with self._telling():
+                self.core.learn([Entry.from_bytes(content)])
+        self.core.note_accepted(delta.accepted)
 
     def hear(self, word: Word) -> None:
         """Takes note of a peer's version."""
--- a/src/lagoonstair/config/_submit.py
+++ b/src/lagoonstair/config/_submit.py
@@ -189,11 +189,17 @@
             logger.warning("no snapshot: {}", type(exc).__name__)
 
     async def wait_in_force(self, durable: Durable) -> Accepted:
-        """Waits until a majority confirms a version, or the time is over."""
+        """Waits until a majority confirms a version, or the time is over.
+
+        The other members get a moment more, so that a new key usually works
+        at once wherever it is used.
+        """
         core = self._local.core
         version = durable.version
         with trio.move_on_after(self._timing.accept):
             await self._local.wait_until(lambda: core.in_force(version))
+        with trio.move_on_after(self._timing.settle):
+            await self._local.wait_until(lambda: not core.pending(version))
         return Accepted(
             version,
             core.in_force(version),
--- a/src/lagoonstair/config/_sync.py
+++ b/src/lagoonstair/config/_sync.py
@@ -142,6 +142,19 @@
             lambda: self._core.fresh(trio.current_time())
         )
 
+    async def wait_joined(self) -> None:
+        """Waits until this run is a member."""
+        await self._local.wait_until(lambda: self._core.joined)
+
+    async def wait_version(self, version: int) -> None:
+        """Waits until a version, or a later one, is in force."""
+        await self._local.wait_until(lambda: self._core.version >= version)
+
+    def joined_in(self, cfg: Configuration) -> bool:
+        """Tells whether this run was a member in a configuration."""
+        member = cfg.members.get(self._core.me.name)
+        return member is not None and member.id == self._core.me
+
     def on_change(self, listener: Callable[[Advance], None]) -> None:
         """Calls the listener after each step to newer versions."""
         self._local.subscribe(listener)
--- a/src/lagoonstair/config/_timing.py
+++ b/src/lagoonstair/config/_timing.py
@@ -21,6 +21,7 @@
         store: Within which the store must answer once.
         submit: Within which a change must be durable.
         accept: For how long the answer to a change waits for a majority.
+        settle: For how long it then waits for the other members.
         retry: Before the first repeat of what failed; it doubles.
         reap_after: For how long the list must lack a member that is removed.
     """
@@ -33,6 +34,7 @@
     store: float = 3.0
     submit: float = 8.0
     accept: float = 3.0
+    settle: float = 0.5
     retry: float = 0.1
     reap_after: float = 30.0
 
--- /dev/null
+++ b/src/lagoonstair/demo/__init__.py
@@ -0,0 +1,6 @@
+"""The whole path on embedded stand-ins, and the two sample deployments."""
+
+from lagoonstair.demo._fleet import Fleet, FleetPlan
+from lagoonstair.demo._samples import SCHEMA, load_sample
+
+__all__ = ["SCHEMA", "Fleet", "FleetPlan", "load_sample"]
--- /dev/null
+++ b/src/lagoonstair/demo/_fleet.py
@@ -0,0 +1,246 @@
+"""Runs a platform, databases and instances embedded in one process."""
+
+import hashlib
+import itertools
+import os
+import socket
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.demo._samples import SCHEMA
+from lagoonstair.ports import ListedEndpoint, ListedGroup, ListedInstance
+from lagoonstair.service import Daemon
+from lagoonstair.settings import parse_settings
+from lagoonstair.standins.database import Database, DatabaseConfig
+from lagoonstair.standins.platform import (
+    ListingChange,
+    PlatformConfig,
+    PlatformStandin,
+)
+from lagoonstair.wire import HttpAnswer, HttpConnection
+
+HOST = "127.0.0.1"
+ANY_PORT = Address(HOST, 0)
+OPERATOR_KEY = "demo-operator-key"
+DOMAINS = "abc"
+FIRST_PORT = 15_000
+PORTS = 15_000
+
+_PORTS = itertools.cycle(
+    FIRST_PORT + (os.getpid() * 97 + number) % PORTS for number in range(PORTS)
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPlan:
+    """How large a fleet to run.
+
+    Attributes:
+        instances: How many instances.
+        groups: How many database groups of three databases each.
+        slots: How many calls each database runs at once.
+        timing: Settings of the instances' ``timing`` section.
+    """
+
+    instances: int = 7
+    groups: int = 3
+    slots: int = 5
+    timing: dict[str, float] | None = None
+
+
+class Fleet:
+    """A running fleet.
+
+    Attributes:
+        platform: The platform's stand-in.
+        databases: The databases' stand-ins by name.
+        database_addresses: Where each of them listens.
+        daemons: The instances by name.
+    """
+
+    def __init__(self, plan: FleetPlan, nursery: trio.Nursery) -> None:
+        self._plan = plan
+        self._nursery = nursery
+        self.platform: PlatformStandin
+        self.databases: dict[str, Database] = {}
+        self.database_addresses: dict[str, Address] = {}
+        self.daemons: dict[str, Daemon] = {}
+
+    @classmethod
+    async def start(cls, plan: FleetPlan, nursery: trio.Nursery) -> "Fleet":
+        """Starts the stand-ins, then the instances."""
+        fleet = cls(plan, nursery)
+        groups = [
+            await fleet._start_group(f"g{number}")
+            for number in range(1, plan.groups + 1)
+        ]
+        peers = {
+            f"i{number}": Address(HOST, free_port())
+            for number in range(1, plan.instances + 1)
+        }
+        listing = ListingChange(
+            instances=tuple(
+                ListedInstance(
+                    name=name, failure_domain=domain_of(index), peers=address
+                )
+                for index, (name, address) in enumerate(peers.items())
+            ),
+            groups=tuple(groups),
+        )
+        port = await fleet._start_platform(listing)
+        async with trio.open_nursery() as starting:
+            for index, (name, address) in enumerate(peers.items()):
+                text = fleet._settings(name, domain_of(index), address, port)
+                daemon = Daemon(parse_settings(text))
+                fleet.daemons[name] = daemon
+                starting.start_soon(nursery.start, daemon.run)
+        return fleet
+
+    async def operate(
+        self, method: str, target: str, body: Any = None
+    ) -> dict[str, Any]:
+        """Sends an operator's request to the first instance."""
+        daemon = next(iter(self.daemons.values()))
+        assert daemon.operators is not None
+        answer = await call(
+            daemon.operators, method, target, body, key=OPERATOR_KEY
+        )
+        found: dict[str, Any] = msgspec.json.decode(answer.body)
+        if answer.status >= 400:
+            raise RuntimeError(f"{method} {target}: {found}")
+        return found
+
+    async def issue_key(self, workspace: str) -> str:
+        """Issues a caller's key for a workspace."""
+        answer = await self.operate(
+            "POST", "/v1/keys", {"workspace": workspace}
+        )
+        key: str = answer["key"]
+        return key
+
+    async def _start_group(self, name: str) -> ListedGroup:
+        members = {
+            f"{name}{domain}": Address(HOST, free_port()) for domain in DOMAINS
+        }
+        for member, address in members.items():
+            cfg = DatabaseConfig(
+                name=member,
+                primary=next(iter(members)),
+                members=members,
+                host=address.host,
+                port=address.port,
+                slots=self._plan.slots,
+                schema=SCHEMA,
+                record=True,
+            )
+            database = Database.from_config(cfg)
+            self.databases[member] = database
+            self.database_addresses[member] = address
+            await self._nursery.start(
+                database.serve, address.host, address.port
+            )
+        return ListedGroup(
+            name=name,
+            members=tuple(
+                ListedEndpoint(
+                    name=member,
+                    failure_domain=domain,
+                    address=address,
+                    slots=self._plan.slots,
+                    connections=30,
+                )
+                for domain, (member, address) in zip(
+                    DOMAINS, members.items(), strict=True
+                )
+            ),
+        )
+
+    async def _start_platform(self, listing: ListingChange) -> int:
+        cfg = PlatformConfig(host=HOST, listing=listing)
+        self.platform = PlatformStandin.from_config(cfg)
+        port: int = await self._nursery.start(self.platform.serve, HOST, 0)
+        return port
+
+    def _settings(
+        self, name: str, domain: str, peers: Address, platform: int
+    ) -> bytes:
+        return msgspec.json.encode(
+            instance_settings(
+                name=name,
+                domain=domain,
+                peers=peers,
+                platform=Address(HOST, platform),
+                timing=self._plan.timing or {},
+            )
+        )
+
+
+def instance_settings(
+    *,
+    name: str,
+    domain: str,
+    peers: Address,
+    platform: Address,
+    timing: dict[str, float],
+    callers: Address = ANY_PORT,
+    operators: Address = ANY_PORT,
+) -> dict[str, Any]:
+    """The settings of one sample instance, as JSON values."""
+    return {
+        "name": name,
+        "failure_domain": domain,
+        "callers": callers._asdict(),
+        "operators": operators._asdict(),
+        "peers": peers._asdict(),
+        "platform": platform._asdict(),
+        "peer_secret": "demo-peer-secret",
+        "session_secrets": ["demo-session-secret"],
+        "operator_keys_sha256": [
+            hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+        ],
+        "timing": timing,
+        "log": {"level": "WARNING"},
+    }
+
+
+def domain_of(index: int) -> str:
+    """The failure domain of the n-th instance."""
+    return next(itertools.islice(itertools.cycle(DOMAINS), index, None))
+
+
+def free_port() -> int:
+    """Finds a TCP port that nobody listens on.
+
+    The port is below those that the system gives to outgoing connections.
+    """
+    for port in _PORTS:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("the ports repeat for ever")
+
+
+async def call(
+    address: Address,
+    method: str,
+    target: str,
+    body: Any = None,
+    *,
+    key: str | None = None,
+) -> HttpAnswer:
+    """Sends one request on a connection of its own."""
+    headers = [] if key is None else [("authorization", f"Bearer {key}")]
+    content = b"" if body is None else msgspec.json.encode(body)
+    conn = await HttpConnection.open(address)
+    try:
+        return await conn.call(method, target, content, headers=headers)
+    finally:
+        conn.close()
--- a/src/lagoonstair/groups/_watch.py
+++ b/src/lagoonstair/groups/_watch.py
@@ -184,6 +184,8 @@
             )
 
         latest = plan()
+        if latest.targets and latest.wait <= 0:
+            return latest
         with self._rounds.wanted():
             while latest.wait > 0 or not latest.targets:
                 until = deadline
--- a/src/lagoonstair/limits/_holder.py
+++ b/src/lagoonstair/limits/_holder.py
@@ -62,15 +62,25 @@
         self.lent = 0
 
     def configure(
-        self, now: float, version: int, limit: WorkspaceLimit | None
+        self,
+        now: float,
+        version: int,
+        limit: WorkspaceLimit | None,
+        *,
+        created: bool = False,
     ) -> None:
         """Takes a limit over from a configuration version.
 
         Versions are to be given one by one. After a skipped version the share
-        starts anew, because the skipped one may have given it to others.
+        starts anew, because the skipped one may have given it to others. The
+        share of a workspace that was just created starts full and at once,
+        because nobody can have held it before.
         """
         if version <= self.version:
             return
+        if created and self.version == 0:
+            self._create(now, version, limit)
+            return
         self._advance(now)
         skipped = self.version > 0 and version > self.version + 1
         part = self._place(limit)
@@ -80,6 +90,15 @@
         self.limit = limit
         self._clamp()
 
+    def _create(
+        self, now: float, version: int, limit: WorkspaceLimit | None
+    ) -> None:
+        self.version = version
+        self.limit = limit
+        self._part = self._place(limit)
+        self._at = to_nanos(now)
+        self._balance = self._cap()
+
     def available(self, now: float) -> int:
         """Micro-tokens that may be spent or lent now."""
         self._advance(now)
--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -1,6 +1,6 @@
 """The decisions of one instance on rate and burst; pure."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Container, Iterator, Mapping
 from dataclasses import dataclass
 
 from lagoonstair.exceptions import ErrorKind
@@ -67,11 +67,30 @@
         self._where: dict[int, str] = {}
 
     def apply(
-        self, now: float, version: int, limits: Mapping[str, WorkspaceLimit]
+        self,
+        now: float,
+        version: int,
+        limits: Mapping[str, WorkspaceLimit],
+        *,
+        created: Container[str] = (),
     ) -> None:
-        """Takes the limits of a configuration version; versions in order."""
+        """Takes the limits of a configuration version; versions in order.
+
+        Args:
+            now: The time, in seconds.
+            version: The configuration version.
+            limits: The limits of all workspaces.
+            created: Workspaces that no earlier version had, of which this
+                run of the instance is among the first holders.
+        """
         for workspace in {*self._lender.holders, *limits}:
-            self.learn(now, version, workspace, limits.get(workspace))
+            self.learn(
+                now,
+                version,
+                workspace,
+                limits.get(workspace),
+                created=workspace in created,
+            )
 
     def learn(
         self,
@@ -79,13 +98,15 @@
         version: int,
         workspace: str,
         limit: WorkspaceLimit | None,
+        *,
+        created: bool = False,
     ) -> None:
         """Takes the limit of one workspace from a configuration version."""
         self._lender.expire(now)
         holder = self._lender.holder(workspace)
         if version <= holder.version:
             return
-        holder.configure(now, version, limit)
+        holder.configure(now, version, limit, created=created)
         lenders = () if limit is None else limit.holders
         self._borrower.keep_lenders(workspace, lenders)
 
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -1,7 +1,7 @@
 """The shell of the limits slice: admits requests and talks to holders."""
 
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 from typing import TypedDict
 
 import trio
@@ -87,14 +87,26 @@
         self._counts = {"admitted": 0, "refused": 0, "sent": 0, "lost": 0}
         registry.add(TokenAsk, self._answer)
 
-    def apply(self, version: int, limits: Mapping[str, WorkspaceLimit]) -> None:
+    def apply(
+        self,
+        version: int,
+        limits: Mapping[str, WorkspaceLimit],
+        *,
+        created: Container[str] = (),
+    ) -> None:
         """Takes over the limits of all workspaces from a configuration.
 
         To be called on every instance for every version in order, at boot
         too: a share counts from the version that first named its holder.
+
+        Args:
+            version: The configuration version.
+            limits: The limits of all workspaces.
+            created: Workspaces that no earlier version had, if this run of
+                the instance had joined by then.
         """
         self._workspaces = set(limits)
-        self._limiter.apply(self._clock(), version, limits)
+        self._limiter.apply(self._clock(), version, limits, created=created)
 
     async def admit(
         self,
--- a/src/lagoonstair/pool/_pinned.py
+++ b/src/lagoonstair/pool/_pinned.py
@@ -203,6 +203,11 @@
         except _NotOpenError as exc:
             raise _gone() from exc
 
+    async def wait_ended(self, key: TransactionKey) -> None:
+        """Waits until a transaction is not open any more."""
+        while self._table.is_open(key):
+            await self._ended.wait()
+
     def close_key(self, key_id: str) -> None:
         """Rolls back what a withdrawn key began; a sent commit goes on."""
         for key in self._table.of_key(key_id):
--- /dev/null
+++ b/src/lagoonstair/service/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon as ``python -m lagoonstair.service``."""
+
+from lagoonstair.service import main
+
+main()
--- /dev/null
+++ b/src/lagoonstair/service/_daemon.py
@@ -0,0 +1,381 @@
+"""Puts the slices of one instance together."""
+
+import random
+import uuid
+
+import msgspec
+import trio
+from loguru import logger
+
+from lagoonstair._types import Address
+from lagoonstair.config import (
+    Advance,
+    ConfigSync,
+    Configuration,
+    OperatorApi,
+    SyncTiming,
+)
+from lagoonstair.endpoints import HttpEndpoint
+from lagoonstair.exceptions import ErrorKind
+from lagoonstair.groups import GroupView, GroupViewAsk, GroupWatch
+from lagoonstair.groups import Timing as GroupTiming
+from lagoonstair.limits import LimitService, LimitSettings, WorkspaceLimit
+from lagoonstair.membership import ListingWatch, Suspects
+from lagoonstair.peers import (
+    PeerClient,
+    PeerNotSentError,
+    PeerServer,
+    Registry,
+)
+from lagoonstair.platform import HttpPlatform
+from lagoonstair.ports import ListedEndpoint, ListedGroup
+from lagoonstair.report import Metrics, Objectives, Recorder
+from lagoonstair.retries import BudgetLimits, RetryBudget
+from lagoonstair.service._directory import MemberDirectory
+from lagoonstair.service._dispatch import Dispatcher
+from lagoonstair.service._front import Front, Observation
+from lagoonstair.service._group_runtime import GroupRuntime
+from lagoonstair.service._groups import Groups
+from lagoonstair.service._operators import Operators
+from lagoonstair.service._owner import Owner
+from lagoonstair.service._started import StartedWork
+from lagoonstair.service._status import GroupStatus, InstanceStatus
+from lagoonstair.service._transactions import Transactions
+from lagoonstair.sessions import TokenCodec
+from lagoonstair.settings import Settings
+from lagoonstair.wire import HttpLimits, HttpServer
+
+JOIN_SECONDS = 3.0
+"""How long callers wait at boot for the instance to join; without the store
+it serves them as no member."""
+
+
+class Daemon:
+    """One instance.
+
+    Attributes:
+        settings: The instance's settings.
+        incarnation: Tells this run from earlier ones.
+        drained_whole: Whether the shutdown cut no started work.
+        callers: Where callers connect, once it listens.
+        operators: Where operators connect, once it listens.
+        peers: Where peers connect, once it listens.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.incarnation = uuid.uuid4().hex
+        self.drained_whole = True
+        self.callers: Address | None = None
+        self.operators: Address | None = None
+        self.peers: Address | None = None
+        self._drain_asked = trio.Event()
+
+    def request_drain(self) -> None:
+        """Asks for a shutdown that finishes started work."""
+        self._drain_asked.set()
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves until drained; reports once callers are served."""
+        async with trio.open_nursery() as nursery:
+            parts = await _Parts.start(self, nursery)
+            await parts.serve(task_status)
+            await self._drain_asked.wait()
+            self.drained_whole = await parts.drain()
+            nursery.cancel_scope.cancel()
+
+
+class _Parts:
+    """The slices of a running instance."""
+
+    def __init__(self, daemon: Daemon, nursery: trio.Nursery) -> None:
+        settings = daemon.settings
+        secret = settings.peer_secret.encode()
+        self.daemon = daemon
+        self.nursery = nursery
+        self.rng = random.Random()
+        self.registry = Registry()
+        self.started = StartedWork()
+        self.recorder = Recorder(objectives_of=self._objectives_of)
+        self.metrics = Metrics.from_settings(settings.statsd)
+        self.peer_server = PeerServer(settings.name, secret, self.registry)
+        self.peers = PeerClient(settings.name, secret, nursery)
+        self.platform = HttpPlatform(settings.platform.address, settings.name)
+        self.listing = ListingWatch(
+            self.platform,
+            peers=self.peers,
+            registry=self.registry,
+            seeds=tuple(seed.address for seed in settings.seeds),
+            interval=settings.timing.listing_poll,
+        )
+
+    @classmethod
+    async def start(cls, daemon: Daemon, nursery: trio.Nursery) -> "_Parts":
+        """Starts what needs no configuration yet."""
+        parts = cls(daemon, nursery)
+        listener = daemon.settings.peers.address
+        port = await nursery.start(
+            parts.peer_server.serve, listener.host, listener.port
+        )
+        daemon.peers = Address(listener.host, port)
+        parts._make_config(daemon.peers)
+        parts._make_owner()
+        parts._make_front()
+        return parts
+
+    async def serve(self, task_status: trio.TaskStatus[None]) -> None:
+        """Starts serving operators at once, and callers once it may."""
+        daemon = self.daemon
+        listener = daemon.settings.operators.address
+        port = await self.nursery.start(
+            self.operator_server.serve, listener.host, listener.port
+        )
+        daemon.operators = Address(listener.host, port)
+        await self.nursery.start(self.config.run)
+        await self.nursery.start(self.listing.run)
+        await self.config.wait_fresh()
+        with trio.move_on_after(JOIN_SECONDS):
+            await self.config.wait_joined()
+        self.nursery.start_soon(self.limits.run)
+        listener = daemon.settings.callers.address
+        port = await self.nursery.start(
+            self.caller_server.serve, listener.host, listener.port
+        )
+        daemon.callers = Address(listener.host, port)
+        logger.info("serving callers at {}", daemon.callers)
+        task_status.started()
+
+    async def drain(self) -> bool:
+        """Finishes started work; says whether all of it was finished."""
+        self.started.draining = True
+        self.caller_server.drain()
+        limit = self.daemon.settings.timing.drain_limit
+        with trio.move_on_after(limit) as scope:
+            await self.started.wait_idle()
+        if scope.cancelled_caught:
+            logger.warning("{} requests were cut", self.started.count)
+        await self.config.leave()
+        logger.info("drained")
+        return not scope.cancelled_caught
+
+    def _make_config(self, peers: Address) -> None:
+        settings = self.daemon.settings
+        self.config = ConfigSync(
+            name=settings.name,
+            incarnation=self.daemon.incarnation,
+            failure_domain=settings.failure_domain,
+            peers=peers,
+            platform=self.platform,
+            caller=self.peers,
+            registry=self.registry,
+            seeds=[seed.address for seed in settings.seeds],
+            timing=SyncTiming(
+                bound=settings.timing.freshness_bound,
+                poll=settings.timing.config_poll,
+            ),
+            rng=self.rng,
+        )
+        self.directory = MemberDirectory(lambda: self.config.current)
+        self.config.on_change(self._on_config)
+
+    def _make_owner(self) -> None:
+        settings = self.daemon.settings
+        self.limits = LimitService(
+            settings.name,
+            self.peers,
+            self.registry,
+            self.directory.address,
+            self.config.fresh,
+            settings=LimitSettings(
+                freshness_bound=settings.timing.freshness_bound
+            ),
+        )
+        self.groups = Groups(
+            settings.name,
+            owners=self.directory.owners,
+            make_group=self._make_group,
+            registry=self.registry,
+            nursery=self.nursery,
+        )
+        self.listing.on_change(self.groups.apply)
+        self.transactions = Transactions(
+            settings.name, started=self.started, nursery=self.nursery
+        )
+        self.owner = Owner(
+            settings.name,
+            config=self.config,
+            groups=self.groups,
+            admission=self.limits,
+            holders=self.directory.holders,
+            transactions=self.transactions,
+            started=self.started,
+            registry=self.registry,
+        )
+
+    def _make_front(self) -> None:
+        settings = self.daemon.settings
+        limits = settings.limits
+        dispatcher = Dispatcher(
+            settings.name,
+            directory=self.directory,
+            peers=self.peers,
+            local=self.owner,
+            suspects=Suspects(duration=settings.timing.owner_suspect),
+            budget=RetryBudget(BudgetLimits(), trio.current_time()),
+            rng=self.rng,
+        )
+        front = Front(
+            config=self.config,
+            dispatcher=dispatcher,
+            tokens=TokenCodec(settings.session_secrets),
+            started=self.started,
+            deadline=settings.timing.request_deadline,
+            observe=self._observe,
+        )
+        self.caller_server = HttpServer(
+            front.handle,
+            limits=HttpLimits(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                idle=limits.idle,
+                request=limits.request,
+                connections=limits.connections,
+            ),
+        )
+        operators = Operators(
+            api=OperatorApi(
+                self.config,
+                operator_keys_sha256=settings.operator_keys_sha256,
+            ),
+            status=self._status,
+            measurements=self._measurements,
+            drain=self.daemon.request_drain,
+        )
+        self.operator_server = HttpServer(operators.handle)
+
+    def _make_group(self, listed: ListedGroup) -> GroupRuntime:
+        return GroupRuntime(
+            listed,
+            connect=self._connect,
+            make_watch=self._make_watch,
+            transaction_idle=self.daemon.settings.timing.transaction_idle,
+        )
+
+    def _make_watch(self, listed: ListedGroup) -> GroupWatch:
+        settings = self.daemon.settings
+        timing = settings.timing
+        return GroupWatch(
+            listed,
+            instance=settings.name,
+            connect=self._connect,
+            ask_peer=self._ask_view,
+            timing=GroupTiming(
+                probe_interval=timing.probe_interval,
+                probe_timeout=timing.probe_timeout,
+            ),
+            rng=self.rng,
+        )
+
+    def _connect(self, listed: ListedEndpoint) -> HttpEndpoint:
+        return HttpEndpoint(listed.address, self.daemon.settings.name)
+
+    async def _ask_view(self, name: str, ask: GroupViewAsk) -> GroupView:
+        address = self.directory.address(name)
+        if address is None:
+            raise PeerNotSentError(f"{name} has no address")
+        return await self.peers.call(address, ask, GroupView)
+
+    def _on_config(self, step: Advance) -> None:
+        self.groups.apply(None)
+        self.limits.apply(
+            step.new.version,
+            self._limits_of(step.new),
+            created=self._created(step),
+        )
+        for key_id in step.withdrawn:
+            self.groups.withdraw(key_id)
+
+    def _created(self, step: Advance) -> frozenset[str]:
+        """The workspaces that a step created while this run was joined."""
+        if not self.config.joined_in(step.old):
+            return frozenset()
+        return frozenset(
+            name
+            for name in step.new.workspaces
+            if f"workspaces/{name}" not in step.old.changed
+        )
+
+    def _limits_of(self, cfg: Configuration) -> dict[str, WorkspaceLimit]:
+        return {
+            name: WorkspaceLimit.from_config(
+                rate=limits.rate,
+                burst=limits.burst,
+                holders=self.directory.holders(name),
+            )
+            for name, limits in cfg.resolved.limits.items()
+        }
+
+    def _observe(self, seen: Observation) -> None:
+        outcome = "answered" if seen.kind is None else seen.kind.value
+        self.metrics.count(f"requests.{outcome}")
+        self.metrics.timing("requests.latency", seen.latency)
+        if seen.workspace not in self.config.current.workspaces:
+            return
+        self.recorder.record(
+            seen.workspace,
+            seen.kind,
+            seen.latency,
+            served_by_replica=seen.on_replica,
+            within_rate=seen.kind is not ErrorKind.RATE_LIMITED,
+            now=trio.current_time(),
+        )
+
+    def _objectives_of(self, workspace: str) -> Objectives:
+        limits = self.config.current.limits(workspace)
+        return Objectives(
+            served=limits.served,
+            latency=limits.latency,
+            within_latency=limits.within_latency,
+        )
+
+    def _measurements(self) -> bytes:
+        return msgspec.json.encode(
+            self.recorder.measurements(
+                self.daemon.settings.name, trio.current_time()
+            )
+        )
+
+    def _status(self) -> InstanceStatus:
+        settings = self.daemon.settings
+        config = self.config.status()
+        listing = self.listing.current
+        return InstanceStatus(
+            name=settings.name,
+            failure_domain=settings.failure_domain,
+            incarnation=self.daemon.incarnation,
+            draining=self.started.draining,
+            started=self.started.count,
+            connections=self.caller_server.open_connections,
+            refused_peers=self.peer_server.refused,
+            config_version=config.version,
+            fresh=config.fresh,
+            waiting_for=config.waiting_for,
+            listing_version=0 if listing is None else listing.version,
+            groups={
+                name: _group_status(runtime)
+                for name, runtime in self.groups.running.items()
+            },
+        )
+
+
+def _group_status(runtime: GroupRuntime) -> GroupStatus:
+    state = runtime.watch.snapshot()
+    return GroupStatus(
+        active=runtime.watch.active,
+        term=state.term,
+        primary=state.primary,
+        members={m.name: m.verdict for m in state.members},
+        promotions=runtime.watch.promotions,
+    )
--- /dev/null
+++ b/src/lagoonstair/service/_group_runtime.py
@@ -0,0 +1,147 @@
+"""What an owner holds of one group: its watch, connections and slots."""
+
+from collections.abc import Callable
+
+import trio
+
+from lagoonstair.groups import GroupWatch
+from lagoonstair.pool import ConnectionPool, PinnedTransactions, PoolLimits
+from lagoonstair.ports import Endpoint, ListedEndpoint, ListedGroup
+from lagoonstair.queueing import SlotScheduler
+from lagoonstair.service._refusals import unavailable
+
+Connect = Callable[[ListedEndpoint], Endpoint]
+MakeWatch = Callable[[ListedGroup], GroupWatch]
+
+
+class DatabaseRuntime:
+    """The connections, slots and open transactions of one database.
+
+    Attributes:
+        listed: The database as the platform lists it.
+        pool: Its connections.
+        slots: Its slots.
+        pinned: Its open transactions, at least one slot fewer than there are
+            so that they don't shut other requests out.
+    """
+
+    def __init__(
+        self,
+        listed: ListedEndpoint,
+        endpoint: Endpoint,
+        *,
+        transaction_idle: float,
+    ) -> None:
+        self.listed = listed
+        limits = PoolLimits(connections=listed.connections)
+        self.pool = ConnectionPool(endpoint, limits)
+        self.slots = SlotScheduler(listed.slots)
+        self.pinned = PinnedTransactions(
+            self.pool,
+            limit=max(1, listed.slots - 1),
+            idle_seconds=transaction_idle,
+        )
+        self._scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        """Keeps connections open until stopped or cancelled."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.pool.run)
+                nursery.start_soon(self.pinned.run)
+
+    def stop(self) -> None:
+        """Rolls open transactions back and closes the connections."""
+        self._scope.cancel()
+
+
+class GroupRuntime:
+    """One group at one of its owners.
+
+    Attributes:
+        name: The group's name.
+        watch: Its health, primary and positions.
+    """
+
+    def __init__(
+        self,
+        listed: ListedGroup,
+        *,
+        connect: Connect,
+        make_watch: MakeWatch,
+        transaction_idle: float,
+    ) -> None:
+        """Prepares the group; ``run`` starts it.
+
+        Args:
+            listed: The group as the platform lists it.
+            connect: Makes the adapter to a member.
+            make_watch: Makes the watch of the group.
+            transaction_idle: Seconds after which a silent transaction ends.
+        """
+        self.name = listed.name
+        self.watch = make_watch(listed)
+        self._connect = connect
+        self._transaction_idle = transaction_idle
+        self._nursery: trio.Nursery | None = None
+        self._databases: dict[str, DatabaseRuntime] = {}
+        for member in listed.members:
+            self._add(member)
+
+    async def run(self) -> None:
+        """Watches the group until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for database in self._databases.values():
+                nursery.start_soon(database.run)
+            nursery.start_soon(self.watch.run)
+
+    def database(self, name: str) -> DatabaseRuntime:
+        """The connections and slots of a member.
+
+        Raises:
+            LagoonstairError: ``UNAVAILABLE``; it is not listed any more.
+        """
+        found = self._databases.get(name)
+        if found is None:
+            raise unavailable(f"database {name} is not listed any more")
+        return found
+
+    def load(self) -> dict[str, float]:
+        """How much of each member's slots is in use."""
+        return {
+            name: database.slots.running / max(1, database.listed.slots)
+            for name, database in self._databases.items()
+        }
+
+    def update_listing(self, version: int, listed: ListedGroup) -> None:
+        """Takes a newer list of the group's members."""
+        self.watch.update_listing(version, listed)
+        current = {member.name: member for member in listed.members}
+        for name in self._databases.keys() - current.keys():
+            self._databases.pop(name).stop()
+        for name, member in current.items():
+            known = self._databases.get(name)
+            if known is None:
+                self._add(member)
+            elif known.listed.address != member.address:
+                known.stop()
+                self._add(member)
+            else:
+                known.slots.resize(member.slots)
+
+    def withdraw(self, key_id: str) -> None:
+        """Refuses queued requests and ends transactions of a key."""
+        for database in self._databases.values():
+            database.slots.withdraw(key_id)
+            database.pinned.close_key(key_id)
+
+    def _add(self, member: ListedEndpoint) -> None:
+        database = DatabaseRuntime(
+            member,
+            self._connect(member),
+            transaction_idle=self._transaction_idle,
+        )
+        self._databases[member.name] = database
+        if self._nursery is not None:
+            self._nursery.start_soon(database.run)
--- /dev/null
+++ b/src/lagoonstair/service/_logging.py
@@ -0,0 +1,30 @@
+"""Sets the daemon's log up."""
+
+import sys
+
+from loguru import logger
+
+from lagoonstair.settings import LogSettings
+
+LINE = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} "
+    "{extra[instance]} {name}: {message}"
+)
+
+
+def set_up_logging(settings: LogSettings, instance: str) -> None:
+    """Logs to standard error.
+
+    Tracebacks are written without the values of variables, so that neither
+    a key nor a statement's parameters reach the log.
+    """
+    logger.remove()
+    logger.configure(extra={"instance": instance})
+    logger.add(
+        sys.stderr,
+        level=settings.level,
+        format=LINE,
+        serialize=settings.json_lines,
+        backtrace=False,
+        diagnose=False,
+    )
--- /dev/null
+++ b/src/lagoonstair/service/_main.py
@@ -0,0 +1,64 @@
+"""The daemon's command line."""
+
+import pathlib
+import signal
+import sys
+
+import defopt
+import trio
+from loguru import logger
+
+from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.service._daemon import Daemon
+from lagoonstair.service._logging import set_up_logging
+from lagoonstair.settings import Settings, load_settings
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Runs the daemon; the exit code says how it ended."""
+    sys.exit(defopt.run(serve, argv=sys.argv[1:]))
+
+
+def serve(*, config: pathlib.Path) -> int:
+    """Serves callers, operators and peers until SIGTERM.
+
+    Exit codes: 0 after a shutdown that cut no request, 1 after a failure or
+    when started work was cut at the limit, 2 for wrong settings.
+
+    Args:
+        config: The JSON file with the instance's settings.
+    """
+    try:
+        settings = load_settings(config)
+    except LagoonstairError as exc:
+        print(f"{config}: {exc.message}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    set_up_logging(settings.log, settings.name)
+    exit_code = EXIT_FAILED
+    try:
+        exit_code = trio.run(run_until_signal, settings)
+    except* OSError as group:
+        for fault in group.exceptions:
+            logger.error("cannot serve: {}", fault)
+    return exit_code
+
+
+async def run_until_signal(settings: Settings) -> int:
+    """Runs a daemon and drains it on SIGTERM or SIGINT."""
+    daemon = Daemon(settings)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_drain_on_signal, signals, daemon)
+            await daemon.run()
+            nursery.cancel_scope.cancel()
+    return EXIT_OK if daemon.drained_whole else EXIT_FAILED
+
+
+async def _drain_on_signal(signals: object, daemon: Daemon) -> None:
+    async for number in signals:  # type: ignore[attr-defined]
+        logger.info("signal {}: draining", number)
+        daemon.request_drain()
--- /dev/null
+++ b/src/lagoonstair/service/_refusals.py
@@ -0,0 +1,58 @@
+"""Turns what an endpoint or a plan says into the closed list of errors."""
+
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.groups import Obstacle
+from lagoonstair.ports import EndpointRefusal, EndpointRefusedError
+
+REFUSALS: dict[EndpointRefusal, ErrorKind] = {
+    EndpointRefusal.STALE_TERM: ErrorKind.UNAVAILABLE,
+    EndpointRefusal.NOT_PRIMARY: ErrorKind.UNAVAILABLE,
+    EndpointRefusal.STATEMENT_FAILED: ErrorKind.STATEMENT_FAILED,
+    EndpointRefusal.SERIALIZATION: ErrorKind.CONFLICT,
+    EndpointRefusal.REQUEST_ID_REUSED: ErrorKind.REQUEST_ID_REUSED,
+    EndpointRefusal.NO_TRANSACTION: ErrorKind.TRANSACTION_GONE,
+    EndpointRefusal.BUSY: ErrorKind.OVERLOADED,
+    EndpointRefusal.BAD_REQUEST: ErrorKind.BAD_REQUEST,
+}
+"""The error kind of each refusal; all of them mean that nothing was run."""
+
+OBSTACLES: dict[Obstacle, tuple[ErrorKind, str]] = {
+    Obstacle.SESSION_LOST: (
+        ErrorKind.SESSION_LOST,
+        "the surviving log lacks the session's last write",
+    ),
+    Obstacle.TOO_STALE: (
+        ErrorKind.TOO_STALE,
+        "no database can prove the age that the route asks for",
+    ),
+    Obstacle.BEHIND: (
+        ErrorKind.UNAVAILABLE,
+        "no database holds the session's position yet",
+    ),
+    Obstacle.UNAVAILABLE: (
+        ErrorKind.UNAVAILABLE,
+        "no database of the group may take work",
+    ),
+}
+"""The error of each obstacle to a read."""
+
+
+def refusal_error(exc: EndpointRefusedError) -> LagoonstairError:
+    """The error for an endpoint's refusal."""
+    return LagoonstairError(REFUSALS[exc.refusal], exc.message)
+
+
+def obstacle_error(obstacle: Obstacle) -> LagoonstairError:
+    """The error for a read that no member may serve."""
+    kind, message = OBSTACLES[obstacle]
+    return LagoonstairError(kind, message)
+
+
+def unknown(message: str) -> LagoonstairError:
+    """The error for a write that may or may not have run."""
+    return LagoonstairError(ErrorKind.OUTCOME_UNKNOWN, message)
+
+
+def unavailable(message: str) -> LagoonstairError:
+    """The error for a request that could not start."""
+    return LagoonstairError(ErrorKind.UNAVAILABLE, message)
--- /dev/null
+++ b/src/lagoonstair/service/_writes.py
@@ -0,0 +1,171 @@
+"""Runs writes on the primary and answers them once they are confirmed."""
+
+from collections.abc import Callable
+
+import trio
+
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.groups import Confirmation, GroupState
+from lagoonstair.ports import (
+    EndpointConnection,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    ResultUnknownError,
+    Run,
+    RunAnswer,
+    Statement,
+)
+from lagoonstair.service._attempts import Attempts
+from lagoonstair.service._group_runtime import GroupRuntime
+from lagoonstair.service._messages import EndTransaction, Executed, Forward
+from lagoonstair.service._reads import next_call_id
+from lagoonstair.service._refusals import refusal_error, unavailable, unknown
+from lagoonstair.sessions import GroupMark
+
+RETRY_SECONDS = 0.05
+SLOW_SECONDS = 0.1
+
+RETRIED = frozenset({ErrorKind.UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN})
+"""Errors after which the write is sent again with the same request id."""
+
+
+async def run_write(
+    group: GroupRuntime,
+    req: Forward,
+    statements: tuple[Statement, ...],
+    *,
+    deadline: float,
+    recheck: Callable[[], None],
+    instance: str,
+) -> Executed:
+    """Runs a write on the primary and waits until it can't be lost.
+
+    When the primary is replaced meanwhile, the write is sent to the new one
+    with the same request id, so that it runs at most once.
+
+    Raises:
+        LagoonstairError: The write did not run, or its outcome is unknown.
+    """
+    attempts = Attempts()
+    while trio.current_time() < deadline:
+        state = await group.watch.wait_primary(deadline=deadline)
+        if state.primary is None:
+            break
+        try:
+            answer = await _commit(
+                group, state, req, statements, deadline, recheck
+            )
+            await confirm(group, answer, deadline)
+        except LagoonstairError as exc:
+            attempts.note(exc)
+            if exc.kind not in RETRIED:
+                break
+            await trio.sleep(RETRY_SECONDS)
+            continue
+        return executed_write(group, state.primary, answer, req, instance)
+    raise attempts.failure("the group has no primary")
+
+
+async def confirm(
+    group: GroupRuntime, answer: RunAnswer, deadline: float
+) -> None:
+    """Returns once a committed write can't be lost any more.
+
+    Raises:
+        LagoonstairError: ``OUTCOME_UNKNOWN``; it may yet be lost, or is.
+    """
+    found = await group.watch.confirm(answer.position, deadline=deadline)
+    match found:
+        case Confirmation.CONFIRMED:
+            return
+        case Confirmation.REPLACED:
+            raise unknown("the primary was replaced during the write")
+        case Confirmation.UNCONFIRMED:
+            raise unknown("too few replicas have the write so far")
+
+
+def executed_write(
+    group: GroupRuntime,
+    member: str,
+    answer: RunAnswer,
+    req: Forward | EndTransaction,
+    instance: str,
+) -> Executed:
+    """The answer to a confirmed write."""
+    latest = max(req.mark.write, answer.position)
+    return Executed(
+        group=group.name,
+        instance=instance,
+        endpoint=member,
+        position=answer.position,
+        wrote=True,
+        results=answer.results,
+        mark=GroupMark(write=latest, read=latest),
+        duplicate=answer.duplicate,
+    )
+
+
+async def _commit(
+    group: GroupRuntime,
+    state: GroupState,
+    req: Forward,
+    statements: tuple[Statement, ...],
+    deadline: float,
+    recheck: Callable[[], None],
+) -> RunAnswer:
+    assert state.primary is not None
+    database = group.database(state.primary)
+    call = Run(
+        call_id=next_call_id(),
+        term=state.term,
+        workspace=req.workspace,
+        statements=statements,
+        request_id=req.request_id,
+        digest=req.digest,
+    )
+    try:
+        async with (
+            database.slots.slot(
+                req.workspace, deadline=deadline, key_id=req.key_id or ""
+            ),
+            database.pool.connection() as conn,
+        ):
+            recheck()
+            return await _run_until_replaced(group, state, conn, call)
+    except EndpointRefusedError as exc:
+        raise refusal_error(exc) from exc
+    except EndpointUnreachableError as exc:
+        raise unavailable(f"{state.primary} is not reached") from exc
+    except ResultUnknownError as exc:
+        raise unknown(f"{state.primary} did not answer") from exc
+
+
+async def _run_until_replaced(
+    group: GroupRuntime, state: GroupState, conn: EndpointConnection, call: Run
+) -> RunAnswer:
+    """Runs a call, and stops waiting once its primary is replaced."""
+    answers: list[RunAnswer] = []
+    failures: list[EndpointRefusedError | ResultUnknownError] = []
+    async with trio.open_nursery() as nursery:
+
+        async def run() -> None:
+            try:
+                answers.append(await conn.run(call))
+            except (EndpointRefusedError, ResultUnknownError) as exc:
+                failures.append(exc)
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(run)
+        await trio.sleep(SLOW_SECONDS)
+        while _is_current(group.watch.snapshot(), state):
+            await trio.sleep(SLOW_SECONDS)
+        nursery.cancel_scope.cancel()
+    if failures:
+        raise failures[0]
+    if not answers:
+        raise ResultUnknownError("the primary was replaced")
+    return answers[0]
+
+
+def _is_current(now: GroupState, then: GroupState) -> bool:
+    return now.term == then.term and now.primary == then.primary
--- /dev/null
+++ b/tests/process_fleet.py
@@ -0,0 +1,248 @@
+"""Runs a fleet as separate processes, for tests of kills and freezes."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.demo import SCHEMA, load_sample
+from lagoonstair.demo._fleet import (
+    DOMAINS,
+    HOST,
+    OPERATOR_KEY,
+    call,
+    domain_of,
+    free_port,
+    instance_settings,
+)
+
+
+class Process:
+    """One process of the fleet and the lines that it has printed."""
+
+    def __init__(self, name, process):
+        self.name = name
+        self._process = process
+
+    @classmethod
+    async def start(cls, name, args, nursery, *, ready):
+        """Starts a process and waits until it prints the ready mark."""
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", *args],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        self = cls(name, process)
+        await nursery.start(self._read, ready)
+        return self
+
+    async def _read(self, ready, *, task_status):
+        seen = b""
+        waiting = True
+        async for chunk in self._process.stdout:
+            if waiting:
+                seen += chunk
+                if ready in seen:
+                    waiting = False
+                    task_status.started()
+        assert not waiting, seen.decode()
+
+    def send(self, number):
+        self._process.send_signal(number)
+
+    def kill(self):
+        self.send(signal.SIGKILL)
+
+    def freeze(self):
+        os.kill(self._process.pid, signal.SIGSTOP)
+
+    def thaw(self):
+        os.kill(self._process.pid, signal.SIGCONT)
+
+    async def wait(self):
+        return await self._process.wait()
+
+    async def stop(self):
+        with trio.CancelScope(shield=True):
+            if self._process.poll() is None:
+                self.thaw()
+                self.kill()
+            await self._process.wait()
+
+
+class ProcessFleet:
+    """A platform, databases and instances, each its own process."""
+
+    def __init__(self, folder, nursery):
+        self._folder = folder
+        self._nursery = nursery
+        self.platform = None
+        self.platform_address = None
+        self.databases = {}
+        self.database_addresses = {}
+        self.instances = {}
+        self.callers = {}
+        self.operators = {}
+
+    async def operate(self, method, target, body=None, *, instance="i1"):
+        answer = await call(
+            self.operators[instance], method, target, body, key=OPERATOR_KEY
+        )
+        found = json.loads(answer.body)
+        assert answer.status < 400, found
+        return found
+
+    async def apply_samples(self, workspace):
+        """Applies both samples and issues a key for one workspace."""
+        for sample in ("medostreh", "vembanad"):
+            await self.operate("POST", "/v1/apply", load_sample(sample))
+        issued = await self.operate(
+            "POST", "/v1/keys", {"workspace": workspace}
+        )
+        return issued["key"]
+
+    async def wait_started(self, instance, count):
+        """Waits until an instance has a number of requests in hand."""
+        while True:
+            status = await self.operate("GET", "/v1/status", instance=instance)
+            if status["started"] >= count:
+                return
+
+    async def request(self, instance, workspace, route, params, **more):
+        key = more.pop("key", None)
+        answer = await call(
+            self.callers[instance],
+            "POST",
+            f"/v1/workspaces/{workspace}/routes/{route}",
+            {"params": params, **more},
+            key=key,
+        )
+        return json.loads(answer.body)
+
+    async def fault_database(self, name, **faults):
+        address = self.database_addresses[name]
+        answer = await call(address, "POST", "/admin/faults", faults)
+        assert answer.status == 200, answer.body
+
+    async def fault_platform(self, **faults):
+        answer = await call(
+            self.platform_address, "POST", "/admin/faults", faults
+        )
+        assert answer.status == 200, answer.body
+
+    async def log_of(self, name):
+        answer = await call(
+            self.database_addresses[name], "GET", "/v1/log?after=0"
+        )
+        return json.loads(answer.body)
+
+    async def start_group(self, name, *, slots):
+        members = {f"{name}{d}": Address(HOST, free_port()) for d in DOMAINS}
+        for member, address in members.items():
+            cfg = {
+                "name": member,
+                "primary": f"{name}{DOMAINS[0]}",
+                "members": members,
+                "host": address.host,
+                "port": address.port,
+                "slots": slots,
+                "schema": SCHEMA,
+                "record": True,
+            }
+            self.databases[member] = await self._start(
+                member, "lagoonstair.standins.database", cfg, b"listening"
+            )
+        self.database_addresses.update(members)
+        return {
+            "name": name,
+            "members": [
+                {
+                    "name": member,
+                    "failure_domain": domain,
+                    "address": address,
+                    "slots": slots,
+                    "connections": 30,
+                }
+                for domain, (member, address) in zip(
+                    DOMAINS, members.items(), strict=True
+                )
+            ],
+        }
+
+    async def start_instance(self, name, domain, peers, timing):
+        self.callers[name] = Address(HOST, free_port())
+        self.operators[name] = Address(HOST, free_port())
+        cfg = instance_settings(
+            name=name,
+            domain=domain,
+            peers=peers,
+            platform=self.platform_address,
+            timing=timing,
+            callers=self.callers[name],
+            operators=self.operators[name],
+        )
+        cfg["log"] = {"level": "INFO"}
+        self.instances[name] = await self._start(
+            name, "lagoonstair.service", cfg, b"serving callers"
+        )
+
+    async def start_platform(self, listing):
+        port = free_port()
+        self.platform_address = Address(HOST, port)
+        cfg = {"host": HOST, "port": port, "listing": listing}
+        self.platform = await self._start(
+            "platform", "lagoonstair.standins.platform", cfg, b"listening"
+        )
+
+    async def _start(self, name, module, cfg, ready):
+        path = self._folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(cfg))
+        return await Process.start(
+            name, [module, "--config", str(path)], self._nursery, ready=ready
+        )
+
+    async def stop(self):
+        processes = [*self.instances.values(), *self.databases.values()]
+        for process in [*processes, self.platform]:
+            if process is not None:
+                await process.stop()
+
+
+@asynccontextmanager
+async def process_fleet(folder, *, instances=7, groups=3, slots=5, timing=None):
+    """Starts a fleet and stops all of its processes at the end."""
+    async with trio.open_nursery() as nursery:
+        fleet = ProcessFleet(folder, nursery)
+        try:
+            listed = [
+                await fleet.start_group(f"g{n + 1}", slots=slots)
+                for n in range(groups)
+            ]
+            peers = {
+                f"i{n + 1}": Address(HOST, free_port())
+                for n in range(instances)
+            }
+            members = [
+                {"name": name, "failure_domain": domain_of(n), "peers": address}
+                for n, (name, address) in enumerate(peers.items())
+            ]
+            await fleet.start_platform({"instances": members, "groups": listed})
+            async with trio.open_nursery() as starting:
+                for n, (name, address) in enumerate(peers.items()):
+                    starting.start_soon(
+                        fleet.start_instance,
+                        name,
+                        domain_of(n),
+                        address,
+                        timing or {},
+                    )
+            yield fleet
+        finally:
+            await fleet.stop()
+            nursery.cancel_scope.cancel()
--- a/tests/test_limits_service.py
+++ b/tests/test_limits_service.py
@@ -39,12 +39,12 @@
         for service in self.services.values():
             nursery.start_soon(service.run)
 
-    def apply(self, *, rate, burst):
+    def apply(self, *, rate, burst, created=()):
         self.version += 1
         self.policy = {"rate": rate, "burst": burst, "holders": NAMES}
         limit = WorkspaceLimit.from_config(**self.policy)
         for service in self.services.values():
-            service.apply(self.version, {"w": limit})
+            service.apply(self.version, {"w": limit}, created=created)
 
     async def admit(self, name):
         await self.services[name].admit(
@@ -135,3 +135,23 @@
             nursery.start_soon(request, number)
             await trio.testing.wait_all_tasks_blocked()
     assert order == [0, 1]
+
+
+async def test_a_created_workspace_has_its_burst_at_once(
+    autojump_clock, nursery
+):
+    fleet = Fleet(nursery)
+    fleet.apply(rate=1, burst=12, created={"w"})
+    for _ in range(12):
+        await fleet.admit("a")
+    with pytest.raises(LagoonstairError):
+        await fleet.admit("a")
+
+
+async def test_a_share_of_an_older_workspace_starts_empty_and_late(
+    autojump_clock, nursery
+):
+    fleet = Fleet(nursery)
+    fleet.apply(rate=1, burst=12)
+    with pytest.raises(LagoonstairError):
+        await fleet.admit("a")
--- /dev/null
+++ b/tests/test_path_embedded.py
@@ -0,0 +1,217 @@
+"""The whole path from a caller to a database and back, in one process."""
+
+import itertools
+import json
+
+import msgspec
+import pytest
+
+from lagoonstair.demo import Fleet, FleetPlan, load_sample
+from lagoonstair.demo._fleet import OPERATOR_KEY, call
+from lagoonstair.wire import HttpConnection
+
+ZVOLEN = "zlab-zvolen"
+DETVA = "zlab-detva"
+KOCHI = "vembanad-kochi"
+ORDER = {"order_no": "Z-1", "run_mm": 6000, "brackets": 12, "sheets": 3}
+
+
+class Caller:
+    """A caller with one key, whose requests go to each instance in turn."""
+
+    def __init__(self, fleet, workspace, key):
+        self.workspace = workspace
+        self.key = key
+        self.session = None
+        self._addresses = itertools.cycle(
+            [daemon.callers for daemon in fleet.daemons.values()]
+        )
+
+    async def send(self, target, body, *, key=None):
+        answer = await call(
+            next(self._addresses),
+            "POST",
+            f"/v1/workspaces/{self.workspace}/{target}",
+            body,
+            key=key or self.key,
+        )
+        found = json.loads(answer.body)
+        self.session = found.get("session", self.session)
+        return found
+
+    async def run(self, route, params, **more):
+        body = {"params": params, **more}
+        if self.session is not None:
+            body["session"] = self.session
+        return await self.send(f"routes/{route}", body)
+
+
+@pytest.fixture
+async def fleet(nursery):
+    plan = FleetPlan(
+        instances=3, timing={"freshness_bound": 1.0, "config_poll": 0.2}
+    )
+    fleet = await Fleet.start(plan, nursery)
+    for sample in ("medostreh", "vembanad"):
+        await fleet.operate("POST", "/v1/apply", load_sample(sample))
+    return fleet
+
+
+@pytest.fixture
+async def zvolen(fleet):
+    return Caller(fleet, ZVOLEN, await fleet.issue_key(ZVOLEN))
+
+
+async def test_roaming_session_reads_its_own_writes(fleet, zvolen):
+    for number in range(6):
+        order = {**ORDER, "order_no": f"Z-{number}"}
+        assert (await zvolen.run("order-request", order))["outcome"] == (
+            "answered"
+        )
+        found = await zvolen.run("order-status", {"order_no": f"Z-{number}"})
+        assert found["results"] == [[[f"Z-{number}", 6000, 12, 3]]]
+
+
+async def test_repeated_request_id_runs_once(fleet, zvolen):
+    first = await zvolen.run("order-request", ORDER, request_id="r1")
+    second = await zvolen.run("order-request", ORDER, request_id="r1")
+    other = await zvolen.run(
+        "order-request", {**ORDER, "sheets": 4}, request_id="r1"
+    )
+    assert not first.get("duplicate", False)
+    assert second["duplicate"]
+    assert second["served_by"]["offset"] == first["served_by"]["offset"]
+    assert other["error"]["kind"] == "request_id_reused"
+    found = await zvolen.run("order-status", {"order_no": "Z-1"})
+    assert len(found["results"][0]) == 1
+
+
+async def test_transaction_commits_whole_and_rolls_back_whole(fleet):
+    kochi = Caller(fleet, KOCHI, await fleet.issue_key(KOCHI))
+    await kochi.run("stock-blank", {"blank": "MG-11", "free": 5})
+
+    async def reserve_two(end):
+        first = await kochi.run(
+            "reserve",
+            {"blank": "MG-11", "hold": f"{end}1"},
+            transaction="begin",
+        )
+        token = first["transaction"]
+        await kochi.run(
+            "reserve", {"blank": "MG-11", "hold": f"{end}2"}, transaction=token
+        )
+        return await kochi.send(
+            f"transactions/{token}/{end}", {"session": kochi.session}
+        )
+
+    assert (await reserve_two("rollback"))["outcome"] == "answered"
+    found = await kochi.run("portal-lookup", {"blank": "MG-11"})
+    assert found["results"] == [[["MG-11", 5]]]
+    assert (await reserve_two("commit"))["outcome"] == "answered"
+    found = await kochi.run("portal-lookup", {"blank": "MG-11"})
+    assert found["results"] == [[["MG-11", 3]]]
+
+
+async def test_failed_statement_is_not_run(fleet):
+    kochi = Caller(fleet, KOCHI, await fleet.issue_key(KOCHI))
+    await kochi.run("stock-blank", {"blank": "MG-11", "free": 0})
+    found = await kochi.run("reserve", {"blank": "MG-11", "hold": "h"})
+    assert found["outcome"] == "not_run"
+    assert found["error"]["kind"] == "statement_failed"
+    found = await kochi.run("hold-status", {"hold": "h"})
+    assert found["results"] == [[]]
+
+
+@pytest.mark.parametrize(
+    ("target", "body", "kind"),
+    [
+        ("routes/order-status", b"{", "bad_request"),
+        ("routes/order-status", b"[]", "bad_request"),
+        ("routes/order-status", b'{"params": 1}', "bad_request"),
+        ("routes/order-status", b'{"extra": 1}', "bad_request"),
+        ("routes/order-status", b'{"request_id": ""}', "bad_request"),
+        ("routes/order-status", b'{"params":{}}', "statement_failed"),
+        (
+            "routes/order-status",
+            b'{"params":{"order_no":"1","workspace":"x"}}',
+            "bad_request",
+        ),
+        ("routes/order-status", b'{"session": "x"}', "session_invalid"),
+        ("routes/order-status", b'{"transaction": "x"}', "session_invalid"),
+        ("routes/nothing", b"{}", "not_found"),
+        ("transactions/x/commit", b"{}", "session_invalid"),
+        ("nothing", b"{}", "not_found"),
+        ("routes/order-status", b" " * 1_100_000, "too_large"),
+    ],
+)
+async def test_bad_input_names_its_fault(fleet, zvolen, target, body, kind):
+    conn = await HttpConnection.open(fleet.daemons["i1"].callers)
+    answer = await conn.call(
+        "POST",
+        f"/v1/workspaces/{ZVOLEN}/{target}",
+        body,
+        headers=[("authorization", f"Bearer {zvolen.key}")],
+    )
+    found = msgspec.json.decode(answer.body)
+    assert found["outcome"] == "not_run"
+    assert found["error"]["kind"] == kind
+    good = await zvolen.run("order-request", ORDER)
+    assert good["outcome"] == "answered"
+
+
+async def test_a_request_runs_only_for_its_keys_workspace(fleet, zvolen):
+    detva = Caller(fleet, DETVA, await fleet.issue_key(DETVA))
+    await zvolen.run("order-request", ORDER)
+    found = await detva.run("order-status", {"order_no": "Z-1"})
+    assert found["results"] == [[]]
+    stolen = Caller(fleet, DETVA, zvolen.key)
+    found = await stolen.run("order-status", {"order_no": "Z-1"})
+    assert found["error"]["kind"] == "forbidden"
+    detva.session = zvolen.session
+    found = await detva.run("order-status", {"order_no": "Z-1"})
+    assert found["error"]["kind"] == "forbidden"
+    nobody = Caller(fleet, ZVOLEN, "")
+    found = await nobody.send("routes/order-status", {})
+    assert found["error"]["kind"] in ("unauthenticated", "bad_request")
+
+
+async def test_open_route_needs_no_key(fleet):
+    kochi = Caller(fleet, KOCHI, await fleet.issue_key(KOCHI))
+    await kochi.run("stock-blank", {"blank": "MG-11", "free": 5})
+    nobody = Caller(fleet, KOCHI, None)
+    found = await nobody.run("portal-lookup", {"blank": "MG-11"})
+    assert found["results"] == [[["MG-11", 5]]]
+
+
+async def test_withdrawn_key_stops_for_connected_callers(fleet, zvolen):
+    conn = await HttpConnection.open(fleet.daemons["i2"].callers)
+    target = f"/v1/workspaces/{ZVOLEN}/routes/order-request"
+    body = msgspec.json.encode({"params": ORDER})
+    headers = [("authorization", f"Bearer {zvolen.key}")]
+    first = await conn.call("POST", target, body, headers=headers)
+    key_id = zvolen.key.split("_")[1]
+    await fleet.operate("DELETE", f"/v1/keys/{key_id}")
+    second = await conn.call("POST", target, body, headers=headers)
+    assert (first.status, second.status) == (200, 401)
+
+
+async def test_no_database_receives_a_key(fleet, zvolen):
+    await zvolen.run("order-request", ORDER)
+    await zvolen.run("order-status", {"order_no": "Z-1"})
+    secret = zvolen.key.split("_")[2].encode()
+    received = [
+        await call(address, "GET", "/admin/received?after=0")
+        for address in fleet.database_addresses.values()
+    ]
+    assert any(b"order_no" in answer.body for answer in received)
+    assert not any(secret in answer.body for answer in received)
+    assert not any(b"Bearer" in answer.body for answer in received)
+
+
+async def test_operator_needs_an_operators_key(fleet, zvolen):
+    address = fleet.daemons["i1"].operators
+    for key in (None, "x", zvolen.key):
+        answer = await call(address, "GET", "/v1/status", key=key)
+        assert answer.status in (400, 401, 403)
+    answer = await call(address, "GET", "/v1/status", key=OPERATOR_KEY)
+    assert msgspec.json.decode(answer.body)["name"] == "i1"
