--- a/src/lagoonstair/limits/_borrower.py
+++ b/src/lagoonstair/limits/_borrower.py
@@ -1,7 +1,7 @@
 """The borrowing side: loans from other holders and asks for more."""
 
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -76,14 +76,6 @@
         self._drop_closed(workspace)
         return amount - left
 
-    def keep_lenders(self, workspace: str, lenders: Iterable[str]) -> None:
-        """Closes the loans of lenders that no longer hold a share."""
-        kept = frozenset(lenders)
-        for loan in self._open.get(workspace, ()):
-            if loan.lender not in kept:
-                loan.closed = True
-        self._drop_closed(workspace)
-
     def asked_at(self, lender: str) -> float:
         """When the lender was last asked, in seconds."""
         peer = self._peers.get(lender)
--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -86,13 +86,15 @@
         if version <= holder.version:
             return
         holder.configure(now, version, limit)
-        lenders = () if limit is None else limit.holders
-        self._borrower.keep_lenders(workspace, lenders)
 
     def request(
         self, now: float, workspace: str, ticket: int, *, fresh: bool
     ) -> list[Effect]:
-        """Admits, refuses or queues a request under a new ticket."""
+        """Admits, refuses or queues a request under a new ticket.
+
+        Without an effect it waits; ``tick`` is to be called soon, once for
+        all requests that have come together.
+        """
         if not fresh:
             return [Refuse(ticket=ticket, kind=ErrorKind.NOT_FRESH)]
         limit = self._limit(workspace)
@@ -107,7 +109,7 @@
             return [self._refusal(ticket, due)]
         line.waiting[ticket] = now + self._settings.max_wait
         self._where[ticket] = workspace
-        return list(self._ask(now))
+        return []
 
     def cancel(self, ticket: int) -> None:
         """Takes a queued request back."""
@@ -131,9 +133,6 @@
             line = self._lines.get(lent.workspace)
             if line is not None:
                 line.note_left(now, lender, lent.left)
-            self._borrower.keep_lenders(
-                lent.workspace, self._holders(lent.workspace)
-            )
         return self.tick(now, fresh=fresh)
 
     def lost(self, now: float, lender: str, seq: int) -> None:
@@ -183,10 +182,6 @@
         holder = self._lender.holders.get(workspace)
         return None if holder is None else holder.limit
 
-    def _holders(self, workspace: str) -> tuple[str, ...]:
-        limit = self._limit(workspace)
-        return () if limit is None else limit.holders
-
     def _spend(self, now: float, workspace: str) -> bool:
         """Spends one token, of its own share first."""
         if self.available(now, workspace) < MICRO:
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -133,6 +133,8 @@
             self._perform(
                 self._limiter.request(now, workspace, ticket, fresh=fresh)
             )
+            if not waiter.event.is_set():
+                self._wake.set()
             await waiter.event.wait()
         finally:
             del self._waiters[ticket]
@@ -151,11 +153,11 @@
             while True:
                 now = self._clock()
                 fresh = self._fresh(now)
+                self._wake = trio.Event()
                 self._perform(self._limiter.tick(now, fresh=fresh))
                 asks, self._asks = self._asks, []
                 for ask in asks:
                     nursery.start_soon(self._send, ask)
-                self._wake = trio.Event()
                 await self._sleep()
 
     def status(self) -> LimitStatus:
@@ -199,7 +201,6 @@
                     waiter.event.set()
                 case SendAsk():
                     self._asks.append(effect)
-                    self._wake.set()
 
     async def _send(self, send: SendAsk) -> None:
         self._counts["sent"] += 1
@@ -212,6 +213,7 @@
         fresh = self._fresh(now)
         effects = self._limiter.granted(now, send.lender, grant, fresh=fresh)
         self._perform(effects)
+        self._wake.set()
 
     async def _call(self, send: SendAsk) -> TokenGrant | None:
         address = self._addresses(send.lender)
