--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -11,9 +11,6 @@
 from lagoonstair.limits._settings import LimitSettings, WorkspaceLimit
 from lagoonstair.limits._units import MICRO
 
-URGENT_LEFT = MICRO // 2
-"""What a lender must probably have left to be asked at once."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Admit:
@@ -270,7 +267,9 @@
             line = self._lines[workspace]
             if limit is None or not line.waiting:
                 continue
-            if self._lefts(now, line, limit)[lender] >= URGENT_LEFT:
+            lefts = self._lefts(now, line, limit)
+            have = self.available(now, workspace) + sum(lefts.values())
+            if lefts[lender] > 0 and have >= MICRO:
                 return True
         return False
 
@@ -287,7 +286,10 @@
             lefts = self._lefts(now, line, limit)
             total = sum(lefts.values())
             for lender, left in lefts.items():
-                part = need * left // total + 1 if total > need else need
+                if total > need:
+                    part = need * left // total + 1
+                else:
+                    part = min(need, max(left, need // len(lefts) + 1))
                 wants.setdefault(lender, {})[workspace] = part
         return wants
 
@@ -295,6 +297,6 @@
         self, now: float, workspace: str, line: Line, limit: WorkspaceLimit
     ) -> int:
         use = min(int(line.use(now) * MICRO), limit.rate)
-        kept = int(use * self._settings.horizon)
+        kept = int(use * self._settings.horizon) // MICRO * MICRO
         have = self.available(now, workspace)
         return kept + len(line.waiting) * MICRO - have
--- a/src/lagoonstair/limits/_line.py
+++ b/src/lagoonstair/limits/_line.py
@@ -2,21 +2,24 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lagoonstair.limits._units import MICRO
 
 USE_SECONDS = 0.5
 """Time constant of the average use."""
 
+LOSSES_OF_A_DEAD_LENDER = 3
+"""Asks in a row without an answer after which nothing is expected."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Estimate:
-    """What a lender said it had left, and when (seconds)."""
+    """What a lender said it had left, when (seconds), and losses since."""
 
     left: int
     at: float
-    up: bool
+    losses: int
 
 
 class Line:
@@ -43,18 +46,20 @@
 
     def note_left(self, now: float, lender: str, left: int) -> None:
         """Takes a lender's word on what it has left."""
-        self._estimates[lender] = _Estimate(left, now, True)
+        self._estimates[lender] = _Estimate(left, now, 0)
 
     def note_lost(self, now: float, lender: str) -> None:
         """Notes that a lender gave no answer."""
-        self._estimates[lender] = _Estimate(0, now, False)
+        last = self._estimates.get(lender, _Estimate(0, now, 0))
+        losses = last.losses + 1
+        self._estimates[lender] = replace(last, losses=losses)
 
     def left(self, now: float, lender: str, rate: int, burst: int) -> int:
         """Estimates what a lender has, from its share of rate and burst."""
         estimate = self._estimates.get(lender)
         if estimate is None:
             return burst
-        if not estimate.up:
+        if estimate.losses >= LOSSES_OF_A_DEAD_LENDER:
             return 0
         gained = int(rate * max(0.0, now - estimate.at))
         return min(burst, estimate.left + gained)
--- a/src/lagoonstair/limits/_settings.py
+++ b/src/lagoonstair/limits/_settings.py
@@ -5,7 +5,7 @@
 from lagoonstair.limits._units import to_micro
 
 MAX_HOLDERS = 7
-TOKENS_PER_HOLDER = 4
+TOKENS_PER_HOLDER = 1
 CLOCK_RATE_ERROR = 0.01
 
 
@@ -31,8 +31,8 @@
     loan_ttl: float = 1.0
     loan_margin: float = 0.25
     ask_period: float = 0.1
-    urgent_gap: float = 0.01
-    ask_timeout: float = 0.25
+    urgent_gap: float = 0.025
+    ask_timeout: float = 0.05
     horizon: float = 0.25
     max_wait: float = 0.25
     share_margin: float = 0.1
@@ -73,8 +73,8 @@
     ) -> "WorkspaceLimit":
         """Makes a limit from requests a second and requests.
 
-        A small burst is split over fewer holders: shares far below one token
-        would have to be collected from all of them for a single request.
+        A small burst is split over fewer holders: shares below one token would
+        have to be collected from several of them for a single request.
         """
         count = max(1, min(MAX_HOLDERS, int(burst) // TOKENS_PER_HOLDER))
         return cls(
--- /dev/null
+++ b/src/lagoonstair/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policies, each against its baseline."""
