--- a/src/lagoonstair/config/__init__.py
+++ b/src/lagoonstair/config/__init__.py
@@ -1,5 +1,6 @@
 """Routes, templates, workspaces, keys and members, alike on every instance."""
 
+from lagoonstair.config._api_types import ApplyBody
 from lagoonstair.config._authorize import Grant, authorize, grant_holds
 from lagoonstair.config._changes import (
     Batch,
@@ -15,6 +16,7 @@
     RemoveWorkspace,
     WithdrawKey,
 )
+from lagoonstair.config._core import Advance
 from lagoonstair.config._faults import Fault, InvalidInputError
 from lagoonstair.config._model import (
     KeyRecord,
@@ -28,12 +30,21 @@
     Template,
     Workspace,
 )
+from lagoonstair.config._operator_api import OperatorApi
 from lagoonstair.config._policy import Limits, Policy
 from lagoonstair.config._state import Configuration
+from lagoonstair.config._submit import Accepted
+from lagoonstair.config._sync import ConfigStatus, ConfigSync
+from lagoonstair.config._timing import SyncTiming
 
 __all__ = [
+    "Accepted",
+    "Advance",
+    "ApplyBody",
     "Batch",
     "Change",
+    "ConfigStatus",
+    "ConfigSync",
     "Configuration",
     "Fault",
     "Grant",
@@ -47,6 +58,7 @@
     "MemberJoined",
     "MemberLeft",
     "Objectives",
+    "OperatorApi",
     "Param",
     "Policy",
     "PutRoute",
@@ -57,6 +69,7 @@
     "RemoveWorkspace",
     "Route",
     "RouteKind",
+    "SyncTiming",
     "Template",
     "WithdrawKey",
     "Workspace",
