--- a/src/lagoonstair/capacity/_records.py
+++ b/src/lagoonstair/capacity/_records.py
@@ -107,12 +107,12 @@
     return _grown(before, recorder)
 
 
-def recorder_window_memory(windows: int) -> float:
-    """Resident bytes of further windows, of ten workspaces together."""
+def recorder_full_memory(count: int) -> float:
+    """Resident bytes of workspaces' counts that were active for six hours."""
     before = resident_bytes()
     recorder = Recorder()
-    for minute in range(windows // 10):
-        for number in range(10):
+    for minute in range(6 * 60):
+        for number in range(count):
             recorder.record(f"ws{number}", None, 0.01, now=minute * 60.0)
     return _grown(before, recorder)
 
--- a/src/lagoonstair/report/_measurements.py
+++ b/src/lagoonstair/report/_measurements.py
@@ -29,10 +29,10 @@
 
 
 class WindowCounts(msgspec.Struct, kw_only=True):
-    """The counts of one minute.
+    """The counts of one minute, or of several when they are an hour old.
 
     Attributes:
-        age: How many minutes ago the window was; 0 is the running one.
+        age: How many minutes ago the window began; 0 is the running minute.
         outcomes: Requests by error kind, or ``answered``.
         refused_within_rate: Requests refused though the workspace was
             inside its rate.
@@ -105,7 +105,7 @@
     for part in parts:
         for window in part.windows:
             total = windows.setdefault(window.age, WindowCounts(age=window.age))
-            _add(total, window)
+            add_counts(total, window)
     return WorkspaceMeasurements(
         windows=[windows[age] for age in sorted(windows)],
         latencies=_histogram.merge(part.latencies for part in parts),
@@ -114,7 +114,8 @@
     )
 
 
-def _add(total: WindowCounts, window: WindowCounts) -> None:
+def add_counts(total: WindowCounts, window: WindowCounts) -> None:
+    """Adds a window's counts to another's."""
     for outcome, count in window.outcomes.items():
         total.outcomes[outcome] = total.outcomes.get(outcome, 0) + count
     total.refused_within_rate += window.refused_within_rate
--- a/src/lagoonstair/report/_recorder.py
+++ b/src/lagoonstair/report/_recorder.py
@@ -1,6 +1,5 @@
 """Counts the requests of one instance in windows of a minute."""
 
-from collections import deque
 from collections.abc import Callable
 
 from lagoonstair.exceptions import ErrorKind
@@ -12,10 +11,9 @@
     WindowCounts,
     WorkspaceMeasurements,
 )
+from lagoonstair.report._windows import Windows
 
 WINDOW_SECONDS = 60.0
-WINDOWS = 360
-"""How many windows are kept: six hours."""
 MAX_WORKSPACES = 4096
 """Requests of further workspaces are counted together."""
 OTHERS = "others"
@@ -39,39 +37,40 @@
     return Objectives()
 
 
-class _Minute:
-    """The counts of one window, by its number since the clock's zero."""
-
-    __slots__ = ("counts", "number")
-
-    def __init__(self, number: int) -> None:
-        self.number = number
-        self.counts = WindowCounts(age=0)
-
-
 class _Workspace:
-    """The windows and the latencies of one workspace."""
+    """The windows and the latencies of one workspace.
 
-    __slots__ = ("failing_since", "latencies", "minutes")
+    Attributes:
+        running: The counts of the running minute.
+        windows: The counts of earlier windows.
+        latencies: The latencies of answered requests.
+        failing_since: When the present run of failures began.
+    """
+
+    __slots__ = ("_minute", "failing_since", "latencies", "running", "windows")
 
     def __init__(self) -> None:
-        self.minutes: deque[_Minute] = deque(maxlen=WINDOWS)
+        self._minute = -1
+        self.running = WindowCounts(age=0)
+        self.windows = Windows()
         self.latencies = _histogram.make()
         self.failing_since: float | None = None
 
-    def at(self, now: float) -> WindowCounts:
-        """Returns the window of a time, which never goes back."""
-        number = int(now // WINDOW_SECONDS)
-        if not self.minutes or self.minutes[-1].number < number:
-            self.minutes.append(_Minute(number))
-        return self.minutes[-1].counts
+    def at(self, minute: int) -> WindowCounts:
+        """Returns the window of a minute, which never goes back."""
+        if minute > self._minute:
+            if self._minute >= 0:
+                self.windows.add(self._minute, self.running)
+            self.windows.fold(minute)
+            self.running = WindowCounts(age=0)
+            self._minute = minute
+        return self.running
 
 
 class Recorder:
     """Counts requests; memory is bounded whatever callers do.
 
-    A workspace takes one histogram, and a window for each minute of the last
-    six hours in which it was active.
+    A workspace takes one histogram and at most ``MAX_WINDOWS`` windows.
     """
 
     def __init__(
@@ -106,7 +105,7 @@
             now: Monotonic seconds.
         """
         state = self._state_of(workspace)
-        window = state.at(now)
+        window = state.at(int(now // WINDOW_SECONDS))
         outcome = ANSWERED if kind is None else kind.value
         window.outcomes[outcome] = window.outcomes.get(outcome, 0) + 1
         if kind is None:
@@ -154,27 +153,13 @@
     def _measure(
         self, name: str, state: _Workspace, now: float
     ) -> WorkspaceMeasurements:
-        current = int(now // WINDOW_SECONDS)
+        minute = int(now // WINDOW_SECONDS)
+        state.at(minute)
         since = state.failing_since
+        running = [state.running] if state.running.outcomes else []
         return WorkspaceMeasurements(
-            windows=[
-                _aged(minute, current - minute.number)
-                for minute in reversed(state.minutes)
-                if current - minute.number < WINDOWS
-            ],
+            windows=[*running, *state.windows.list(minute)],
             latencies=_histogram.encode(state.latencies),
             objectives=self._objectives_of(name),
             gap=0.0 if since is None else now - since,
         )
-
-
-def _aged(minute: _Minute, age: int) -> WindowCounts:
-    counts = minute.counts
-    return WindowCounts(
-        age=age,
-        outcomes=dict(counts.outcomes),
-        refused_within_rate=counts.refused_within_rate,
-        slow=counts.slow,
-        by_replica=counts.by_replica,
-        gap=counts.gap,
-    )
