--- a/src/lagoonstair/capacity/_measures.py
+++ b/src/lagoonstair/capacity/_measures.py
@@ -9,6 +9,7 @@
     _loans,
     _records,
     _sizes,
+    _store,
 )
 
 MICROSECONDS = 1e6
@@ -36,6 +37,7 @@
 CALLS = (2000, 4000, 8000)
 PROBES = (500, 1000, 2000)
 RECORDS = (1000, 2000, 4000)
+JOINS = (10, 20, 40)
 LOANS = (10, 20, 40)
 CONNECTIONS = (500, 1000, 2000)
 
@@ -56,6 +58,8 @@
     Measure(_records.member_memory, "bytes/member", RECORDS),
     Measure(_records.recorder_memory, "bytes/workspace", (500, 1000, 2000)),
     Measure(_records.recorder_full_memory, "bytes/workspace", (50, 100, 200)),
+    Measure(_store.join_reads, "reads/join", JOINS),
+    Measure(_store.join_writes, "writes/join", JOINS),
     Measure(_loans.loan_borrower, "us CPU/workspace", LOANS, MICROSECONDS),
     Measure(_loans.loan_lender, "us CPU/workspace", LOANS, MICROSECONDS),
     Measure(_loans.loan_bytes, "bytes/workspace", LOANS, repeats=1),
--- /dev/null
+++ b/src/lagoonstair/capacity/_store.py
@@ -0,0 +1,64 @@
+"""Reads and writes of the table service by changes of the configuration."""
+
+import trio
+from loguru import logger
+
+from lagoonstair._types import Address
+from lagoonstair.capacity._calls import HOST, SECRET
+from lagoonstair.config import ConfigSync, SyncTiming
+from lagoonstair.peers import PeerClient, PeerServer, Registry
+from lagoonstair.platform import HttpPlatform
+from lagoonstair.standins.platform import (
+    Counters,
+    PlatformConfig,
+    PlatformStandin,
+)
+
+POLL_SECONDS = 3600.0
+"""So long that no read of the head falls into a measurement."""
+WAIT_SECONDS = 0.05
+
+
+def join_reads(instances: int) -> float:
+    """Reads of the store while that many instances join at once."""
+    return float(trio.run(_join_all, instances).reads)
+
+
+def join_writes(instances: int) -> float:
+    """Transactions while that many instances join at once."""
+    return float(trio.run(_join_all, instances).writes)
+
+
+async def _join_all(instances: int) -> Counters:
+    logger.remove()
+    standin = PlatformStandin.from_config(PlatformConfig())
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(standin.serve, HOST, 0)
+        syncs = [
+            await _start(nursery, f"i{number}", Address(HOST, port))
+            for number in range(instances)
+        ]
+        while any(len(s.current.members) < instances for s in syncs):
+            await trio.sleep(WAIT_SECONDS)
+        nursery.cancel_scope.cancel()
+    return standin.counters
+
+
+async def _start(
+    nursery: trio.Nursery, name: str, platform: Address
+) -> ConfigSync:
+    registry = Registry()
+    server = PeerServer(name, SECRET, registry)
+    port = await nursery.start(server.serve, HOST, 0)
+    sync = ConfigSync(
+        name=name,
+        incarnation=f"{name}-1",
+        failure_domain="a",
+        peers=Address(HOST, port),
+        platform=HttpPlatform(platform, name),
+        caller=PeerClient(name, SECRET, nursery),
+        registry=registry,
+        timing=SyncTiming(poll=POLL_SECONDS),
+    )
+    nursery.start_soon(sync.run)
+    return sync
