Try: promote when replicas have lost a primary that still answers

Cause: a history with the primary cut off from its replicas and from two of three instances never ended: the third instance reached the primary, so the others stepped aside, and no write could be confirmed. What: members report how long ago they heard their primary (optional), and a primary that too few replicas hear is replaced. Measured: the killed and the frozen primary pass (three tests); with the cut the history still never ends: each promotion chooses the old primary again, whose unconfirmed tail is the most advanced. Conclusion: half of the cause; the choice has to leave the isolated log out.

--- a/src/lagoonstair/groups/_observer.py
+++ b/src/lagoonstair/groups/_observer.py
@@ -147,7 +147,11 @@
     def view(self, watcher: str, now: float) -> GroupView:
         """What this watcher tells the others."""
         leader = self._leader()
-        known = leader is not None and not self._superseded(leader)
+        known = (
+            leader is not None
+            and not self._superseded(leader)
+            and not self._isolated(leader, now)
+        )
         return GroupView(
             watcher=watcher,
             term=self._top_term(),
@@ -243,10 +247,24 @@
             return Cause.ORPHANED
         if divided and divided_time >= patience:
             return Cause.DIVIDED
+        if leader and self._isolated(leader, now):
+            return Cause.ISOLATED
         if leader and leaving and leaving_time >= self._timing.drain:
             return Cause.LEAVING if self._successor(leader, now) else None
         return None
 
+    def _isolated(self, leader: str, now: float) -> bool:
+        """Whether too few replicas hear a primary for a write to be kept.
+
+        A replica that hears its primary and applies late is not meant: a
+        promotion would not help it.
+        """
+        others = self._alive(now) & self._statuses.keys() - {leader}
+        ages = [self._statuses[name].contact_age for name in others]
+        limit = self._timing.isolated_after
+        hearing = sum(age is None or age <= limit for age in ages)
+        return hearing + 1 < self.quorum
+
     def _lasting(self, condition: str, holds: bool, now: float) -> float:
         if not holds:
             self._since.pop(condition, None)
--- a/src/lagoonstair/groups/_orders.py
+++ b/src/lagoonstair/groups/_orders.py
@@ -10,6 +10,7 @@
     DEAD = "dead"
     ORPHANED = "orphaned"
     DIVIDED = "divided"
+    ISOLATED = "isolated"
     LEAVING = "leaving"
 
 
--- a/src/lagoonstair/groups/_timing.py
+++ b/src/lagoonstair/groups/_timing.py
@@ -21,6 +21,8 @@
             primary for its word to stop a promotion.
         orphan_after: How long a term without a primary is left to whoever
             fenced it.
+        isolated_after: How long replicas may be without contact to a primary
+            that answers its watchers but can't have its writes confirmed.
         fence_grace: How long a promotion that has a majority waits for the
             other members that are alive.
         call_timeout: Bound of one fence, promote or follow call.
@@ -40,6 +42,7 @@
     opinion_timeout: float = 0.3
     opinion_margin: float = 0.6
     orphan_after: float = 1.2
+    isolated_after: float = 4.0
     fence_grace: float = 0.2
     call_timeout: float = 0.5
     promote_attempts: int = 3
--- a/src/lagoonstair/ports/_endpoint.py
+++ b/src/lagoonstair/ports/_endpoint.py
@@ -96,6 +96,8 @@
         history: The start of each term in its log, oldest first.
         primary: The name of the primary it follows, or its own; empty when
             it knows none in ``term``.
+        contact_age: Seconds since a replica last heard from its primary;
+            ``None`` on a primary, or where that is not known.
     """
 
     name: str
@@ -104,6 +106,7 @@
     last: Position
     history: tuple[TermStart, ...] = ()
     primary: str = ""
+    contact_age: float | None = None
 
 
 class FenceAnswer(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lagoonstair/standins/database/_replication.py
+++ b/src/lagoonstair/standins/database/_replication.py
@@ -43,6 +43,13 @@
         self._following = (member.term, member.leader)
         self._changed = trio.Event()
         self._pulling: trio.CancelScope | None = None
+        self._contact_at = 0.0
+
+    def contact_age(self) -> float | None:
+        """Seconds since the primary answered; None on a primary."""
+        if self._member.role is Role.PRIMARY:
+            return None
+        return trio.current_time() - self._contact_at
 
     def notice(self) -> None:
         """Starts again if the member's term or primary has changed."""
@@ -51,6 +58,7 @@
 
     def restart(self) -> None:
         """Forgets what was not applied and connects again."""
+        self._contact_at = trio.current_time()
         self._following = (self._member.term, self._member.leader)
         self._waiting.clear()
         if self._pulling is not None:
@@ -59,6 +67,7 @@
 
     async def run(self) -> None:
         """Pulls and applies until cancelled."""
+        self._contact_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._apply)
             while True:
@@ -101,6 +110,7 @@
         await self._faults.pass_gate(leader)
         if answer.status != 200:
             raise HttpError(f"status {answer.status}")
+        self._contact_at = trio.current_time()
         self._take(msgspec.json.decode(answer.body, type=LogPage), after)
 
     @property
--- a/src/lagoonstair/standins/database/_server.py
+++ b/src/lagoonstair/standins/database/_server.py
@@ -178,7 +178,11 @@
     ) -> HttpResponse:
         match path:
             case "/v1/status":
-                return _answer(req, self.member.status())
+                status = msgspec.structs.replace(
+                    self.member.status(),
+                    contact_age=self._replication.contact_age(),
+                )
+                return _answer(req, status)
             case "/v1/fence":
                 fence = msgspec.json.decode(req.body, type=Fence)
                 granted = self.member.fence(fence.term, fence.candidate)
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -1,58 +1,53 @@
-"""Checkers of what a database received and what its callers were told."""
+"""Checks histories of orders against the log that survived."""
 
 from collections import Counter
+from typing import NamedTuple
 
-import msgspec
 
-from lagoonstair.exceptions import Outcome
-from lagoonstair.standins.database import Received
-
-ENDINGS = ("/v1/commit", "/v1/rollback", "closed")
+class Attempt(NamedTuple):
+    """One order as its caller saw it end.
 
+    Attributes:
+        request_id: The order's id.
+        outcomes: The outcome of each attempt at it, in order.
+    """
 
-def _tags(call: Received) -> set:
-    statements = msgspec.json.decode(call.body).get("statements", ())
-    return {statement["params"].get("tag") for statement in statements}
+    request_id: str
+    outcomes: tuple[str, ...]
 
 
-def mixed(received: list[Received]) -> list[str]:
-    """Lists the connections on which two transactions mixed.
+class Read(NamedTuple):
+    """A read of an order that the same session had written.
 
-    A statement's parameter ``tag`` names its transaction.
+    Attributes:
+        request_id: The order's id.
+        rows: How many rows the read gave.
     """
-    open_tags: dict[int, set] = {}
-    faults = []
-    for call in received:
-        tags = open_tags.get(call.connection, set())
-        if call.target in ENDINGS:
-            open_tags.pop(call.connection, None)
-        elif call.target == "/v1/run" and tags:
-            faults.append(f"{call.connection}: run inside {tags}")
-        elif call.target == "/v1/execute":
-            tags = open_tags[call.connection] = tags | _tags(call)
-            if len(tags) > 1:
-                faults.append(f"{call.connection}: {tags} mixed")
-    return faults
 
+    request_id: str
+    rows: int
 
-def broken(
-    rows: list[str], sizes: dict[str, int], claims: dict[str, Outcome]
-) -> list[str]:
-    """Lists the requests that ran in part, twice or against what was told.
+
+def faults_of(attempts, reads, log_ids):
+    """Names each promise that a history breaks.
 
     Args:
-        rows: The tag of each row that was written.
-        sizes: How many rows each request writes.
-        claims: What each caller was told in the end.
+        attempts: The orders as their callers saw them.
+        reads: The reads of orders that were answered.
+        log_ids: The request ids in the surviving log, in order.
     """
-    counts = Counter(rows)
-    allowed = {
-        Outcome.ANSWERED: lambda size: {size},
-        Outcome.NOT_RUN: lambda size: {0},
-        Outcome.UNKNOWN: lambda size: {0, size},
-    }
-    return [
-        f"{tag}: {counts[tag]} of {size} rows, told {claims[tag]}"
-        for tag, size in sizes.items()
-        if counts[tag] not in allowed[claims[tag]](size)
+    counts = Counter(log_ids)
+    faults = [f"{name} ran {n} times" for name, n in counts.items() if n > 1]
+    for attempt in attempts:
+        answered = "answered" in attempt.outcomes
+        if answered and not counts[attempt.request_id]:
+            faults.append(f"{attempt.request_id} was answered and is lost")
+        refused = set(attempt.outcomes) == {"not_run"}
+        if refused and counts[attempt.request_id]:
+            faults.append(f"{attempt.request_id} was refused and ran")
+    faults += [
+        f"{read.request_id} was not read by its own session"
+        for read in reads
+        if read.rows != 1
     ]
+    return faults
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -53,6 +53,10 @@
                     task_status.started()
         assert not waiting, seen.decode()
 
+    @property
+    def alive(self):
+        return self._process.poll() is None
+
     def send(self, number):
         self._process.send_signal(number)
 
@@ -89,6 +93,7 @@
         self.instances = {}
         self.callers = {}
         self.operators = {}
+        self._entries = []
 
     async def operate(self, method, target, body=None, *, instance="i1"):
         answer = await call(
@@ -107,6 +112,43 @@
         )
         return issued["key"]
 
+    @property
+    def entries(self):
+        """The instances that callers use; a test may take some out."""
+        return self._entries
+
+    async def owner(self, group="g1"):
+        """The instance that owns a group."""
+        for name in self.instances:
+            status = await self.operate("GET", "/v1/status", instance=name)
+            if status["groups"].get(group, {}).get("active"):
+                return name
+        raise AssertionError("no instance owns the group")
+
+    async def heal(self):
+        """Ends every fault but the deaths."""
+        for process in [*self.databases.values(), *self.instances.values()]:
+            if process.alive:
+                process.thaw()
+        await self.fault_platform(all={"down": False})
+        for name, process in self.databases.items():
+            if process.alive:
+                await self.fault_database(name, cut=[])
+
+    async def surviving_log(self, group="g1"):
+        """The request ids in the log of the primary of the last term."""
+        pages = [
+            await self.log_of(name)
+            for name, process in self.databases.items()
+            if name.startswith(group) and process.alive
+        ]
+        last = max(pages, key=lambda page: page["last"])
+        return [
+            entry["request_id"]
+            for entry in last["entries"]
+            if entry["request_id"] is not None
+        ]
+
     async def wait_started(self, instance, count):
         """Waits until an instance has a number of requests in hand."""
         while True:
@@ -137,9 +179,7 @@
         assert answer.status == 200, answer.body
 
     async def log_of(self, name):
-        answer = await call(
-            self.database_addresses[name], "GET", "/v1/log?after=0"
-        )
+        answer = await call(self.database_addresses[name], "GET", "/v1/log")
         return json.loads(answer.body)
 
     async def start_group(self, name, *, slots):
@@ -188,6 +228,7 @@
             operators=self.operators[name],
         )
         cfg["log"] = {"level": "INFO"}
+        self._entries.append(name)
         self.instances[name] = await self._start(
             name, "lagoonstair.service", cfg, b"serving callers"
         )
--- /dev/null
+++ b/tests/test_path_histories.py
@@ -0,0 +1,170 @@
+"""Concurrent orders through real processes under faults, checked by history."""
+
+import itertools
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from histories import Attempt, Read, faults_of
+from lagoonstair.wire import HttpError, NotSentError
+from process_fleet import process_fleet
+
+ZVOLEN = "zlab-zvolen"
+WRITERS = 4
+ORDERS_BEFORE = 3
+ORDERS_DURING = 6
+ORDERS_AFTER = 3
+
+
+class Writer:
+    """A caller that sends orders, roams, and reads each order it wrote."""
+
+    def __init__(self, fleet, number, key):
+        self._fleet = fleet
+        self._number = number
+        self._key = key
+        self._session = None
+        self._entries = itertools.cycle(fleet.entries)
+        self._orders = itertools.count()
+        self.attempts = []
+        self.reads = []
+
+    async def order(self, count):
+        for _ in range(count):
+            name = f"w{self._number}-{next(self._orders)}"
+            if await self._write(name):
+                await self._read(name)
+
+    async def _write(self, name):
+        params = {"order_no": name, "run_mm": 1, "brackets": 1, "sheets": 1}
+        outcomes = []
+        while "answered" not in outcomes:
+            found = await self._send("order-request", params, request_id=name)
+            outcomes.append(found["outcome"])
+        self.attempts.append(Attempt(name, tuple(outcomes)))
+        return True
+
+    async def _read(self, name):
+        found = {"outcome": "not_run"}
+        while found["outcome"] != "answered":
+            found = await self._send("order-status", {"order_no": name})
+        self.reads.append(Read(name, len(found["results"][0])))
+
+    async def _send(self, route, params, **more):
+        if self._session is not None:
+            more["session"] = self._session
+        try:
+            found = await self._fleet.request(
+                next(self._entries),
+                ZVOLEN,
+                route,
+                params,
+                key=self._key,
+                **more,
+            )
+        except NotSentError:
+            return {"outcome": "not_run"}
+        except HttpError:
+            return {"outcome": "unknown"}
+        self._session = found.get("session", self._session)
+        return found
+
+
+async def _kill_primary(fleet):
+    fleet.databases["g1a"].kill()
+
+
+async def _freeze_primary(fleet):
+    fleet.databases["g1a"].freeze()
+
+
+async def _cut_primary_off(fleet):
+    """Cuts the primary from its replicas and from two of three instances."""
+    await fleet.fault_database("g1a", cut=["g1b", "g1c", "i2", "i3"])
+
+
+async def _freeze_owner(fleet):
+    fleet.instances[await fleet.owner()].freeze()
+
+
+async def _kill_owner_and_primary(fleet):
+    owner = await fleet.owner()
+    fleet.entries.remove(owner)
+    fleet.instances[owner].kill()
+    fleet.databases["g1a"].kill()
+
+
+async def _store_down_and_kill_primary(fleet):
+    await fleet.fault_platform(all={"down": True})
+    fleet.databases["g1a"].kill()
+
+
+async def _freeze_owner_across_a_promotion(fleet):
+    fleet.instances[await fleet.owner()].freeze()
+    fleet.databases["g1a"].kill()
+
+
+FAULTS = [
+    _kill_primary,
+    _freeze_primary,
+    _cut_primary_off,
+    _freeze_owner,
+    _kill_owner_and_primary,
+    _store_down_and_kill_primary,
+    _freeze_owner_across_a_promotion,
+]
+
+
+@asynccontextmanager
+async def _writers(tmp_path):
+    async with process_fleet(tmp_path, instances=3, groups=1) as fleet:
+        key = await fleet.apply_samples(ZVOLEN)
+        yield fleet, [Writer(fleet, n, key) for n in range(WRITERS)]
+
+
+async def _all_order(writers, count):
+    async with trio.open_nursery() as nursery:
+        for writer in writers:
+            nursery.start_soon(writer.order, count)
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+async def test_history_keeps_its_promises_through(fault, tmp_path):
+    async with _writers(tmp_path) as (fleet, writers):
+        await _all_order(writers, ORDERS_BEFORE)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_all_order, writers, ORDERS_DURING)
+            await fault(fleet)
+        await fleet.heal()
+        await _all_order(writers, ORDERS_AFTER)
+        log = await fleet.surviving_log()
+    attempts = [a for writer in writers for a in writer.attempts]
+    reads = [r for writer in writers for r in writer.reads]
+    assert len(reads) == WRITERS * (
+        ORDERS_BEFORE + ORDERS_DURING + ORDERS_AFTER
+    )
+    assert faults_of(attempts, reads, log) == []
+
+
+@pytest.mark.parametrize(
+    ("attempt", "rows", "log", "found"),
+    [
+        (Attempt("a", ("answered",)), 1, [], "answered and is lost"),
+        (Attempt("a", ("unknown", "answered")), 1, ["a", "a"], "ran 2 times"),
+        (Attempt("a", ("not_run", "not_run")), 1, ["a"], "refused and ran"),
+        (Attempt("a", ("answered",)), 0, ["a"], "not read by its own"),
+    ],
+)
+def test_the_checker_finds_a_bad_history(attempt, rows, log, found):
+    [fault] = faults_of([attempt], [Read("a", rows)], log)
+    assert found in fault
+
+
+def test_the_checker_passes_a_good_history():
+    attempts = [
+        Attempt("a", ("unknown", "answered")),
+        Attempt("b", ("unknown",)),
+        Attempt("c", ("not_run",)),
+    ]
+    assert faults_of(attempts, [Read("a", 1)], ["a", "b"]) == []
--- a/tests/test_pool_kills.py
+++ b/tests/test_pool_kills.py
@@ -46,7 +46,7 @@
     process = await _process(
         "-m", "lagoonstair.standins.database", "--config", text
     )
-    line = await process.stdout.receive_some()
+    line = await _read_line(process.stdout)
     port = msgspec.json.decode(line)["listening"]
     return process, HttpEndpoint(Address("127.0.0.1", port), "test")
 
@@ -63,7 +63,7 @@
     client = await _process(
         str(TESTS / "pinning_client.py"), str(port), step, "r"
     )
-    assert await client.stdout.receive_some() == b"ready\n"
+    assert await _read_line(client.stdout) == b"ready\n"
     if sent:
         arrived = db.arrived
         db.faults.change({"hold_after": 1})
@@ -126,3 +126,11 @@
         answer = await conn.run(run(add("b"), COUNT))
         assert answer.results in (([], [[1]]), ([], [[2]]))
     await _kill(process)
+
+
+async def _read_line(stream):
+    """Reads up to a line's end, which may come in several parts."""
+    line = b""
+    while not line.endswith(b"\n"):
+        line += await stream.receive_some(1)
+    return line
