--- a/tests/test_groups_decisions.py
+++ b/tests/test_groups_decisions.py
@@ -320,11 +320,14 @@
 
 
 def test_a_term_left_without_a_primary_is_superseded():
-    fenced = [status(n, 5, (4, 30), primary="") for n in "abc"]
+    fenced = [status(n, 5, (4, 30), primary="") for n in "bc"]
     observer = observer_at(1.0, *HEALTHY)
     for report in fenced:
         observer.observe(report.name, report, 1.1)
-    assert observer.snapshot(1.1).primary is None
+    state = observer.snapshot(1.1)
+    assert state.primary is None
+    plan = choose(state, max_age=None, now=1.1, rng=random.Random(1))
+    assert plan.obstacle is Obstacle.UNAVAILABLE
     assert observer.tick(1.2) == []
     assert observer.tick(2.1) == []
     (order,) = observer.tick(2.5)
@@ -371,6 +374,32 @@
     assert [t.member for t in plan.targets] == ["c", "a"]
 
 
+@given(
+    states=st.lists(
+        st.dictionaries(
+            st.sampled_from("abc"), st.sampled_from(State), max_size=3
+        ),
+        min_size=1,
+        max_size=5,
+    ),
+    order=st.randoms(use_true_random=False),
+)
+@settings(derandomize=True, database=None)
+def test_reordered_lists_never_bring_a_leaving_member_back(states, order):
+    observer = observer_at(1.0, *HEALTHY)
+    versions = list(enumerate(states))
+    order.shuffle(versions)
+    newest = -1
+    for version, listed in versions:
+        observer.update_listing(version, listed_group(**listed), 1.0)
+        newest = max(newest, version)
+        leaving = {n for n, s in states[newest].items() if s != State.LIVE}
+        state = observer.snapshot(1.0)
+        plan = choose(state, max_age=None, now=1.0, rng=random.Random(1))
+        used = {t.member for t in plan.targets} | {state.primary}
+        assert not used & leaving
+
+
 def test_a_leaving_primary_hands_over_once_a_member_has_caught_up():
     observer = observer_at(1.0, *HEALTHY)
     observer.update_listing(7, listed_group(a=State.LEAVING), 1.0)
--- a/tests/test_groups_watch.py
+++ b/tests/test_groups_watch.py
@@ -6,11 +6,17 @@
 import pytest
 import trio
 
-from groups_history import Write, missing_writes
+from groups_history import Write, listed_group, missing_writes
 from lagoonstair._types import Position
-from lagoonstair.groups import Confirmation, Obstacle
-from lagoonstair.measure._model import MEDOSTREH, ModelFleet, ModelGroup
-from lagoonstair.ports import Role
+from lagoonstair.groups import Confirmation, GroupWatch, Obstacle
+from lagoonstair.measure._member import Entry
+from lagoonstair.measure._model import (
+    MEDOSTREH,
+    ModelEndpoint,
+    ModelFleet,
+    ModelGroup,
+)
+from lagoonstair.ports import Role, State
 
 
 @asynccontextmanager
@@ -158,8 +164,9 @@
         watch = fleet.watches["instance0"]
         first = await primary_of(watch)
         group.faults.unreachable.add(("instance0", first))
-        while not watch.snapshot().stepped_aside:
-            await watch.wait_change(trio.current_time() + 30)
+        with trio.fail_after(60):
+            while not watch.snapshot().stepped_aside:
+                await watch.wait_change(trio.current_time() + 30)
         assert fleet.serving() is fleet.watches["instance1"]
         _, result = await write(group, fleet.watches["instance1"], "w")
         assert result is Confirmation.CONFIRMED
@@ -207,3 +214,60 @@
             write=beyond, max_age=None, deadline=trio.current_time() + 0.1
         )
         assert plan.obstacle is Obstacle.BEHIND
+
+
+async def test_a_leaving_primary_hands_over_and_gets_no_new_work(
+    autojump_clock,
+):
+    async with running() as (group, fleet):
+        first = await primary_of(fleet.watches["instance0"])
+        leaving = listed_group(tuple(group.members), **{first: State.LEAVING})
+        for watch in fleet.watches.values():
+            watch.update_listing(2, leaving)
+            watch.update_listing(1, group.listed)
+        last = group.members[first].last
+        done, result = await write(group, fleet.watches["instance0"], "w")
+        assert result is Confirmation.CONFIRMED
+        assert done.position.term == last.term + 1
+        assert group.primaries()[0].name != first
+        assert Entry(last.term, "w") not in group.members[first].log
+        plan = fleet.watches["instance0"].choose(max_age=None)
+        assert first not in {t.member for t in plan.targets}
+
+
+async def test_a_primary_that_recovers_while_others_are_asked_stays(
+    autojump_clock,
+):
+    rng = random.Random(1)
+    group = ModelGroup(MEDOSTREH, rng)
+    asked = trio.Event()
+
+    async def ask_peer(name, ask):
+        for event in group.faults.frozen.values():
+            event.set()
+        group.faults.frozen.clear()
+        asked.set()
+        await trio.sleep_forever()
+
+    watch = GroupWatch(
+        group.listed,
+        instance="x",
+        connect=lambda m: ModelEndpoint(group, "x", m.name),
+        ask_peer=ask_peer,
+        rng=rng,
+    )
+    watch.set_watchers(["x", "y"])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(group.replicate)
+        nursery.start_soon(watch.run)
+        await write(group, watch, "first")
+        asked = trio.Event()
+        first = await primary_of(watch)
+        freeze(group, None, first)
+        await asked.wait()
+        while watch._promoting:
+            await watch.wait_change(trio.current_time() + 30)
+        _, result = await write(group, watch, "w")
+        assert result is Confirmation.CONFIRMED
+        assert elections(group) == 1
+        nursery.cancel_scope.cancel()
