--- /dev/null
+++ b/src/lagoonstair/measure/acknowledge.py
@@ -0,0 +1,32 @@
+"""Prints ways A and D: ``python -m lagoonstair.measure.acknowledge``.
+
+All times are virtual seconds of the model group.
+"""
+
+import itertools
+
+import defopt
+from loguru import logger
+
+from lagoonstair.measure._acknowledge import by_position, by_term, run_lagging
+from lagoonstair.measure._model import DEPLOYMENTS
+
+LAGS = (0.01, 0.1, 1.0, 5.0)
+WAYS = {"A": by_position, "D": by_term}
+
+
+def report(*, seed: int = 1) -> None:
+    """Prints stalled and lost writes for each lag and way.
+
+    Args:
+        seed: Seed of every run.
+    """
+    logger.remove()
+    cases = itertools.product(DEPLOYMENTS, LAGS, WAYS.items())
+    for deployment, lag, (name, way) in cases:
+        found = run_lagging(deployment, lag, way, seed)
+        print(f"{deployment.name}: lag up to {lag} s, way {name}: {found}")
+
+
+if __name__ == "__main__":
+    defopt.run(report)
--- a/tests/test_groups_measure.py
+++ b/tests/test_groups_measure.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lagoonstair.measure._acknowledge import by_position, by_term, run_lagging
 from lagoonstair.measure._failover import (
     CAUSES,
     LEASE_SECONDS,
@@ -39,3 +40,10 @@
     share = run_reads(VEMBANAD, ReadCase(0.05, 0.1, 0.01), 1)
     assert share.refused == 0
     assert share.allowed_on_replica >= 0.95 * share.allowed > 0
+
+
+def test_the_term_alone_answers_writes_that_a_promotion_loses():
+    kept = run_lagging(VEMBANAD, 1.0, by_position, 1)
+    lost = run_lagging(VEMBANAD, 1.0, by_term, 1)
+    assert kept.answered > 0
+    assert (kept.lost, lost.lost > 0) == (0, True)
