Leave an isolated primary's log out of its replacement

Cause: a primary that too few replicas hear holds a tail that no majority has; being the most advanced log it was chosen again by every promotion. Excluded: that the choice is unsafe without it (any majority of fenced members holds every answered write); that lag alone triggers it (a replica that hears its primary and applies late counts as hearing).

--- a/src/lagoonstair/groups/_observer.py
+++ b/src/lagoonstair/groups/_observer.py
@@ -282,6 +282,7 @@
 
     def _begin(self, cause: Cause, leader: str | None, now: float) -> Begin:
         silence = self._silence(leader, now)
+        isolated = cause is Cause.ISOLATED
         if cause is Cause.ORPHANED:
             silence = self._lasting("orphaned", True, now)
         return Begin(
@@ -289,6 +290,7 @@
             term=self._top_term() + 1,
             expected=self._alive(now),
             avoid=self._leaving(),
+            excluded=frozenset({leader} if isolated and leader else ()),
             preferred=leader or "",
             silence=silence,
         )
--- a/src/lagoonstair/groups/_orders.py
+++ b/src/lagoonstair/groups/_orders.py
@@ -23,6 +23,7 @@
         term: The new term.
         expected: Members that are alive, whose answer is worth a short wait.
         avoid: Members that are leaving.
+        excluded: Members whose log is not counted.
         preferred: The current primary, chosen among equals.
         silence: Seconds for which this watcher has been without a primary.
     """
@@ -31,6 +32,7 @@
     term: int
     expected: frozenset[str]
     avoid: frozenset[str]
+    excluded: frozenset[str]
     preferred: str
     silence: float
 
--- a/src/lagoonstair/groups/_promotion.py
+++ b/src/lagoonstair/groups/_promotion.py
@@ -65,6 +65,7 @@
         members: Sequence[str],
         expected: Iterable[str],
         avoid: Iterable[str] = (),
+        excluded: Iterable[str] = (),
         preferred: str = "",
         attempts: int = 1,
     ) -> None:
@@ -76,6 +77,8 @@
             members: All members of the group.
             expected: Members whose answer is worth a short wait.
             avoid: Members chosen only if they alone are most advanced.
+            excluded: Members that are fenced and neither counted nor chosen;
+                the others must be a majority without them.
             preferred: The member chosen among equals.
             attempts: How often promote is sent.
         """
@@ -84,6 +87,7 @@
         self._members = tuple(members)
         self._expected = frozenset(expected)
         self._avoid = frozenset(avoid)
+        self._excluded = frozenset(excluded)
         self._preferred = preferred
         self._attempts = attempts
         self._phase = _Phase.FENCING
@@ -123,7 +127,8 @@
         answer = event.answer
         if answer is not None and answer.status.term > self.term:
             return self._give_up(f"term {answer.status.term} was fenced")
-        if answer is not None and answer.granted:
+        counted = event.member not in self._excluded
+        if answer is not None and answer.granted and counted:
             self._granted[event.member] = answer.status
         return self._choose()
 
--- a/src/lagoonstair/groups/_watch.py
+++ b/src/lagoonstair/groups/_watch.py
@@ -296,6 +296,7 @@
             members=list(self._endpoints),
             expected=order.expected,
             avoid=order.avoid,
+            excluded=order.excluded,
             preferred=order.preferred,
             attempts=self._timing.promote_attempts,
         )
