Check histories of orders under faults on real processes

What: four writers roam over the instances and read each order they wrote, through a killed, frozen and cut-off primary, a frozen and a killed owner, the store down with the primary killed, and an owner frozen across a promotion. The cut-off primary was seen failing before (it never ended). Also: the checker's module took the name of another slice's, which broke that slice's collection; both stand now under names of their own.

--- a/tests/histories.py
+++ b/tests/histories.py
@@ -1,53 +1,58 @@
-"""Checks histories of orders against the log that survived."""
+"""Checkers of what a database received and what its callers were told."""
 
 from collections import Counter
-from typing import NamedTuple
 
+import msgspec
 
-class Attempt(NamedTuple):
-    """One order as its caller saw it end.
+from lagoonstair.exceptions import Outcome
+from lagoonstair.standins.database import Received
 
-    Attributes:
-        request_id: The order's id.
-        outcomes: The outcome of each attempt at it, in order.
-    """
+ENDINGS = ("/v1/commit", "/v1/rollback", "closed")
 
-    request_id: str
-    outcomes: tuple[str, ...]
 
+def _tags(call: Received) -> set:
+    statements = msgspec.json.decode(call.body).get("statements", ())
+    return {statement["params"].get("tag") for statement in statements}
 
-class Read(NamedTuple):
-    """A read of an order that the same session had written.
 
-    Attributes:
-        request_id: The order's id.
-        rows: How many rows the read gave.
-    """
+def mixed(received: list[Received]) -> list[str]:
+    """Lists the connections on which two transactions mixed.
 
-    request_id: str
-    rows: int
+    A statement's parameter ``tag`` names its transaction.
+    """
+    open_tags: dict[int, set] = {}
+    faults = []
+    for call in received:
+        tags = open_tags.get(call.connection, set())
+        if call.target in ENDINGS:
+            open_tags.pop(call.connection, None)
+        elif call.target == "/v1/run" and tags:
+            faults.append(f"{call.connection}: run inside {tags}")
+        elif call.target == "/v1/execute":
+            tags = open_tags[call.connection] = tags | _tags(call)
+            if len(tags) > 1:
+                faults.append(f"{call.connection}: {tags} mixed")
+    return faults
 
 
-def faults_of(attempts, reads, log_ids):
-    """Names each promise that a history breaks.
+def broken(
+    rows: list[str], sizes: dict[str, int], claims: dict[str, Outcome]
+) -> list[str]:
+    """Lists the requests that ran in part, twice or against what was told.
 
     Args:
-        attempts: The orders as their callers saw them.
-        reads: The reads of orders that were answered.
-        log_ids: The request ids in the surviving log, in order.
+        rows: The tag of each row that was written.
+        sizes: How many rows each request writes.
+        claims: What each caller was told in the end.
     """
-    counts = Counter(log_ids)
-    faults = [f"{name} ran {n} times" for name, n in counts.items() if n > 1]
-    for attempt in attempts:
-        answered = "answered" in attempt.outcomes
-        if answered and not counts[attempt.request_id]:
-            faults.append(f"{attempt.request_id} was answered and is lost")
-        refused = set(attempt.outcomes) == {"not_run"}
-        if refused and counts[attempt.request_id]:
-            faults.append(f"{attempt.request_id} was refused and ran")
-    faults += [
-        f"{read.request_id} was not read by its own session"
-        for read in reads
-        if read.rows != 1
+    counts = Counter(rows)
+    allowed = {
+        Outcome.ANSWERED: lambda size: {size},
+        Outcome.NOT_RUN: lambda size: {0},
+        Outcome.UNKNOWN: lambda size: {0, size},
+    }
+    return [
+        f"{tag}: {counts[tag]} of {size} rows, told {claims[tag]}"
+        for tag, size in sizes.items()
+        if counts[tag] not in allowed[claims[tag]](size)
     ]
-    return faults
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -94,6 +94,7 @@
         self.callers = {}
         self.operators = {}
         self._entries = []
+        self._lost = {}
 
     async def operate(self, method, target, body=None, *, instance="i1"):
         answer = await call(
@@ -117,6 +118,25 @@
         """The instances that callers use; a test may take some out."""
         return self._entries
 
+    def lose(self, instance):
+        """Has callers give an instance up, as a balancer would."""
+        self._entries.remove(instance)
+        self._lost[instance].set()
+
+    async def request_unless_lost(self, instance, *args, **more):
+        """Sends a request; without an answer once the instance is lost."""
+        answers = []
+        async with trio.open_nursery() as nursery:
+
+            async def send():
+                answers.append(await self.request(instance, *args, **more))
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(send)
+            await self._lost[instance].wait()
+            nursery.cancel_scope.cancel()
+        return answers[0] if answers else {"outcome": "unknown"}
+
     async def owner(self, group="g1"):
         """The instance that owns a group."""
         for name in self.instances:
@@ -229,6 +249,7 @@
         )
         cfg["log"] = {"level": "INFO"}
         self._entries.append(name)
+        self._lost[name] = trio.Event()
         self.instances[name] = await self._start(
             name, "lagoonstair.service", cfg, b"serving callers"
         )
--- a/tests/test_path_histories.py
+++ b/tests/test_path_histories.py
@@ -6,8 +6,8 @@
 import pytest
 import trio
 
-from histories import Attempt, Read, faults_of
 from lagoonstair.wire import HttpError, NotSentError
+from order_histories import Attempt, Read, faults_of
 from process_fleet import process_fleet
 
 ZVOLEN = "zlab-zvolen"
@@ -25,7 +25,7 @@
         self._number = number
         self._key = key
         self._session = None
-        self._entries = itertools.cycle(fleet.entries)
+        self._turns = itertools.count(number)
         self._orders = itertools.count()
         self.attempts = []
         self.reads = []
@@ -54,19 +54,16 @@
     async def _send(self, route, params, **more):
         if self._session is not None:
             more["session"] = self._session
+        entries = self._fleet.entries
+        entry = entries[next(self._turns) % len(entries)]
         try:
-            found = await self._fleet.request(
-                next(self._entries),
-                ZVOLEN,
-                route,
-                params,
-                key=self._key,
-                **more,
+            found = await self._fleet.request_unless_lost(
+                entry, ZVOLEN, route, params, key=self._key, **more
             )
-        except NotSentError:
-            return {"outcome": "not_run"}
-        except HttpError:
-            return {"outcome": "unknown"}
+        except* NotSentError:
+            found = {"outcome": "not_run"}
+        except* HttpError:
+            found = {"outcome": "unknown"}
         self._session = found.get("session", self._session)
         return found
 
@@ -85,13 +82,15 @@
 
 
 async def _freeze_owner(fleet):
-    fleet.instances[await fleet.owner()].freeze()
+    owner = await fleet.owner()
+    fleet.instances[owner].freeze()
+    fleet.lose(owner)
 
 
 async def _kill_owner_and_primary(fleet):
     owner = await fleet.owner()
-    fleet.entries.remove(owner)
     fleet.instances[owner].kill()
+    fleet.lose(owner)
     fleet.databases["g1a"].kill()
 
 
@@ -101,7 +100,7 @@
 
 
 async def _freeze_owner_across_a_promotion(fleet):
-    fleet.instances[await fleet.owner()].freeze()
+    await _freeze_owner(fleet)
     fleet.databases["g1a"].kill()
 
 
