--- a/src/lagoonstair/config/_neighbours.py
+++ b/src/lagoonstair/config/_neighbours.py
@@ -183,7 +183,7 @@
             self._local.hear(word)
             if word.id != member.id:
                 return True
-            if word.version == after and delta.snapshot is not None:
+            if word.version == after:
                 return False
             after = word.version
         return True
--- /dev/null
+++ b/tests/config_world.py
@@ -0,0 +1,209 @@
+"""Several cores on a store and a network whose faults the caller chooses."""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from config_samples import BASE
+from lagoonstair import config
+from lagoonstair._types import Address
+from lagoonstair.config._core import Core
+from lagoonstair.config._log import Entry, History
+
+BOUND = 5.0
+
+
+class Served(NamedTuple):
+    run: config.MemberId
+    version: int
+    keys: frozenset[str]
+    at: float
+
+
+class Accepted(NamedTuple):
+    version: int
+    at: float
+
+
+class HistoryError(AssertionError):
+    """A history breaks a promise."""
+
+
+@dataclass
+class Checker:
+    """Checks what instances served against what was accepted.
+
+    Attributes:
+        states: The configuration at each version of the log.
+    """
+
+    states: list[config.Configuration]
+    accepted: list[Accepted] = field(default_factory=list)
+    _last: dict[config.MemberId, int] = field(default_factory=dict)
+
+    def accept(self, event: Accepted) -> None:
+        if event.version >= len(self.states):
+            raise HistoryError(f"{event} is not durable")
+        self.accepted.append(event)
+
+    def serve(self, event: Served) -> None:
+        if event.version < self._last.get(event.run, 0):
+            raise HistoryError(f"{event} reverts")
+        self._last[event.run] = event.version
+        if event.version >= len(self.states):
+            raise HistoryError(f"{event} was never committed")
+        if event.keys != frozenset(self.states[event.version].keys):
+            raise HistoryError(f"{event} is not complete")
+        for version, at in self.accepted:
+            if event.at > at + BOUND and event.version < version:
+                raise HistoryError(f"{event} is older than {version}")
+            self._check_withdrawn(event, version, at)
+
+    def _check_withdrawn(self, event, version, at):
+        before = frozenset(self.states[version - 1].keys)
+        withdrawn = before - frozenset(self.states[version].keys)
+        if event.at > at + BOUND and withdrawn & event.keys:
+            raise HistoryError(f"{event} has a withdrawn key")
+
+
+class Ask:
+    """A question to all, with the words that have come back."""
+
+    def __init__(self, asker, asked_at):
+        self.asker = asker
+        self.asked_at = asked_at
+        self.words = []
+
+
+class World:
+    """Cores, the store's log, and the messages between them."""
+
+    def __init__(self, size):
+        self.now = 100.0
+        self.cores = {}
+        self.paused = set()
+        self.down = set()
+        self.cut = set()
+        self._runs = 0
+        self._accepted = 0
+        base = Entry(version=1, operation_id="0", accepted=0, change=BASE)
+        self.log = [base]
+        self.history = History().append(base)
+        self.checker = Checker([History().configuration])
+        self.checker.states.append(self.history.configuration)
+        for number in range(size):
+            self.restart(number)
+        for number in range(size):
+            self.push(size - 1, number)
+
+    def linked(self, one, other):
+        reachable = not {one, other} & self.paused
+        return reachable and frozenset((one, other)) not in self.cut
+
+    def partition(self, side):
+        self.cut = {
+            frozenset((one, other))
+            for one in side
+            for other in self.cores
+            if other not in side
+        }
+
+    def restart(self, number):
+        self._runs += 1
+        me = config.MemberId(f"i{number}", f"run{self._runs}")
+        self.cores[number] = Core(me, bound=BOUND, now=self.now)
+        self.paused.discard(number)
+        self.join(number)
+
+    def join(self, number):
+        me = self.cores[number].me
+        member = config.Member(
+            name=me.name,
+            incarnation=me.incarnation,
+            failure_domain="f",
+            peers=Address("10.0.0.1", number),
+        )
+        return self.commit(number, config.MemberJoined(member))
+
+    def commit(self, number, change, *, answer_lost=False):
+        """Commits; returns the version, or None if the store is down."""
+        if number in self.down or number in self.paused:
+            return None
+        core = self.cores[number]
+        core.learn(self.log)
+        entry = Entry(
+            version=len(self.log) + 1,
+            operation_id=str(len(self.log)),
+            accepted=core.accepted,
+            change=change,
+        )
+        self.log.append(entry)
+        self.history = self.history.append(entry)
+        self.checker.states.append(self.history.configuration)
+        if not answer_lost:
+            core.learn([entry])
+        return entry.version
+
+    def read_store(self, number):
+        """Returns the head and when it was asked for, or None."""
+        if number in self.down or number in self.paused:
+            return None
+        return number, len(self.log), self.now
+
+    def deliver_head(self, read):
+        number, head, asked_at = read
+        if number not in self.paused:
+            core = self.cores[number]
+            core.learn(self.log[:head])
+            core.prove_by_store(head, asked_at)
+
+    def push(self, sender, receiver, *, answer_lost=False):
+        if sender == receiver or not self.linked(sender, receiver):
+            return
+        source, target = self.cores[sender], self.cores[receiver]
+        while source.version > target.version:
+            target.take(source.delta_after(target.version))
+        if not answer_lost:
+            source.hear(target.word(self.now))
+
+    def answer(self, ask, number, *, fetch=True, relay=False):
+        """Lets an instance answer a question."""
+        asker = self._number_of(ask.asker)
+        if asker in (None, number) or not self.linked(asker, number):
+            return
+        peer = self.cores[number]
+        word = peer.word(self.now)
+        ask.asker.hear(word)
+        if fetch and word.version > ask.asker.version:
+            ask.asker.take(peer.delta_after(ask.asker.version))
+        ask.words.append(word)
+        if relay:
+            ask.asker.prove_by_peer(word, ask.asked_at)
+
+    def conclude(self, ask):
+        if self._number_of(ask.asker) is not None:
+            ask.asker.prove_by_majority(ask.words, ask.asked_at, self.now)
+
+    def _number_of(self, core):
+        return next((n for n, c in self.cores.items() if c is core), None)
+
+    def advance(self, seconds):
+        while seconds > 0:
+            step = min(seconds, 0.5)
+            seconds -= step
+            self.now += step
+            for number, core in self.cores.items():
+                if number not in self.paused:
+                    core.tick(self.now)
+
+    def check(self):
+        """Records what is accepted and what each instance would serve."""
+        accepted = max(core.accepted for core in self.cores.values())
+        if accepted > self._accepted:
+            self._accepted = accepted
+            self.checker.accept(Accepted(accepted, self.now))
+        for number, core in self.cores.items():
+            if number not in self.paused and core.fresh(self.now):
+                cfg = core.history.configuration
+                keys = frozenset(cfg.keys)
+                event = Served(core.me, cfg.version, keys, self.now)
+                self.checker.serve(event)
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -6,6 +6,8 @@
 from config_fakes import Fleet
 from config_samples import BASE, KEYS, workspace
 from lagoonstair import config
+from lagoonstair.config._messages import ConfigPush
+from lagoonstair.config._neighbours import PUSH_TRIES
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 
 SIZE = 7
@@ -201,3 +203,22 @@
     answer = await fleet.syncs[0].submit(WITHDRAW)
     assert answer.in_force
     assert "i6" not in answer.pending
+
+
+async def test_push_to_a_member_that_does_not_advance_is_given_up(
+    fleet, autojump_clock
+):
+    calls = []
+
+    async def refuse(push, ctx):
+        calls.append(push)
+        if len(calls) > 2 * PUSH_TRIES:
+            raise LagoonstairError(ErrorKind.INTERNAL, "too many pushes")
+        return fleet.syncs[6]._core.word(trio.current_time())
+
+    fleet.net.registries[fleet.addresses[6]].add(ConfigPush, refuse)
+    fleet.store_down(6)
+    answer = await fleet.syncs[0].submit(WITHDRAW)
+    assert answer.in_force
+    await trio.sleep(fleet.timing.accept)
+    assert 0 < len(calls) <= PUSH_TRIES
