--- /dev/null
+++ b/src/lagoonstair/report/_recorder.py
@@ -0,0 +1,165 @@
+"""Counts the requests of one instance in windows of a minute."""
+
+from collections.abc import Callable
+
+from lagoonstair.exceptions import ErrorKind
+from lagoonstair.report import _histogram
+from lagoonstair.report._measurements import (
+    ANSWERED,
+    Measurements,
+    Objectives,
+    WindowCounts,
+    WorkspaceMeasurements,
+)
+from lagoonstair.report._windows import Windows
+
+WINDOW_SECONDS = 60.0
+MAX_WORKSPACES = 4096
+"""Requests of further workspaces are counted together."""
+OTHERS = "others"
+
+FAILURES = frozenset(
+    {
+        ErrorKind.UNAVAILABLE,
+        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorKind.NOT_FRESH,
+        ErrorKind.INTERNAL,
+    }
+)
+"""The kinds that make up a gap in service."""
+REFUSALS_BY_RATE = frozenset({ErrorKind.RATE_LIMITED, ErrorKind.OVERLOADED})
+
+ObjectivesOf = Callable[[str], Objectives]
+
+
+def _default_objectives(workspace: str) -> Objectives:
+    del workspace
+    return Objectives()
+
+
+class _Workspace:
+    """The windows and the latencies of one workspace.
+
+    Attributes:
+        running: The counts of the running minute.
+        windows: The counts of earlier windows.
+        latencies: The latencies of answered requests.
+        failing_since: When the present run of failures began.
+    """
+
+    __slots__ = ("_minute", "failing_since", "latencies", "running", "windows")
+
+    def __init__(self) -> None:
+        self._minute = -1
+        self.running = WindowCounts(age=0)
+        self.windows = Windows()
+        self.latencies = _histogram.make()
+        self.failing_since: float | None = None
+
+    def at(self, minute: int) -> WindowCounts:
+        """Returns the window of a minute, which never goes back."""
+        if minute > self._minute:
+            if self._minute >= 0:
+                self.windows.add(self._minute, self.running)
+            self.windows.fold(minute)
+            self.running = WindowCounts(age=0)
+            self._minute = minute
+        return self.running
+
+
+class Recorder:
+    """Counts requests; memory is bounded whatever callers do.
+
+    A workspace takes one histogram and at most ``MAX_WINDOWS`` windows.
+    """
+
+    def __init__(
+        self, *, objectives_of: ObjectivesOf = _default_objectives
+    ) -> None:
+        """Starts with no counts.
+
+        Args:
+            objectives_of: Tells what a workspace is promised.
+        """
+        self._objectives_of = objectives_of
+        self._workspaces: dict[str, _Workspace] = {}
+
+    def record(
+        self,
+        workspace: str,
+        kind: ErrorKind | None,
+        latency: float,
+        *,
+        served_by_replica: bool = False,
+        within_rate: bool = True,
+        now: float,
+    ) -> None:
+        """Counts one finished request.
+
+        Args:
+            workspace: Whose request it was; it must be a known workspace.
+            kind: The error it was answered with, if any.
+            latency: Seconds from its arrival to its answer.
+            served_by_replica: Whether a replica served it.
+            within_rate: Whether the workspace was inside its rate.
+            now: Monotonic seconds.
+        """
+        state = self._state_of(workspace)
+        window = state.at(int(now // WINDOW_SECONDS))
+        outcome = ANSWERED if kind is None else kind.value
+        window.outcomes[outcome] = window.outcomes.get(outcome, 0) + 1
+        if kind is None:
+            _histogram.record(state.latencies, latency)
+            window.by_replica += served_by_replica
+            window.slow += latency > self._objectives_of(workspace).latency
+        elif within_rate and kind in REFUSALS_BY_RATE:
+            window.refused_within_rate += 1
+        self._follow_gap(state, window, kind, now - latency, now)
+
+    def measurements(self, instance: str, now: float) -> Measurements:
+        """Returns what was counted, with windows by their age."""
+        return Measurements(
+            instance=instance,
+            workspaces={
+                name: self._measure(name, state, now)
+                for name, state in self._workspaces.items()
+            },
+        )
+
+    def _state_of(self, workspace: str) -> _Workspace:
+        state = self._workspaces.get(workspace)
+        if state is None:
+            if len(self._workspaces) >= MAX_WORKSPACES:
+                workspace = OTHERS
+            state = self._workspaces.setdefault(workspace, _Workspace())
+        return state
+
+    def _follow_gap(
+        self,
+        state: _Workspace,
+        window: WindowCounts,
+        kind: ErrorKind | None,
+        began: float,
+        now: float,
+    ) -> None:
+        """Follows a run of failures, from its first arrival to a success."""
+        if kind in FAILURES:
+            if state.failing_since is None:
+                state.failing_since = began
+        elif kind is None and state.failing_since is not None:
+            window.gap = max(window.gap, now - state.failing_since)
+            state.failing_since = None
+
+    def _measure(
+        self, name: str, state: _Workspace, now: float
+    ) -> WorkspaceMeasurements:
+        minute = int(now // WINDOW_SECONDS)
+        state.at(minute)
+        since = state.failing_since
+        running = [state.running] if state.running.outcomes else []
+        return WorkspaceMeasurements(
+            windows=[*running, *state.windows.list(minute)],
+            latencies=_histogram.encode(state.latencies),
+            objectives=self._objectives_of(name),
+            gap=0.0 if since is None else now - since,
+        )
