--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -62,6 +62,7 @@
         self._borrower = Borrower(incarnation, settings)
         self._lines: dict[str, Line] = {}
         self._where: dict[int, str] = {}
+        self._version = 0
 
     def apply(
         self,
@@ -78,15 +79,18 @@
             version: The configuration version.
             limits: The limits of all workspaces.
             created: Workspaces that no earlier version had, of which this
-                run of the instance is among the first holders.
+                run of the instance is among the first holders. Without effect
+                when a version was skipped, which may have named others.
         """
+        skipped = version != self._version + 1
+        self._version = max(self._version, version)
         for workspace in {*self._lender.holders, *limits}:
             self.learn(
                 now,
                 version,
                 workspace,
                 limits.get(workspace),
-                created=workspace in created,
+                created=workspace in created and not skipped,
             )
 
     def learn(
--- a/tests/test_limits_history.py
+++ b/tests/test_limits_history.py
@@ -11,7 +11,9 @@
 )
 
 from lagoonstair.limits import (
+    MICRO,
     Borrower,
+    Limiter,
     LimitSettings,
     ShareHolder,
     WorkspaceLimit,
@@ -283,6 +285,17 @@
     assert script().violations()
 
 
+@pytest.mark.parametrize(("version", "tokens"), [(4, 4), (5, 0)])
+def test_created_workspace_starts_full_unless_a_version_was_skipped(
+    version, tokens
+):
+    limit = WorkspaceLimit.from_config(rate=20, burst=20, holders=NAMES)
+    limiter = Limiter("a", "a1", LimitSettings())
+    limiter.apply(1.0, 3, {})
+    limiter.apply(1.0, version, {"new": limit}, created={"new"})
+    assert limiter.available(1.0, "new") == tokens * MICRO
+
+
 BAD_LIMIT = WorkspaceLimit.from_config(rate=10, burst=4, holders=("a",))
 
 
