--- a/tests/test_pool_kills.py
+++ b/tests/test_pool_kills.py
@@ -35,6 +35,16 @@
     )
 
 
+async def _line(process: trio.Process) -> bytes:
+    """Reads a line, which may come in pieces."""
+    line = b""
+    while not line.endswith(b"\n"):
+        piece = await process.stdout.receive_some()
+        assert piece, "the process has ended"
+        line += piece
+    return line
+
+
 async def _kill(process: trio.Process) -> None:
     process.send_signal(signal.SIGKILL)
     await process.wait()
@@ -46,8 +56,7 @@
     process = await _process(
         "-m", "lagoonstair.standins.database", "--config", text
     )
-    line = await process.stdout.receive_some()
-    port = msgspec.json.decode(line)["listening"]
+    port = msgspec.json.decode(await _line(process))["listening"]
     return process, HttpEndpoint(Address("127.0.0.1", port), "test")
 
 
@@ -63,7 +72,7 @@
     client = await _process(
         str(TESTS / "pinning_client.py"), str(port), step, "r"
     )
-    assert await client.stdout.receive_some() == b"ready\n"
+    assert await _line(client) == b"ready\n"
     if sent:
         arrived = db.arrived
         db.faults.change({"hold_after": 1})
