Work out a large fleet's loads from the slopes

Cause: the capacity page must follow from the measured slopes by arithmetic that anyone can run again. Excluded: figures in the page before the whole run has ended.

--- a/src/lagoonstair/capacity/__main__.py
+++ b/src/lagoonstair/capacity/__main__.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lagoonstair.capacity._fit import Point, Slope
+from lagoonstair.capacity._fleet import loads
 from lagoonstair.capacity._measures import MEASURES, Measure
 
 OUTPUT = Path("build/capacity")
@@ -45,6 +46,19 @@
     load = os.getloadavg()[0]
     note = f"{datetime.date.today()}, load {load:.1f}, {os.cpu_count()} cores"
     (OUTPUT / "slopes.md").write_text(f"{note}\n\n{head}\n{line}\n{rows}\n")
+    if len(slopes) == len(MEASURES):
+        (OUTPUT / "loads.md").write_text(_loads_table(slopes))
+
+
+def _loads_table(slopes: list[Slope]) -> str:
+    values = {slope.name: slope.value for slope in slopes}
+    (status,) = (slope for slope in slopes if slope.name == "status_bytes")
+    values["status_first_bytes"] = status.repeats[0][0].cost
+    rows = "\n".join(
+        f"| {load.role} | {load.what} | {load.value:.3g} | {load.unit} |"
+        for load in loads(values)
+    )
+    return f"| role | what | value | unit |\n{'| --- ' * 4}|\n{rows}\n"
 
 
 def _measure(name: str, measure: Measure) -> Slope:
