--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -1,6 +1,6 @@
 """The decisions of one instance on rate and burst; pure."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Container, Iterator, Mapping
 from dataclasses import dataclass
 
 from lagoonstair.exceptions import ErrorKind
@@ -11,9 +11,6 @@
 from lagoonstair.limits._settings import LimitSettings, WorkspaceLimit
 from lagoonstair.limits._units import MICRO
 
-URGENT_LEFT = MICRO // 2
-"""What a lender must probably have left to be asked at once."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Admit:
@@ -67,11 +64,30 @@
         self._where: dict[int, str] = {}
 
     def apply(
-        self, now: float, version: int, limits: Mapping[str, WorkspaceLimit]
+        self,
+        now: float,
+        version: int,
+        limits: Mapping[str, WorkspaceLimit],
+        *,
+        created: Container[str] = (),
     ) -> None:
-        """Takes the limits of a configuration version; versions in order."""
+        """Takes the limits of a configuration version; versions in order.
+
+        Args:
+            now: The time, in seconds.
+            version: The configuration version.
+            limits: The limits of all workspaces.
+            created: Workspaces that no earlier version had, of which this
+                run of the instance is among the first holders.
+        """
         for workspace in {*self._lender.holders, *limits}:
-            self.learn(now, version, workspace, limits.get(workspace))
+            self.learn(
+                now,
+                version,
+                workspace,
+                limits.get(workspace),
+                created=workspace in created,
+            )
 
     def learn(
         self,
@@ -79,20 +95,24 @@
         version: int,
         workspace: str,
         limit: WorkspaceLimit | None,
+        *,
+        created: bool = False,
     ) -> None:
         """Takes the limit of one workspace from a configuration version."""
         self._lender.expire(now)
         holder = self._lender.holder(workspace)
         if version <= holder.version:
             return
-        holder.configure(now, version, limit)
-        lenders = () if limit is None else limit.holders
-        self._borrower.keep_lenders(workspace, lenders)
+        holder.configure(now, version, limit, created=created)
 
     def request(
         self, now: float, workspace: str, ticket: int, *, fresh: bool
     ) -> list[Effect]:
-        """Admits, refuses or queues a request under a new ticket."""
+        """Admits, refuses or queues a request under a new ticket.
+
+        Without an effect it waits; ``tick`` is to be called soon, once for
+        all requests that have come together.
+        """
         if not fresh:
             return [Refuse(ticket=ticket, kind=ErrorKind.NOT_FRESH)]
         limit = self._limit(workspace)
@@ -107,7 +127,7 @@
             return [self._refusal(ticket, due)]
         line.waiting[ticket] = now + self._settings.max_wait
         self._where[ticket] = workspace
-        return list(self._ask(now))
+        return []
 
     def cancel(self, ticket: int) -> None:
         """Takes a queued request back."""
@@ -131,9 +151,6 @@
             line = self._lines.get(lent.workspace)
             if line is not None:
                 line.note_left(now, lender, lent.left)
-            self._borrower.keep_lenders(
-                lent.workspace, self._holders(lent.workspace)
-            )
         return self.tick(now, fresh=fresh)
 
     def lost(self, now: float, lender: str, seq: int) -> None:
@@ -183,10 +200,6 @@
         holder = self._lender.holders.get(workspace)
         return None if holder is None else holder.limit
 
-    def _holders(self, workspace: str) -> tuple[str, ...]:
-        limit = self._limit(workspace)
-        return () if limit is None else limit.holders
-
     def _spend(self, now: float, workspace: str) -> bool:
         """Spends one token, of its own share first."""
         if self.available(now, workspace) < MICRO:
@@ -275,7 +288,9 @@
             line = self._lines[workspace]
             if limit is None or not line.waiting:
                 continue
-            if self._lefts(now, line, limit)[lender] >= URGENT_LEFT:
+            lefts = self._lefts(now, line, limit)
+            have = self.available(now, workspace) + sum(lefts.values())
+            if lefts[lender] > 0 and have >= MICRO:
                 return True
         return False
 
@@ -292,7 +307,10 @@
             lefts = self._lefts(now, line, limit)
             total = sum(lefts.values())
             for lender, left in lefts.items():
-                part = need * left // total + 1 if total > need else need
+                if total > need:
+                    part = need * left // total + 1
+                else:
+                    part = min(need, max(left, need // len(lefts) + 1))
                 wants.setdefault(lender, {})[workspace] = part
         return wants
 
@@ -300,6 +318,6 @@
         self, now: float, workspace: str, line: Line, limit: WorkspaceLimit
     ) -> int:
         use = min(int(line.use(now) * MICRO), limit.rate)
-        kept = int(use * self._settings.horizon)
+        kept = int(use * self._settings.horizon) // MICRO * MICRO
         have = self.available(now, workspace)
         return kept + len(line.waiting) * MICRO - have
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -1,7 +1,7 @@
 """The shell of the limits slice: admits requests and talks to holders."""
 
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 from typing import TypedDict
 
 import trio
@@ -87,14 +87,26 @@
         self._counts = {"admitted": 0, "refused": 0, "sent": 0, "lost": 0}
         registry.add(TokenAsk, self._answer)
 
-    def apply(self, version: int, limits: Mapping[str, WorkspaceLimit]) -> None:
+    def apply(
+        self,
+        version: int,
+        limits: Mapping[str, WorkspaceLimit],
+        *,
+        created: Container[str] = (),
+    ) -> None:
         """Takes over the limits of all workspaces from a configuration.
 
         To be called on every instance for every version in order, at boot
         too: a share counts from the version that first named its holder.
+
+        Args:
+            version: The configuration version.
+            limits: The limits of all workspaces.
+            created: Workspaces that no earlier version had, if this run of
+                the instance had joined by then.
         """
         self._workspaces = set(limits)
-        self._limiter.apply(self._clock(), version, limits)
+        self._limiter.apply(self._clock(), version, limits, created=created)
 
     async def admit(
         self,
@@ -133,6 +145,8 @@
             self._perform(
                 self._limiter.request(now, workspace, ticket, fresh=fresh)
             )
+            if not waiter.event.is_set():
+                self._wake.set()
             await waiter.event.wait()
         finally:
             del self._waiters[ticket]
@@ -151,11 +165,11 @@
             while True:
                 now = self._clock()
                 fresh = self._fresh(now)
+                self._wake = trio.Event()
                 self._perform(self._limiter.tick(now, fresh=fresh))
                 asks, self._asks = self._asks, []
                 for ask in asks:
                     nursery.start_soon(self._send, ask)
-                self._wake = trio.Event()
                 await self._sleep()
 
     def status(self) -> LimitStatus:
@@ -199,7 +213,6 @@
                     waiter.event.set()
                 case SendAsk():
                     self._asks.append(effect)
-                    self._wake.set()
 
     async def _send(self, send: SendAsk) -> None:
         self._counts["sent"] += 1
@@ -212,6 +225,7 @@
         fresh = self._fresh(now)
         effects = self._limiter.granted(now, send.lender, grant, fresh=fresh)
         self._perform(effects)
+        self._wake.set()
 
     async def _call(self, send: SendAsk) -> TokenGrant | None:
         address = self._addresses(send.lender)
