Collect the four measures into one report

Cause: the users judge by four figures, each beside its baseline. Excluded: the fairness of the queue on its own; the slice has no measure yet, so the worst-served workspace comes from the limits' runs.

--- /dev/null
+++ b/src/lagoonstair/measure/__main__.py
@@ -0,0 +1,42 @@
+"""Runs the four measures and writes one report into a folder."""
+
+from pathlib import Path
+
+import defopt
+from loguru import logger
+
+from lagoonstair.measure._collect import failover, limits, replica_reads
+from lagoonstair.measure._page import write
+from lagoonstair.measure._section import Section
+
+OUTPUT = "build/measure"
+
+
+def report(*, output: str = OUTPUT, runs: int = 20, seed: int = 1) -> None:
+    """Measures failover, replica reads, refusals and the worst workspace.
+
+    Args:
+        output: The folder to write into.
+        runs: Failovers of each cause.
+        seed: The seed of every run.
+    """
+    logger.remove()
+    sections = [failover(runs, seed), replica_reads(seed), *limits()]
+    folder = Path(output)
+    write(sections, folder)
+    for section in sections:
+        print(_text(section))
+    print(f"written to {folder / 'index.html'}")
+
+
+def _text(section: Section) -> str:
+    head = f"{section.name} ({section.unit}; baseline: {section.baseline})"
+    rows = [
+        f"  {bar.label:<40}{bar.value:>10.4g}{bar.baseline:>10.4g}"
+        for bar in section.bars
+    ]
+    return "\n".join([head, *rows, ""])
+
+
+if __name__ == "__main__":
+    defopt.run(report)
