--- a/src/lagoonstair/report/_recorder.py
+++ b/src/lagoonstair/report/_recorder.py
@@ -1,8 +1,9 @@
 """Counts the requests of one instance in windows of a minute."""
 
+import contextlib
 from collections.abc import Callable
 
-from lagoonstair.exceptions import ErrorKind
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.report import _histogram
 from lagoonstair.report._measurements import (
     ANSWERED,
@@ -45,9 +46,17 @@
         windows: The counts of earlier windows.
         latencies: The latencies of answered requests.
         failing_since: When the present run of failures began.
+        objectives: What the workspace was promised last.
     """
 
-    __slots__ = ("_minute", "failing_since", "latencies", "running", "windows")
+    __slots__ = (
+        "_minute",
+        "failing_since",
+        "latencies",
+        "objectives",
+        "running",
+        "windows",
+    )
 
     def __init__(self) -> None:
         self._minute = -1
@@ -55,6 +64,7 @@
         self.windows = Windows()
         self.latencies = _histogram.make()
         self.failing_since: float | None = None
+        self.objectives = Objectives()
 
     def at(self, minute: int) -> WindowCounts:
         """Returns the window of a minute, which never goes back."""
@@ -79,7 +89,8 @@
         """Starts with no counts.
 
         Args:
-            objectives_of: Tells what a workspace is promised.
+            objectives_of: Tells what a workspace is promised; it may raise
+                ``LagoonstairError`` for a workspace that was removed.
         """
         self._objectives_of = objectives_of
         self._workspaces: dict[str, _Workspace] = {}
@@ -111,7 +122,8 @@
         if kind is None:
             _histogram.record(state.latencies, latency)
             window.by_replica += served_by_replica
-            window.slow += latency > self._objectives_of(workspace).latency
+            self._update_objectives(workspace, state)
+            window.slow += latency > state.objectives.latency
         elif within_rate and kind in REFUSALS_BY_RATE:
             window.refused_within_rate += 1
         self._follow_gap(state, window, kind, now - latency, now)
@@ -134,6 +146,11 @@
             state = self._workspaces.setdefault(workspace, _Workspace())
         return state
 
+    def _update_objectives(self, workspace: str, state: _Workspace) -> None:
+        """Takes the present promise; a removed workspace keeps its last."""
+        with contextlib.suppress(LagoonstairError):
+            state.objectives = self._objectives_of(workspace)
+
     def _follow_gap(
         self,
         state: _Workspace,
@@ -155,11 +172,12 @@
     ) -> WorkspaceMeasurements:
         minute = int(now // WINDOW_SECONDS)
         state.at(minute)
+        self._update_objectives(name, state)
         since = state.failing_since
         running = [state.running] if state.running.outcomes else []
         return WorkspaceMeasurements(
             windows=[*running, *state.windows.list(minute)],
             latencies=_histogram.encode(state.latencies),
-            objectives=self._objectives_of(name),
+            objectives=state.objectives,
             gap=0.0 if since is None else now - since,
         )
--- a/tests/test_report_burn.py
+++ b/tests/test_report_burn.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lagoonstair.exceptions import ErrorKind
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.report import (
     Measurements,
     Metrics,
@@ -191,6 +191,23 @@
     assert "http" not in page
 
 
+def test_a_removed_workspace_keeps_its_counts_and_its_promise():
+    promises = {"a": Objectives(served=0.5)}
+
+    def objectives_of(workspace):
+        if workspace not in promises:
+            raise LagoonstairError(ErrorKind.NOT_FOUND, "removed")
+        return promises[workspace]
+
+    recorder = Recorder(objectives_of=objectives_of)
+    recorder.record("a", None, 0.01, now=0.0)
+    del promises["a"]
+    recorder.record("a", None, 0.01, now=1.0)
+    (workspace,) = _report(recorder, now=2.0).workspaces
+    assert workspace.answered == 2
+    assert workspace.burns[0].target == 0.5
+
+
 def test_measurements_travel_as_json():
     recorder = _recorder()
     recorder.record("a", ErrorKind.UNAVAILABLE, 0.01, now=0.0)
