--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,9 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m lagoonstair.bench
+
+measure: $(STAMP)
+	$(BIN)/python -m lagoonstair.measure
+
+capacity: $(STAMP)
+	$(BIN)/python -m lagoonstair.capacity
--- a/src/lagoonstair/config/_sync.py
+++ b/src/lagoonstair/config/_sync.py
@@ -118,6 +118,11 @@
         """The configuration in force; check ``require_fresh`` beside it."""
         return self._core.history.configuration
 
+    @property
+    def accepted(self) -> int:
+        """The greatest version in force here that is known as accepted."""
+        return self._core.accepted
+
     def fresh(self, now: float) -> bool:
         """Tells whether the configuration in force may be served."""
         return self._core.fresh(now)
--- a/src/lagoonstair/limits/_holder.py
+++ b/src/lagoonstair/limits/_holder.py
@@ -1,5 +1,6 @@
 """One instance's share of one workspace's rate and burst."""
 
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -26,10 +27,18 @@
 
 
 class _Past(NamedTuple):
-    """An earlier place, which limits the share until ``until`` (ns)."""
+    """An earlier place, which still limits the share.
+
+    Attributes:
+        part: The place.
+        version: The configuration version that replaced it.
+        until: When it stops to limit the share (ns); ``None`` before the
+            version is known to be accepted.
+    """
 
     part: _Part
-    until: int
+    version: int
+    until: int | None
 
 
 NO_PART = _Part(0, 0)
@@ -49,8 +58,18 @@
         lent: Micro-tokens lent, and neither reported spent nor expired.
     """
 
-    def __init__(self, name: str, settings: LimitSettings) -> None:
+    def __init__(
+        self, name: str, settings: LimitSettings, *, accepted: float = math.inf
+    ) -> None:
+        """Makes an empty share.
+
+        Args:
+            name: The instance's name.
+            settings: Times of lending and waiting.
+            accepted: The greatest configuration version known as accepted.
+        """
         self._name = name
+        self._accepted = accepted
         self._delay = to_nanos(settings.share_delay)
         self._part = NO_PART
         self._past: deque[_Past] = deque()
@@ -85,7 +104,7 @@
         skipped = self.version > 0 and version > self.version + 1
         part = self._place(limit)
         if part != self._part or skipped:
-            self._replace_part(now, part, skipped)
+            self._replace_part(now, version, part, skipped)
         self.version = version
         self.limit = limit
         self._clamp()
@@ -99,6 +118,21 @@
         self._at = to_nanos(now)
         self._balance = self._cap()
 
+    def accept(self, now: float, version: float) -> None:
+        """Notes that a configuration version was accepted.
+
+        Only from then on must every other instance learn the version or stop
+        within the freshness bound, so only from then on does the delay count.
+        """
+        self._accepted = version
+        until = to_nanos(now) + self._delay
+        self._past = deque(
+            past._replace(until=until)
+            if past.until is None and past.version <= version
+            else past
+            for past in self._past
+        )
+
     def available(self, now: float) -> int:
         """Micro-tokens that may be spent or lent now."""
         self._advance(now)
@@ -133,18 +167,24 @@
             return NO_PART
         return _Part(len(limit.holders), limit.holders.index(self._name))
 
-    def _replace_part(self, now: float, part: _Part, skipped: bool) -> None:
-        until = to_nanos(now) + self._delay
-        self._past.append(_Past(self._part, until))
+    def _replace_part(
+        self, now: float, version: int, part: _Part, skipped: bool
+    ) -> None:
+        accepted = version <= self._accepted
+        until = to_nanos(now) + self._delay if accepted else None
+        self._past.append(_Past(self._part, version, until))
         if skipped:
-            self._past.append(_Past(NO_PART, until))
+            self._past.append(_Past(NO_PART, version, until))
         self._part = part
         self._remainder = 0
 
     def _advance(self, now: float) -> None:
         now_ns = to_nanos(now)
-        while self._past and self._past[0].until <= now_ns:
-            self._accrue(self._past[0].until)
+        while self._past:
+            until = self._past[0].until
+            if until is None or until > now_ns:
+                break
+            self._accrue(until)
             self._past.popleft()
             self._remainder = 0
         self._accrue(now_ns)
--- a/src/lagoonstair/limits/_lender.py
+++ b/src/lagoonstair/limits/_lender.py
@@ -1,6 +1,7 @@
 """The lending side: an instance's shares and what it has lent."""
 
 import heapq
+import math
 from dataclasses import dataclass, field
 
 from lagoonstair.limits._holder import ShareHolder
@@ -46,6 +47,7 @@
     def __init__(self, name: str, settings: LimitSettings) -> None:
         self._name = name
         self._settings = settings
+        self._accepted = math.inf
         self._accounts: dict[tuple[str, str], _Account] = {}
         self._expiries: list[tuple[float, tuple[str, str], str, int]] = []
         self.holders: dict[str, ShareHolder] = {}
@@ -54,10 +56,18 @@
         """The share of a workspace, made when it is first named."""
         holder = self.holders.get(workspace)
         if holder is None:
-            holder = ShareHolder(self._name, self._settings)
+            holder = ShareHolder(
+                self._name, self._settings, accepted=self._accepted
+            )
             self.holders[workspace] = holder
         return holder
 
+    def accept(self, now: float, version: float) -> None:
+        """Notes the greatest configuration version known as accepted."""
+        self._accepted = version
+        for holder in self.holders.values():
+            holder.accept(now, version)
+
     def answer(
         self, now: float, borrower: str, ask: TokenAsk, *, fresh: bool
     ) -> TokenGrant:
--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -93,6 +93,13 @@
                 created=workspace in created and not skipped,
             )
 
+    def accept(self, now: float, version: int) -> None:
+        """Notes the greatest configuration version known as accepted.
+
+        Without a call, every version counts as accepted when it is learned.
+        """
+        self._lender.accept(now, version)
+
     def learn(
         self,
         now: float,
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -61,6 +61,7 @@
         clock: Callable[[], float] = trio.current_time,
         *,
         settings: LimitSettings | None = None,
+        accepted: Callable[[], int] | None = None,
     ) -> None:
         """Registers the handler of asks.
 
@@ -72,6 +73,8 @@
             fresh: Whether the configuration may be relied on at a time.
             clock: The monotonic time in seconds.
             settings: Times of lending and waiting.
+            accepted: The greatest configuration version known as accepted;
+                without it, each one counts as accepted when it is applied.
         """
         self._peers = peers
         self._addresses = addresses
@@ -79,6 +82,8 @@
         self._clock = clock
         self._settings = settings or LimitSettings()
         self._limiter = Limiter(name, secrets.token_hex(8), self._settings)
+        self._accepted = accepted
+        self._accepted_seen = -1
         self._waiters: dict[int, _Waiter] = {}
         self._last_ticket = 0
         self._asks: list[SendAsk] = []
@@ -106,6 +111,7 @@
                 the instance had joined by then.
         """
         self._workspaces = set(limits)
+        self._take_accepted()
         self._limiter.apply(self._clock(), version, limits, created=created)
 
     async def admit(
@@ -131,6 +137,7 @@
                 token is due, or ``NOT_FRESH``.
         """
         now = self._clock()
+        self._take_accepted()
         limit = WorkspaceLimit.from_config(
             rate=rate, burst=burst, holders=holders
         )
@@ -164,6 +171,7 @@
             nursery.start_soon(self._tidy)
             while True:
                 now = self._clock()
+                self._take_accepted()
                 fresh = self._fresh(now)
                 self._wake = trio.Event()
                 self._perform(self._limiter.tick(now, fresh=fresh))
@@ -188,6 +196,14 @@
             tokens=tokens,
         )
 
+    def _take_accepted(self) -> None:
+        if self._accepted is None:
+            return
+        version = self._accepted()
+        if version != self._accepted_seen:
+            self._accepted_seen = version
+            self._limiter.accept(self._clock(), version)
+
     async def _sleep(self) -> None:
         now = self._clock()
         wake_at = self._limiter.wake_at(now)
--- a/src/lagoonstair/service/_daemon.py
+++ b/src/lagoonstair/service/_daemon.py
@@ -191,6 +191,7 @@
             settings=LimitSettings(
                 freshness_bound=settings.timing.freshness_bound
             ),
+            accepted=lambda: self.config.accepted,
         )
         self.groups = Groups(
             settings.name,
--- a/tests/test_limits_service.py
+++ b/tests/test_limits_service.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from lagoonstair._types import Address
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
@@ -21,7 +22,8 @@
 class Fleet:
     """Services whose calls reach each other's handlers directly."""
 
-    def __init__(self, nursery):
+    def __init__(self, nursery, *, accepted=None):
+        self.accepted = accepted
         self.fresh = dict.fromkeys(NAMES, True)
         self.dead = set()
         self.registries = {name: Registry() for name in NAMES}
@@ -32,6 +34,7 @@
                 self.registries[name],
                 lambda peer: Address(peer, 1),
                 lambda now, name=name: self.fresh[name],
+                accepted=None if accepted is None else lambda: self.accepted,
             )
             for name in NAMES
         }
@@ -155,3 +158,17 @@
     fleet.apply(rate=1, burst=12)
     with pytest.raises(LagoonstairError):
         await fleet.admit("a")
+
+
+async def test_a_share_waits_until_its_version_is_accepted(
+    autojump_clock, nursery
+):
+    fleet = Fleet(nursery, accepted=0)
+    fleet.apply(rate=100, burst=12)
+    await trio.testing.wait_all_tasks_blocked()
+    await trio.sleep(10 * SETTINGS.share_delay)
+    with pytest.raises(LagoonstairError):
+        await fleet.admit("a")
+    fleet.accepted = 1
+    await trio.sleep(2 * SETTINGS.share_delay + 5)
+    await fleet.admit("a")
