--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -104,10 +104,18 @@
         assert answer.status < 400, found
         return found
 
-    async def apply_samples(self, workspace):
-        """Applies both samples and issues a key for one workspace."""
+    async def apply_samples(self, workspace, **params):
+        """Applies both samples and issues a key for one workspace.
+
+        Args:
+            workspace: The workspace.
+            params: Its parameters, where they differ from the sample's.
+        """
         for sample in ("medostreh", "vembanad"):
-            await self.operate("POST", "/v1/apply", load_sample(sample))
+            body = load_sample(sample)
+            if workspace in body["workspaces"]:
+                body["workspaces"][workspace]["params"].update(params)
+            await self.operate("POST", "/v1/apply", body)
         issued = await self.operate(
             "POST", "/v1/keys", {"workspace": workspace}
         )
