--- a/src/lagoonstair/membership/_ranking.py
+++ b/src/lagoonstair/membership/_ranking.py
@@ -1,6 +1,6 @@
 """Rendezvous hashing of duties over the instances."""
 
-import itertools
+import heapq
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -13,6 +13,10 @@
 """How many instances hold a share of a workspace's rate."""
 
 
+Domains = tuple[tuple[bytes, ...], ...]
+"""The encoded names of the instances of each failure domain."""
+
+
 class Ranked(NamedTuple):
     """An instance that can be given duties.
 
@@ -25,7 +29,9 @@
     failure_domain: str
 
 
-def rank(duty: str, instances: Iterable[Ranked]) -> tuple[str, ...]:
+def rank(
+    duty: str, instances: Iterable[Ranked], count: int | None = None
+) -> tuple[str, ...]:
     """Orders instances for a duty, the first being responsible.
 
     The order alternates failure domains: every domain's best instance comes
@@ -35,27 +41,39 @@
     Args:
         duty: The name of the duty.
         instances: The instances to order.
+        count: How many to return; all without it.
 
     Returns:
-        The names of all instances, in order.
+        The names of the instances, in order.
     """
-    scored = sorted(
-        (_score(duty, instance.name), instance) for instance in instances
-    )
-    seen: dict[str, int] = {}
+    return _rank(duty, _by_domain(instances), count)
+
+
+def _by_domain(instances: Iterable[Ranked]) -> Domains:
+    domains: dict[str, list[bytes]] = {}
+    for instance in instances:
+        names = domains.setdefault(instance.failure_domain, [])
+        names.append(instance.name.encode())
+    return tuple(tuple(names) for names in domains.values())
+
+
+def _rank(duty: str, domains: Domains, count: int | None) -> tuple[str, ...]:
+    seed = xxhash.xxh64_intdigest(duty.encode())
+    score = xxhash.xxh64_intdigest
     rows = []
-    for score, instance in scored:
-        row = seen.get(instance.failure_domain, 0)
-        seen[instance.failure_domain] = row + 1
-        rows.append((row, score, instance.name))
-    return tuple(name for _, _, name in sorted(rows))
+    for names in domains:
+        scored = [(score(name, seed), name) for name in names]
+        best = heapq.nsmallest(count or len(scored), scored)
+        rows += [(row, *scored_name) for row, scored_name in enumerate(best)]
+    rows.sort()
+    return tuple(name.decode() for _, _, name in rows[:count])
 
 
 class Ranking:
     """Ranks duties over one set of instances and remembers the results."""
 
     def __init__(self, instances: Iterable[Ranked]) -> None:
-        self._instances = tuple(sorted(instances))
+        self._domains = _by_domain(instances)
         self._owners: dict[str, tuple[str, ...]] = {}
         self._holders: dict[str, tuple[str, ...]] = {}
 
@@ -63,7 +81,7 @@
         """The owner of a group and its standbys, in order."""
         found = self._owners.get(group)
         if found is None:
-            found = self._first(f"group:{group}", OWNERS)
+            found = _rank(f"group:{group}", self._domains, OWNERS)
             self._owners[group] = found
         return found
 
@@ -71,13 +89,6 @@
         """The holders of a workspace's shares, in order."""
         found = self._holders.get(workspace)
         if found is None:
-            found = self._first(f"workspace:{workspace}", HOLDERS)
+            found = _rank(f"workspace:{workspace}", self._domains, HOLDERS)
             self._holders[workspace] = found
         return found
-
-    def _first(self, duty: str, count: int) -> tuple[str, ...]:
-        return tuple(itertools.islice(rank(duty, self._instances), count))
-
-
-def _score(duty: str, name: str) -> int:
-    return xxhash.xxh64_intdigest(f"{duty}\0{name}".encode())
