Let the daemon use the retry decisions that are proved

Cause: the daemon had attempts of its own beside the retries slice, whose histories prove at most once and the truth of a refusal; so what was proved was not what ran. What: the dispatcher and the writes use Attempts, its budget and its backoff; the second class is gone. A commit that one owner left unknown stays unknown when the next one refuses. The budget is 200 saved retries and 10 a second (10 and 1 before), since an owner's death fails all that it had in hand at once.

--- a/src/lagoonstair/retries/_budget.py
+++ b/src/lagoonstair/retries/_budget.py
@@ -14,8 +14,8 @@
     """
 
     ratio: float = 0.1
-    per_second: float = 1.0
-    burst: float = 10.0
+    per_second: float = 10.0
+    burst: float = 200.0
 
 
 class RetryBudget:
--- a/src/lagoonstair/service/_daemon.py
+++ b/src/lagoonstair/service/_daemon.py
@@ -262,6 +262,7 @@
             connect=self._connect,
             make_watch=self._make_watch,
             transaction_idle=self.daemon.settings.timing.transaction_idle,
+            rng=self.rng,
         )
 
     def _make_watch(self, listed: ListedGroup) -> GroupWatch:
--- a/src/lagoonstair/service/_dispatch.py
+++ b/src/lagoonstair/service/_dispatch.py
@@ -1,6 +1,5 @@
 """Sends a request from its entry instance to the owner of its group."""
 
-import itertools
 import random
 from typing import Protocol
 
@@ -10,11 +9,20 @@
 from lagoonstair.exceptions import ErrorKind, LagoonstairError, Outcome
 from lagoonstair.membership import Suspects
 from lagoonstair.peers import PeerClient, PeerLostError, PeerNotSentError
-from lagoonstair.retries import Backoff, RetryBudget
-from lagoonstair.service._attempts import Attempts
+from lagoonstair.retries import (
+    Again,
+    Attempts,
+    Decision,
+    Effect,
+    RetryBudget,
+    Stop,
+)
 from lagoonstair.service._messages import EndTransaction, Executed, Forward
+from lagoonstair.service._refusals import truth, unavailable, unknown
 
-NO_OWNER = "no owner of the group was reached"
+MAX_ATTEMPTS = 12
+PEER_ERRORS = (LagoonstairError, PeerLostError, PeerNotSentError)
+NO_OWNER = unavailable("no instance has joined that could own the group")
 
 ELSEWHERE = frozenset(
     {ErrorKind.UNAVAILABLE, ErrorKind.DRAINING, ErrorKind.NOT_FRESH}
@@ -68,7 +76,6 @@
         self._suspects = suspects
         self._budget = budget
         self._rng = rng
-        self._backoff = Backoff()
 
     async def forward(self, group: str, req: Forward) -> Executed:
         """Runs a request at an owner of its group.
@@ -80,18 +87,31 @@
             LagoonstairError: No attempt succeeded; the kind is true of all
                 attempts together.
         """
-        self._budget.count_request(trio.current_time())
-        attempts = Attempts()
+        now = trio.current_time()
+        self._budget.count_request(now)
+        attempts = Attempts(
+            repeatable=True,
+            deadline=now + req.time_left,
+            most=MAX_ATTEMPTS,
+        )
+        last = NO_OWNER
+        tried: set[str] = set()
         with trio.move_on_after(req.time_left):
-            for number in itertools.count(1):
-                for owner in self._ordered(group):
-                    result = await self._attempt(owner, req, attempts)
-                    if result is not None:
-                        return result
-                    if not self._budget.take(trio.current_time()):
-                        raise attempts.failure(NO_OWNER)
-                await trio.sleep(self._backoff.wait(number, self._rng))
-        raise attempts.failure(NO_OWNER)
+            while owner := self._next_owner(group, tried):
+                attempts.start()
+                try:
+                    result = await self._send(owner, req)
+                except PEER_ERRORS as exc:
+                    last = self._note(owner, exc)
+                    match self._failed(attempts, last):
+                        case Again(wait=wait):
+                            await trio.sleep(wait)
+                        case Stop():
+                            break
+                else:
+                    self._suspects.clear(owner)
+                    return result
+        raise truth(attempts.outcome, last)
 
     async def end(self, owner: str, req: EndTransaction) -> Executed:
         """Ends a transaction at the instance that holds it.
@@ -103,14 +123,19 @@
             LagoonstairError: The transaction was not ended, or its outcome
                 is unknown.
         """
-        attempts = Attempts()
-        owners = (owner, *self._ordered(req.group))
-        with trio.move_on_after(req.time_left):
-            for name in dict.fromkeys(owners):
-                result = await self._attempt(name, req, attempts)
-                if result is not None:
-                    return result
-        raise attempts.failure(NO_OWNER)
+        errors = []
+        for name in dict.fromkeys((owner, *self._ordered(req.group))):
+            try:
+                return await self._once(name, req)
+            except LagoonstairError as exc:
+                errors.append(exc)
+                if not _may_succeed_elsewhere(exc):
+                    break
+        outcomes = {exc.answer.outcome for exc in errors}
+        unknown_too = Outcome.UNKNOWN in outcomes
+        raise truth(
+            Outcome.UNKNOWN if unknown_too else Outcome.NOT_RUN, errors[-1]
+        )
 
     async def forward_to(self, owner: str, req: Forward) -> Executed:
         """Runs a request in a transaction at the instance that holds it.
@@ -119,50 +144,54 @@
             LagoonstairError: The request did not run, or its outcome is
                 unknown.
         """
-        attempts = Attempts()
-        with trio.move_on_after(req.time_left):
-            result = await self._attempt(owner, req, attempts)
-            if result is not None:
-                return result
-        raise attempts.failure(NO_OWNER)
+        return await self._once(owner, req)
 
     def _ordered(self, group: str) -> tuple[str, ...]:
         owners = self._directory.owners(group)
         return self._suspects.order(owners, trio.current_time())
 
-    async def _attempt(
-        self,
-        owner: str,
-        req: Forward | EndTransaction,
-        attempts: Attempts,
-    ) -> Executed | None:
-        """Makes one attempt; returns None when another may succeed."""
-        before = attempts.maybe_ran
-        attempts.maybe_ran = True
-        try:
-            result = await self._send(owner, req)
-        except PeerNotSentError as exc:
-            attempts.maybe_ran = before
-            self._suspects.suspect(owner, trio.current_time())
-            attempts.last = LagoonstairError(
-                ErrorKind.UNAVAILABLE, f"owner {owner} is not reached: {exc}"
-            )
-        except PeerLostError:
-            self._suspects.suspect(owner, trio.current_time())
-            attempts.note(
-                LagoonstairError(
-                    ErrorKind.OUTCOME_UNKNOWN, f"owner {owner} was lost"
-                )
-            )
-        except LagoonstairError as exc:
-            attempts.maybe_ran = before
-            attempts.note(exc)
-            if not _may_succeed_elsewhere(exc):
-                raise attempts.failure(NO_OWNER) from exc
-        else:
-            self._suspects.clear(owner)
-            return result
-        return None
+    def _next_owner(self, group: str, tried: set[str]) -> str | None:
+        """The owner to try next; all of them again once all were tried."""
+        owners = self._ordered(group)
+        if tried.issuperset(owners):
+            tried.clear()
+        found = next((name for name in owners if name not in tried), None)
+        if found is not None:
+            tried.add(found)
+        return found
+
+    async def _once(
+        self, owner: str, req: Forward | EndTransaction
+    ) -> Executed:
+        """Makes one attempt, within the time that the caller waits."""
+        with trio.move_on_after(req.time_left):
+            try:
+                return await self._send(owner, req)
+            except PEER_ERRORS as exc:
+                raise self._note(owner, exc) from exc
+        raise unknown(f"owner {owner} did not answer in time")
+
+    def _note(self, owner: str, exc: Exception) -> LagoonstairError:
+        """Suspects an owner that is not reached; returns the error's kind."""
+        match exc:
+            case LagoonstairError():
+                return exc
+            case PeerNotSentError():
+                self._suspects.suspect(owner, trio.current_time())
+                return unavailable(f"owner {owner} is not reached")
+        self._suspects.suspect(owner, trio.current_time())
+        return unknown(f"owner {owner} was lost")
+
+    def _failed(self, attempts: Attempts, last: LagoonstairError) -> Decision:
+        effect = Effect(
+            last.answer.outcome, retryable=_may_succeed_elsewhere(last)
+        )
+        return attempts.failed(
+            effect,
+            now=trio.current_time(),
+            budget=self._budget,
+            rng=self._rng,
+        )
 
     async def _send(
         self, owner: str, req: Forward | EndTransaction
--- a/src/lagoonstair/service/_group_runtime.py
+++ b/src/lagoonstair/service/_group_runtime.py
@@ -1,13 +1,22 @@
 """What an owner holds of one group: its watch, connections and slots."""
 
+import random
 from collections.abc import Callable
 
 import trio
 
+from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.groups import GroupWatch
 from lagoonstair.pool import ConnectionPool, PinnedTransactions, PoolLimits
 from lagoonstair.ports import Endpoint, ListedEndpoint, ListedGroup
 from lagoonstair.queueing import SlotScheduler
+from lagoonstair.retries import (
+    Attempts,
+    BudgetLimits,
+    Decision,
+    Effect,
+    RetryBudget,
+)
 from lagoonstair.service._refusals import unavailable
 
 Connect = Callable[[ListedEndpoint], Endpoint]
@@ -70,6 +79,7 @@
         connect: Connect,
         make_watch: MakeWatch,
         transaction_idle: float,
+        rng: random.Random,
     ) -> None:
         """Prepares the group; ``run`` starts it.
 
@@ -78,11 +88,14 @@
             connect: Makes the adapter to a member.
             make_watch: Makes the watch of the group.
             transaction_idle: Seconds after which a silent transaction ends.
+            rng: Spreads retries.
         """
         self.name = listed.name
         self.watch = make_watch(listed)
         self._connect = connect
         self._transaction_idle = transaction_idle
+        self._budget = RetryBudget(BudgetLimits(), trio.current_time())
+        self._rng = rng
         self._nursery: trio.Nursery | None = None
         self._databases: dict[str, DatabaseRuntime] = {}
         for member in listed.members:
@@ -107,6 +120,17 @@
             raise unavailable(f"database {name} is not listed any more")
         return found
 
+    def after_failure(
+        self, attempts: Attempts, exc: LagoonstairError, retryable: bool
+    ) -> Decision:
+        """Decides whether a write is sent to the primary again."""
+        return attempts.failed(
+            Effect(exc.answer.outcome, retryable=retryable),
+            now=trio.current_time(),
+            budget=self._budget,
+            rng=self._rng,
+        )
+
     def load(self) -> dict[str, float]:
         """How much of each member's slots is in use."""
         return {
--- a/src/lagoonstair/service/_refusals.py
+++ b/src/lagoonstair/service/_refusals.py
@@ -1,6 +1,6 @@
 """Turns what an endpoint or a plan says into the closed list of errors."""
 
-from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.exceptions import ErrorKind, LagoonstairError, Outcome
 from lagoonstair.groups import Obstacle
 from lagoonstair.ports import EndpointRefusal, EndpointRefusedError
 
@@ -56,3 +56,15 @@
 def unavailable(message: str) -> LagoonstairError:
     """The error for a request that could not start."""
     return LagoonstairError(ErrorKind.UNAVAILABLE, message)
+
+
+def truth(outcome: Outcome, last: LagoonstairError) -> LagoonstairError:
+    """The error that is true of all attempts at a request together.
+
+    Args:
+        outcome: What is known of all attempts.
+        last: The error of the last one.
+    """
+    if outcome is last.answer.outcome:
+        return last
+    return unknown("an attempt may have run; repeat with the same request id")
--- a/src/lagoonstair/service/_writes.py
+++ b/src/lagoonstair/service/_writes.py
@@ -15,14 +15,19 @@
     RunAnswer,
     Statement,
 )
-from lagoonstair.service._attempts import Attempts
+from lagoonstair.retries import Again, Attempts, Stop
 from lagoonstair.service._group_runtime import GroupRuntime
 from lagoonstair.service._messages import EndTransaction, Executed, Forward
 from lagoonstair.service._reads import next_call_id
-from lagoonstair.service._refusals import refusal_error, unavailable, unknown
+from lagoonstair.service._refusals import (
+    refusal_error,
+    truth,
+    unavailable,
+    unknown,
+)
 from lagoonstair.sessions import GroupMark
 
-RETRY_SECONDS = 0.05
+MAX_ATTEMPTS = 12
 SLOW_SECONDS = 0.1
 
 RETRIED = frozenset({ErrorKind.UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN})
@@ -46,24 +51,28 @@
     Raises:
         LagoonstairError: The write did not run, or its outcome is unknown.
     """
-    attempts = Attempts()
-    while trio.current_time() < deadline:
+    attempts = Attempts(repeatable=True, deadline=deadline, most=MAX_ATTEMPTS)
+    last = unavailable("the group has no primary")
+    while True:
         state = await group.watch.wait_primary(deadline=deadline)
         if state.primary is None:
             break
+        attempts.start()
         try:
             answer = await _commit(
                 group, state, req, statements, deadline, recheck
             )
             await confirm(group, answer, deadline)
         except LagoonstairError as exc:
-            attempts.note(exc)
-            if exc.kind not in RETRIED:
-                break
-            await trio.sleep(RETRY_SECONDS)
-            continue
-        return executed_write(group, state.primary, answer, req, instance)
-    raise attempts.failure("the group has no primary")
+            last = exc
+            match group.after_failure(attempts, exc, exc.kind in RETRIED):
+                case Again(wait=wait):
+                    await trio.sleep(wait)
+                case Stop():
+                    break
+        else:
+            return executed_write(group, state.primary, answer, req, instance)
+    raise truth(attempts.outcome, last)
 
 
 async def confirm(
