Bound a member's time for a read; drain and withdraw around transactions

What: after a second a read goes to another member. Reads and writes share one way to a slot and a connection; the two servers share one listener.

--- a/src/lagoonstair/peers/_server.py
+++ b/src/lagoonstair/peers/_server.py
@@ -23,7 +23,12 @@
     verify,
 )
 from lagoonstair.peers._outbox import Outbox
-from lagoonstair.wire import FrameReader, FrameTooLargeError, write_frame
+from lagoonstair.wire import (
+    FrameReader,
+    FrameTooLargeError,
+    listen,
+    write_frame,
+)
 
 NONCE_BYTES = 16
 HANDSHAKE_SECONDS = 5.0
@@ -111,11 +116,7 @@
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Listens until cancelled; reports the port once it listens."""
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        bound = listeners[0].socket.getsockname()[1]
-        async with trio.open_nursery() as nursery:
-            await nursery.start(trio.serve_listeners, self._serve, listeners)
-            task_status.started(bound)
+        await listen(self._serve, host, port, task_status)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         reader = FrameReader(stream)
--- a/src/lagoonstair/service/_caller_messages.py
+++ b/src/lagoonstair/service/_caller_messages.py
@@ -1,7 +1,7 @@
 """What callers send and get, as JSON."""
 
 import re
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -118,6 +118,8 @@
 _route_requests = msgspec.json.Decoder(RouteRequest)
 _end_requests = msgspec.json.Decoder(EndRequest)
 
+BodyT = TypeVar("BodyT", RouteRequest, EndRequest)
+
 
 def decode_route_request(req: HttpRequest) -> RouteRequest:
     """Decodes the body of a request to run a route.
@@ -125,12 +127,7 @@
     Raises:
         LagoonstairError: Names the fault and its place.
     """
-    try:
-        body = _route_requests.decode(req.body or b"{}")
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise LagoonstairError(ErrorKind.BAD_REQUEST, str(exc)) from None
-    _check_request_id(body.request_id)
-    return body
+    return _decode(_route_requests, req)
 
 
 def decode_end_request(req: HttpRequest) -> EndRequest:
@@ -139,8 +136,12 @@
     Raises:
         LagoonstairError: Names the fault and its place.
     """
+    return _decode(_end_requests, req)
+
+
+def _decode(decoder: msgspec.json.Decoder[BodyT], req: HttpRequest) -> BodyT:
     try:
-        body = _end_requests.decode(req.body or b"{}")
+        body = decoder.decode(req.body or b"{}")
     except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
         raise LagoonstairError(ErrorKind.BAD_REQUEST, str(exc)) from None
     _check_request_id(body.request_id)
--- a/src/lagoonstair/service/_daemon.py
+++ b/src/lagoonstair/service/_daemon.py
@@ -60,6 +60,7 @@
         callers: Where callers connect, once it listens.
         operators: Where operators connect, once it listens.
         peers: Where peers connect, once it listens.
+        ended: Set once it serves nobody any more.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -69,6 +70,7 @@
         self.callers: Address | None = None
         self.operators: Address | None = None
         self.peers: Address | None = None
+        self.ended = trio.Event()
         self._drain_asked = trio.Event()
 
     def request_drain(self) -> None:
@@ -85,6 +87,7 @@
             await self._drain_asked.wait()
             self.drained_whole = await parts.drain()
             nursery.cancel_scope.cancel()
+        self.ended.set()
 
 
 class _Parts:
--- a/src/lagoonstair/service/_reads.py
+++ b/src/lagoonstair/service/_reads.py
@@ -1,27 +1,16 @@
 """Runs reads on the members that may serve them."""
 
-import itertools
 from collections.abc import Callable
 
 import trio
 
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.groups import ReadTarget
-from lagoonstair.ports import (
-    EndpointRefusedError,
-    EndpointUnreachableError,
-    ResultUnknownError,
-    Run,
-    RunAnswer,
-    Statement,
-)
+from lagoonstair.ports import ResultUnknownError, Run, RunAnswer, Statement
+from lagoonstair.service._calls import lent_connection, next_call_id
 from lagoonstair.service._group_runtime import GroupRuntime
 from lagoonstair.service._messages import Executed, Forward
-from lagoonstair.service._refusals import (
-    obstacle_error,
-    refusal_error,
-    unavailable,
-)
+from lagoonstair.service._refusals import obstacle_error, unavailable
 from lagoonstair.sessions import GroupMark
 
 REPLICA_WAIT_SECONDS = 0.05
@@ -29,14 +18,17 @@
 
 RETRY_SECONDS = 0.05
 
-ELSEWHERE = frozenset({ErrorKind.UNAVAILABLE, ErrorKind.OVERLOADED})
-
-_call_ids = itertools.count(1)
+MEMBER_SECONDS = 1.0
+"""How long one member may take before another one is tried."""
 
-
-def next_call_id() -> int:
-    """A number for the next call on any connection."""
-    return next(_call_ids)
+ELSEWHERE = frozenset(
+    {
+        ErrorKind.UNAVAILABLE,
+        ErrorKind.OVERLOADED,
+        ErrorKind.OUTCOME_UNKNOWN,
+    }
+)
+"""Errors after which another member may serve the read."""
 
 
 async def run_read(
@@ -99,7 +91,6 @@
     deadline: float,
     recheck: Callable[[], None],
 ) -> RunAnswer:
-    database = group.database(target.member)
     call = Run(
         call_id=next_call_id(),
         term=target.term,
@@ -107,19 +98,13 @@
         statements=statements,
         read_only=True,
     )
-    try:
-        async with (
-            database.slots.slot(
-                req.workspace, deadline=deadline, key_id=req.key_id or ""
-            ),
-            database.pool.connection() as conn,
-        ):
-            recheck()
+    async with lent_connection(
+        group, target.member, req, deadline=deadline
+    ) as conn:
+        recheck()
+        with trio.move_on_after(MEMBER_SECONDS):
             return await conn.run(call)
-    except EndpointRefusedError as exc:
-        raise refusal_error(exc) from exc
-    except (EndpointUnreachableError, ResultUnknownError) as exc:
-        raise unavailable(f"{target.member} did not answer") from exc
+        raise ResultUnknownError("no answer in time")
 
 
 def _executed(
--- a/src/lagoonstair/service/_writes.py
+++ b/src/lagoonstair/service/_writes.py
@@ -9,18 +9,16 @@
 from lagoonstair.ports import (
     EndpointConnection,
     EndpointRefusedError,
-    EndpointUnreachableError,
     ResultUnknownError,
     Run,
     RunAnswer,
     Statement,
 )
 from lagoonstair.retries import Again, Attempts, Stop
+from lagoonstair.service._calls import lent_connection, next_call_id
 from lagoonstair.service._group_runtime import GroupRuntime
 from lagoonstair.service._messages import EndTransaction, Executed, Forward
-from lagoonstair.service._reads import next_call_id
 from lagoonstair.service._refusals import (
-    refusal_error,
     truth,
     unavailable,
     unknown,
@@ -123,7 +121,6 @@
     recheck: Callable[[], None],
 ) -> RunAnswer:
     assert state.primary is not None
-    database = group.database(state.primary)
     call = Run(
         call_id=next_call_id(),
         term=state.term,
@@ -132,21 +129,11 @@
         request_id=req.request_id,
         digest=req.digest,
     )
-    try:
-        async with (
-            database.slots.slot(
-                req.workspace, deadline=deadline, key_id=req.key_id or ""
-            ),
-            database.pool.connection() as conn,
-        ):
-            recheck()
-            return await _run_until_replaced(group, state, conn, call)
-    except EndpointRefusedError as exc:
-        raise refusal_error(exc) from exc
-    except EndpointUnreachableError as exc:
-        raise unavailable(f"{state.primary} is not reached") from exc
-    except ResultUnknownError as exc:
-        raise unknown(f"{state.primary} did not answer") from exc
+    async with lent_connection(
+        group, state.primary, req, deadline=deadline
+    ) as conn:
+        recheck()
+        return await _run_until_replaced(group, state, conn, call)
 
 
 async def _run_until_replaced(
--- a/src/lagoonstair/wire/__init__.py
+++ b/src/lagoonstair/wire/__init__.py
@@ -17,6 +17,7 @@
     HttpResponse,
     HttpServer,
 )
+from lagoonstair.wire._listen import listen
 
 __all__ = [
     "FrameReader",
@@ -29,5 +30,6 @@
     "HttpResponse",
     "HttpServer",
     "NotSentError",
+    "listen",
     "write_frame",
 ]
--- a/src/lagoonstair/wire/_http_server.py
+++ b/src/lagoonstair/wire/_http_server.py
@@ -14,6 +14,7 @@
     ParsedRequest,
     RequestParser,
 )
+from lagoonstair.wire._listen import listen
 
 READ_BYTES = 64 * 1024
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -124,11 +125,7 @@
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Listens until cancelled; reports the port once it listens."""
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        bound = listeners[0].socket.getsockname()[1]
-        async with trio.open_nursery() as nursery:
-            await nursery.start(trio.serve_listeners, self._serve, listeners)
-            task_status.started(bound)
+        await listen(self._serve, host, port, task_status)
 
     def drain(self) -> None:
         """Closes idle connections now and the others after their answer."""
--- /dev/null
+++ b/src/lagoonstair/wire/_listen.py
@@ -0,0 +1,28 @@
+"""Listens on a TCP address."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+ServeStream = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+async def listen(
+    serve_stream: ServeStream,
+    host: str,
+    port: int,
+    task_status: trio.TaskStatus[int],
+) -> None:
+    """Serves each connection until cancelled.
+
+    Args:
+        serve_stream: Serves one connection.
+        host: The IP number to listen on.
+        port: The TCP port; 0 lets the system choose one.
+        task_status: Is told the port once it listens.
+    """
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    bound = listeners[0].socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(trio.serve_listeners, serve_stream, listeners)
+        task_status.started(bound)
--- a/tests/test_path_embedded.py
+++ b/tests/test_path_embedded.py
@@ -5,6 +5,7 @@
 
 import msgspec
 import pytest
+from loguru import logger
 
 from lagoonstair.demo import Fleet, FleetPlan, load_sample
 from lagoonstair.demo._fleet import OPERATOR_KEY, call
@@ -23,9 +24,11 @@
         self.workspace = workspace
         self.key = key
         self.session = None
-        self._addresses = itertools.cycle(
-            [daemon.callers for daemon in fleet.daemons.values()]
-        )
+        self.use([daemon.callers for daemon in fleet.daemons.values()])
+
+    def use(self, addresses):
+        """Sends from now on to each of these addresses in turn."""
+        self._addresses = itertools.cycle(addresses)
 
     async def send(self, target, body, *, key=None):
         answer = await call(
@@ -195,17 +198,67 @@
     assert (first.status, second.status) == (200, 401)
 
 
-async def test_no_database_receives_a_key(fleet, zvolen):
-    await zvolen.run("order-request", ORDER)
-    await zvolen.run("order-status", {"order_no": "Z-1"})
-    secret = zvolen.key.split("_")[2].encode()
+async def test_no_database_and_no_log_receives_a_key(fleet, zvolen):
+    logged = []
+    sink = logger.add(logged.append, level="TRACE", format="{message}")
+    routes = {
+        "order-request": ORDER,
+        "order-status": {"order_no": "Z-1"},
+        "catalogue-price": {"profile": "K5", "price_cents": 1},
+        "catalogue-lookup": {"profile": "K5"},
+        "site-note": {"site": "s", "note": "n"},
+        "site-notes": {"site": "s"},
+        "no-such-route": {},
+    }
+    for route, params in routes.items():
+        await zvolen.run(route, params)
+        await zvolen.run(route, {"wrong": 1})
+    first = await zvolen.run("order-request", ORDER, transaction="begin")
+    token = first["transaction"]
+    await zvolen.send(f"transactions/{token}/commit", {})
+    logger.remove(sink)
     received = [
         await call(address, "GET", "/admin/received?after=0")
         for address in fleet.database_addresses.values()
     ]
+    secret = zvolen.key.split("_")[2]
     assert any(b"order_no" in answer.body for answer in received)
-    assert not any(secret in answer.body for answer in received)
+    assert not any(secret.encode() in answer.body for answer in received)
     assert not any(b"Bearer" in answer.body for answer in received)
+    assert not any(secret in line for line in logged)
+
+
+async def test_drain_waits_for_an_open_transaction(fleet):
+    kochi = Caller(fleet, KOCHI, await fleet.issue_key(KOCHI))
+    await kochi.run("stock-blank", {"blank": "MG-11", "free": 5})
+    reserve = {"blank": "MG-11", "hold": "h"}
+    first = await kochi.run("reserve", reserve, transaction="begin")
+    owner = fleet.daemons[first["served_by"]["instance"]]
+    owner.request_drain()
+    others = [d.callers for d in fleet.daemons.values() if d is not owner]
+    kochi.use(others)
+    target = f"transactions/{first['transaction']}/commit"
+    assert (await kochi.send(target, {}))["outcome"] == "answered"
+    await owner.ended.wait()
+    assert owner.drained_whole
+    found = await kochi.run("hold-status", {"hold": "h"})
+    assert found["results"] == [[["h", "MG-11", "held", 0]]]
+
+
+async def test_withdrawn_key_ends_its_open_transaction(fleet):
+    key = await fleet.issue_key(KOCHI)
+    kochi = Caller(fleet, KOCHI, key)
+    await kochi.run("stock-blank", {"blank": "MG-11", "free": 5})
+    reserve = {"blank": "MG-11", "hold": "h"}
+    first = await kochi.run("reserve", reserve, transaction="begin")
+    await fleet.operate("DELETE", f"/v1/keys/{key.split('_')[1]}")
+    target = f"transactions/{first['transaction']}/commit"
+    assert (await kochi.send(target, {}))["outcome"] == "not_run"
+    other = Caller(fleet, KOCHI, await fleet.issue_key(KOCHI))
+    found = await other.send(target, {})
+    assert found["outcome"] != "answered"
+    found = await other.run("hold-status", {"hold": "h"})
+    assert found["results"] == [[]]
 
 
 async def test_operator_needs_an_operators_key(fleet, zvolen):
--- a/tests/test_path_histories.py
+++ b/tests/test_path_histories.py
@@ -76,6 +76,10 @@
     fleet.databases["g1a"].freeze()
 
 
+async def _freeze_replica(fleet):
+    fleet.databases["g1b"].freeze()
+
+
 async def _cut_primary_off(fleet):
     """Cuts the primary from its replicas and from two of three instances."""
     await fleet.fault_database("g1a", cut=["g1b", "g1c", "i2", "i3"])
@@ -107,6 +111,7 @@
 FAULTS = [
     _kill_primary,
     _freeze_primary,
+    _freeze_replica,
     _cut_primary_off,
     _freeze_owner,
     _kill_owner_and_primary,
