Kill a primary that is ahead; keep a transaction open while draining

Cause: trials with a guard taken out passed: a lagging replica had received what it had not applied, so nothing was lost; and the drain's commit outran the end. What: replicas are cut off until the primary has an entry that they lack, then it is killed; twenty requests go by before the commit.

--- a/src/lagoonstair/demo/_fleet.py
+++ b/src/lagoonstair/demo/_fleet.py
@@ -57,6 +57,7 @@
 
     Attributes:
         platform: The platform's stand-in.
+        listing: The first list of instances and groups.
         databases: The databases' stand-ins by name.
         database_addresses: Where each of them listens.
         daemons: The instances by name.
@@ -66,6 +67,7 @@
         self._plan = plan
         self._nursery = nursery
         self.platform: PlatformStandin
+        self.listing = ListingChange()
         self.databases: dict[str, Database] = {}
         self.database_addresses: dict[str, Address] = {}
         self.daemons: dict[str, Daemon] = {}
@@ -82,7 +84,7 @@
             f"i{number}": Address(HOST, free_port())
             for number in range(1, plan.instances + 1)
         }
-        listing = ListingChange(
+        fleet.listing = ListingChange(
             instances=tuple(
                 ListedInstance(
                     name=name, failure_domain=domain_of(index), peers=address
@@ -91,7 +93,7 @@
             ),
             groups=tuple(groups),
         )
-        port = await fleet._start_platform(listing)
+        port = await fleet._start_platform(fleet.listing)
         async with trio.open_nursery() as starting:
             for index, (name, address) in enumerate(peers.items()):
                 text = fleet._settings(name, domain_of(index), address, port)
--- a/tests/test_path_embedded.py
+++ b/tests/test_path_embedded.py
@@ -9,6 +9,7 @@
 
 from lagoonstair.demo import Fleet, FleetPlan, load_sample
 from lagoonstair.demo._fleet import OPERATOR_KEY, call
+from lagoonstair.ports import State
 from lagoonstair.wire import HttpConnection
 
 ZVOLEN = "zlab-zvolen"
@@ -17,6 +18,14 @@
 ORDER = {"order_no": "Z-1", "run_mm": 6000, "brackets": 12, "sheets": 3}
 
 
+async def _until_listed(operators, version):
+    """Waits until an instance has seen a version of the platform's list."""
+    found = {"listing_version": 0}
+    while found["listing_version"] < version:
+        answer = await call(operators, "GET", "/v1/status", key=OPERATOR_KEY)
+        found = json.loads(answer.body)
+
+
 class Caller:
     """A caller with one key, whose requests go to each instance in turn."""
 
@@ -237,6 +246,8 @@
     owner.request_drain()
     others = [d.callers for d in fleet.daemons.values() if d is not owner]
     kochi.use(others)
+    for _ in range(20):
+        await kochi.run("portal-lookup", {"blank": "MG-11"})
     target = f"transactions/{first['transaction']}/commit"
     assert (await kochi.send(target, {}))["outcome"] == "answered"
     await owner.ended.wait()
@@ -261,6 +272,35 @@
     assert found["results"] == [[]]
 
 
+async def test_leaving_database_gets_no_new_work(fleet, zvolen):
+    await zvolen.run("order-request", ORDER)
+    listing = fleet.listing
+    groups = tuple(
+        msgspec.structs.replace(
+            group,
+            members=tuple(
+                msgspec.structs.replace(member, state=State.LEAVING)
+                if member.name == "g1b"
+                else member
+                for member in group.members
+            ),
+        )
+        for group in listing.groups
+    )
+    fleet.platform.change_listing(
+        msgspec.structs.replace(listing, groups=groups)
+    )
+    for daemon in fleet.daemons.values():
+        await _until_listed(daemon.operators, 2)
+    served = {
+        (await zvolen.run("order-status", {"order_no": "Z-1"}))["served_by"][
+            "endpoint"
+        ]
+        for _ in range(20)
+    }
+    assert served == {"g1c"}
+
+
 async def test_operator_needs_an_operators_key(fleet, zvolen):
     address = fleet.daemons["i1"].operators
     for key in (None, "x", zvolen.key):
--- a/tests/test_path_histories.py
+++ b/tests/test_path_histories.py
@@ -72,6 +72,18 @@
     fleet.databases["g1a"].kill()
 
 
+async def _kill_primary_that_is_ahead(fleet):
+    """Kills the primary once it holds entries that no replica has received."""
+    for name in ("g1b", "g1c"):
+        await fleet.fault_database(name, cut=["g1a"])
+    before = (await fleet.log_of("g1a"))["last"]
+    while (await fleet.log_of("g1a"))["last"] == before:
+        await trio.lowlevel.checkpoint()
+    fleet.databases["g1a"].kill()
+    for name in ("g1b", "g1c"):
+        await fleet.fault_database(name, cut=[])
+
+
 async def _freeze_primary(fleet):
     fleet.databases["g1a"].freeze()
 
@@ -110,6 +122,7 @@
 
 FAULTS = [
     _kill_primary,
+    _kill_primary_that_is_ahead,
     _freeze_primary,
     _freeze_replica,
     _cut_primary_off,
