Tell a lost session at once; take a closed connection as not sent

Cause: with the confirmation taken out, the history of a killed primary that is ahead did not fail but hung: a read whose session's write is lost waited for its whole time, and was then told 'unknown'. A write on a connection that had just been closed escaped as an internal error. Excluded: the checker (it fails now, as it should: an order was answered and is lost). What: a lost session ends the wait; a closed connection counts as not sent; the owner gives up after nine tenths of the caller's time, so that the reason gets through; the histories fail on any internal error.

--- a/src/lagoonstair/groups/_watch.py
+++ b/src/lagoonstair/groups/_watch.py
@@ -10,7 +10,12 @@
 
 from lagoonstair._types import EMPTY_LOG, Position
 from lagoonstair.exceptions import LagoonstairError
-from lagoonstair.groups._choose import NO_LOAD, ReadPlan, choose
+from lagoonstair.groups._choose import (
+    NO_LOAD,
+    Obstacle,
+    ReadPlan,
+    choose,
+)
 from lagoonstair.groups._confirm import Confirmation, confirmation
 from lagoonstair.groups._messages import GroupView, GroupViewAsk
 from lagoonstair.groups._observer import Observer
@@ -188,6 +193,8 @@
             return latest
         with self._rounds.wanted():
             while latest.wait > 0 or not latest.targets:
+                if latest.obstacle is Obstacle.SESSION_LOST:
+                    return latest
                 until = deadline
                 if latest.targets:
                     until = min(deadline, self._clock() + latest.wait)
--- a/src/lagoonstair/service/_owner.py
+++ b/src/lagoonstair/service/_owner.py
@@ -21,6 +21,9 @@
 WORKSPACE_PARAM = "workspace"
 CATCH_UP_SECONDS = 1.0
 
+OWN_PART = 0.9
+"""The part of a caller's time after which the owner gives up by itself."""
+
 
 class Admission(Protocol):
     """Keeps workspaces to their rate."""
@@ -74,7 +77,7 @@
         if req.transaction_id is None:
             self._started.require_open()
         with self._started.one(), trio.move_on_after(req.time_left):
-            return await self._run(req, trio.current_time() + req.time_left)
+            return await self._run(req, _deadline(req))
         raise unknown("time is up")
 
     async def end(self, req: EndTransaction) -> Executed:
@@ -87,7 +90,7 @@
             await self._catch_up(req.config_version)
             self._require_key(req.key_id)
             group = await self._groups.get(req.group)
-            deadline = trio.current_time() + req.time_left
+            deadline = _deadline(req)
             return await self._transactions.end(group, req, deadline=deadline)
         raise unknown("time is up")
 
@@ -177,6 +180,11 @@
         return await self.end(req)
 
 
+def _deadline(req: Forward | EndTransaction) -> float:
+    """When to give up, early enough for the caller to be told why."""
+    return trio.current_time() + OWN_PART * req.time_left
+
+
 def bind(policy: Policy, req: Forward) -> tuple[Statement, ...]:
     """Binds a request's parameters to its route's statements.
 
--- a/src/lagoonstair/service/_writes.py
+++ b/src/lagoonstair/service/_writes.py
@@ -9,6 +9,7 @@
 from lagoonstair.ports import (
     EndpointConnection,
     EndpointRefusedError,
+    EndpointUnreachableError,
     ResultUnknownError,
     Run,
     RunAnswer,
@@ -28,6 +29,12 @@
 MAX_ATTEMPTS = 12
 SLOW_SECONDS = 0.1
 
+CALL_ERRORS = (
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    ResultUnknownError,
+)
+
 RETRIED = frozenset({ErrorKind.UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN})
 """Errors after which the write is sent again with the same request id."""
 
@@ -141,13 +148,13 @@
 ) -> RunAnswer:
     """Runs a call, and stops waiting once its primary is replaced."""
     answers: list[RunAnswer] = []
-    failures: list[EndpointRefusedError | ResultUnknownError] = []
+    failures: list[Exception] = []
     async with trio.open_nursery() as nursery:
 
         async def run() -> None:
             try:
                 answers.append(await conn.run(call))
-            except (EndpointRefusedError, ResultUnknownError) as exc:
+            except CALL_ERRORS as exc:
                 failures.append(exc)
             nursery.cancel_scope.cancel()
 
--- a/tests/test_path_histories.py
+++ b/tests/test_path_histories.py
@@ -29,6 +29,7 @@
         self._orders = itertools.count()
         self.attempts = []
         self.reads = []
+        self.kinds = set()
 
     async def order(self, count):
         for _ in range(count):
@@ -65,6 +66,7 @@
         except* HttpError:
             found = {"outcome": "unknown"}
         self._session = found.get("session", self._session)
+        self.kinds.add(found.get("error", {}).get("kind"))
         return found
 
 
@@ -162,6 +164,7 @@
         ORDERS_BEFORE + ORDERS_DURING + ORDERS_AFTER
     )
     assert faults_of(attempts, reads, log) == []
+    assert not any("internal" in writer.kinds for writer in writers)
 
 
 @pytest.mark.parametrize(
