--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -161,7 +161,7 @@
         await self.fault_platform(all={"down": False})
         for name, process in self.databases.items():
             if process.alive:
-                await self.fault_database(name, cut=[])
+                await self.fault_database(name, cut=[], lag=0.0)
 
     async def surviving_log(self, group="g1"):
         """The request ids in the log of the primary of the last term."""
--- a/tests/test_path_histories.py
+++ b/tests/test_path_histories.py
@@ -15,6 +15,7 @@
 ORDERS_BEFORE = 3
 ORDERS_DURING = 6
 ORDERS_AFTER = 3
+REPLICA_LAG_SECONDS = 0.3
 
 
 class Writer:
@@ -94,6 +95,11 @@
     fleet.databases["g1b"].freeze()
 
 
+async def _lag_replicas(fleet):
+    for name in ("g1b", "g1c"):
+        await fleet.fault_database(name, lag=REPLICA_LAG_SECONDS)
+
+
 async def _cut_primary_off(fleet):
     """Cuts the primary from its replicas and from two of three instances."""
     await fleet.fault_database("g1a", cut=["g1b", "g1c", "i2", "i3"])
@@ -127,6 +133,7 @@
     _kill_primary_that_is_ahead,
     _freeze_primary,
     _freeze_replica,
+    _lag_replicas,
     _cut_primary_off,
     _freeze_owner,
     _kill_owner_and_primary,
