--- a/tests/test_path_histories.py
+++ b/tests/test_path_histories.py
@@ -15,7 +15,8 @@
 ORDERS_BEFORE = 3
 ORDERS_DURING = 6
 ORDERS_AFTER = 3
-REPLICA_LAG_SECONDS = 0.3
+REPLICA_LAG_SECONDS = 1.0
+"""Within the age that the workspace's reads may have."""
 
 
 class Writer:
@@ -95,9 +96,8 @@
     fleet.databases["g1b"].freeze()
 
 
-async def _lag_replicas(fleet):
-    for name in ("g1b", "g1c"):
-        await fleet.fault_database(name, lag=REPLICA_LAG_SECONDS)
+async def _lag_one_replica(fleet):
+    await fleet.fault_database("g1c", lag=REPLICA_LAG_SECONDS)
 
 
 async def _cut_primary_off(fleet):
@@ -133,7 +133,7 @@
     _kill_primary_that_is_ahead,
     _freeze_primary,
     _freeze_replica,
-    _lag_replicas,
+    _lag_one_replica,
     _cut_primary_off,
     _freeze_owner,
     _kill_owner_and_primary,
