--- a/src/lagoonstair/groups/_watch.py
+++ b/src/lagoonstair/groups/_watch.py
@@ -98,6 +98,11 @@
         """Whether this instance is the group's owner, not a standby."""
         return self._observer.active
 
+    @property
+    def stepped_aside(self) -> bool:
+        """Whether another watcher reaches a primary that this one doesn't."""
+        return self._observer.stepped_aside
+
     def set_watchers(self, ranking: Sequence[str]) -> None:
         """Takes the names of the group's watchers, the owner first."""
         self._ranking = tuple(ranking)
