Drain while booting; name each reason that a start fails for

Cause: a daemon that waited for the platform ignored SIGTERM, since it looked at the drain only after its start; a taken port was logged as a group of one exception; a missing setting was told as found.

--- a/src/lagoonstair/service/_daemon.py
+++ b/src/lagoonstair/service/_daemon.py
@@ -83,7 +83,7 @@
         """Serves until drained; reports once callers are served."""
         async with trio.open_nursery() as nursery:
             parts = await _Parts.start(self, nursery)
-            await parts.serve(task_status)
+            nursery.start_soon(parts.serve, task_status)
             await self._drain_asked.wait()
             self.drained_whole = await parts.drain()
             nursery.cancel_scope.cancel()
@@ -137,6 +137,7 @@
         )
         daemon.operators = Address(listener.host, port)
         await self.nursery.start(self.config.run)
+        logger.info("waiting for the configuration and the platform's list")
         await self.nursery.start(self.listing.run)
         await self.config.wait_fresh()
         with trio.move_on_after(JOIN_SECONDS):
--- a/src/lagoonstair/service/_main.py
+++ b/src/lagoonstair/service/_main.py
@@ -42,11 +42,22 @@
     try:
         exit_code = trio.run(run_until_signal, settings)
     except* OSError as group:
-        for fault in group.exceptions:
+        for fault in leaves(group):
             logger.error("cannot serve: {}", fault)
     return exit_code
 
 
+def leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    """The exceptions in a group and in the groups inside it."""
+    return [
+        leaf
+        for exc in group.exceptions
+        for leaf in (
+            leaves(exc) if isinstance(exc, BaseExceptionGroup) else [exc]
+        )
+    ]
+
+
 async def run_until_signal(settings: Settings) -> int:
     """Runs a daemon and drains it on SIGTERM or SIGINT."""
     daemon = Daemon(settings)
--- a/src/lagoonstair/settings/_load.py
+++ b/src/lagoonstair/settings/_load.py
@@ -44,6 +44,8 @@
 def _describe(fault: object) -> str:
     assert isinstance(fault, dict)
     path = ".".join(str(part) for part in fault["loc"]) or "settings"
+    if fault["type"] == "missing":
+        return f"{path}: expected a value; found nothing"
     if _is_secret(path):
         return f"{path}: {fault['msg']}"
     found = fault.get("input")
--- a/tests/test_path_processes.py
+++ b/tests/test_path_processes.py
@@ -1,12 +1,16 @@
 """The whole path in separate processes, with kills and freezes."""
 
 import itertools
+import json
 import signal
 
 import pytest
 import trio
 
-from process_fleet import process_fleet
+from lagoonstair._types import Address
+from lagoonstair.demo._fleet import HOST, free_port, instance_settings
+from lagoonstair.standins.platform import PlatformConfig, PlatformStandin
+from process_fleet import Process, process_fleet
 
 ZVOLEN = "zlab-zvolen"
 ORDER = {"order_no": "Z-1", "run_mm": 6000, "brackets": 12, "sheets": 3}
@@ -118,3 +122,41 @@
             fleet.instances["i1"].send(signal.SIGTERM)
         assert [answer["outcome"] for answer in answers] == ["answered"] * 4
         assert await fleet.instances["i1"].wait() == 0
+
+
+@pytest.mark.parametrize(
+    ("taken", "line", "code"),
+    [
+        ("platform", b"waiting for the configuration", 0),
+        ("callers", b"cannot serve", 1),
+        ("peers", b"cannot serve", 1),
+    ],
+)
+async def test_a_start_that_cannot_serve_says_why(tmp_path, taken, line, code):
+    addresses = {
+        name: Address(HOST, free_port())
+        for name in ("platform", "callers", "operators", "peers")
+    }
+    cfg = instance_settings(name="i1", domain="a", timing={}, **addresses)
+    cfg["log"] = {"level": "INFO"}
+    path = tmp_path / "i1.json"
+    path.write_text(json.dumps(cfg))
+    args = ["lagoonstair.service", "--config", str(path)]
+    async with trio.open_nursery() as nursery:
+        if taken != "platform":
+            platform = PlatformStandin.from_config(PlatformConfig(host=HOST))
+            port = addresses["platform"].port
+            await nursery.start(platform.serve, HOST, port)
+            await nursery.start(_occupy, addresses[taken])
+        process = await Process.start("i1", args, nursery, ready=line)
+        if code == 0:
+            process.send(signal.SIGTERM)
+        assert await process.wait() == code
+        nursery.cancel_scope.cancel()
+
+
+async def _occupy(address, task_status):
+    [listener] = await trio.open_tcp_listeners(address.port, host=address.host)
+    async with listener:
+        task_status.started()
+        await trio.sleep_forever()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,6 +50,13 @@
     assert [word for word in named if word not in caught.value.message] == []
 
 
+def test_a_missing_field_is_named_as_missing():
+    with pytest.raises(LagoonstairError, match="name: expected a value"):
+        parse_settings(
+            json.dumps({k: v for k, v in GOOD.items() if k != "name"})
+        )
+
+
 def test_a_secret_is_not_repeated():
     with pytest.raises(LagoonstairError) as caught:
         _parse(peer_secret="hunter2")
