--- a/src/lagoonstair/config/_timing.py
+++ b/src/lagoonstair/config/_timing.py
@@ -4,6 +4,9 @@
 
 from lagoonstair.config._freshness import FRESHNESS_BOUND
 
+ASK_PART = 0.25
+TICK_PART = 0.125
+
 POLL_READS_PER_SECOND = 400.0
 """Reads of the head by all instances together."""
 
@@ -38,6 +41,17 @@
     retry: float = 0.1
     reap_after: float = 30.0
 
+    @classmethod
+    def from_bound(cls, bound: float, *, poll: float) -> "SyncTiming":
+        """Makes times that leave room to ask peers within a bound."""
+        usual = cls()
+        return cls(
+            bound=bound,
+            poll=poll,
+            ask_after=min(usual.ask_after, bound * ASK_PART),
+            tick=min(usual.tick, bound * TICK_PART),
+        )
+
     def poll_interval(self, members: int) -> float:
         """Seconds between two reads of the head by one instance."""
         return max(self.poll, members / POLL_READS_PER_SECOND)
--- a/src/lagoonstair/service/_daemon.py
+++ b/src/lagoonstair/service/_daemon.py
@@ -175,8 +175,8 @@
             caller=self.peers,
             registry=self.registry,
             seeds=[seed.address for seed in settings.seeds],
-            timing=SyncTiming(
-                bound=settings.timing.freshness_bound,
+            timing=SyncTiming.from_bound(
+                settings.timing.freshness_bound,
                 poll=settings.timing.config_poll,
             ),
             rng=self.rng,
--- a/src/lagoonstair/service/_front.py
+++ b/src/lagoonstair/service/_front.py
@@ -96,7 +96,7 @@
         parts = [unquote(part) for part in req.target.split("?")[0].split("/")]
         match (req.method, parts):
             case ("GET", ["", "health"]):
-                return HEALTH
+                return self._health()
             case ("POST", ["", "v1", "workspaces", workspace, "routes", route]):
                 return await self._counted(
                     workspace, self._run(req, workspace, route)
@@ -123,6 +123,14 @@
             )
         )
 
+    def _health(self) -> HttpResponse:
+        """Tells the balancer whether this instance may get requests."""
+        try:
+            self._admit()
+        except LagoonstairError as exc:
+            return failed(exc)
+        return HEALTH
+
     async def _counted(
         self, workspace: str, work: Awaitable[_Done]
     ) -> HttpResponse:
--- a/src/lagoonstair/service/_group_runtime.py
+++ b/src/lagoonstair/service/_group_runtime.py
@@ -131,6 +131,14 @@
             rng=self._rng,
         )
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request and no transaction uses the group here."""
+        return all(
+            database.slots.running == 0 and database.pinned.open_count == 0
+            for database in self._databases.values()
+        )
+
     def load(self) -> dict[str, float]:
         """How much of each member's slots is in use."""
         return {
--- a/src/lagoonstair/service/_groups.py
+++ b/src/lagoonstair/service/_groups.py
@@ -62,8 +62,9 @@
             elif self._name in self._owners(name):
                 self._start(group)
             self._set_watchers(name)
-        for name in self._running.keys() - listed.keys():
-            self._stop(name)
+        for name in tuple(self._running):
+            if name not in listed or self._is_given_up(name):
+                self._stop(name)
 
     async def get(self, name: str) -> GroupRuntime:
         """The runtime of a group, started if it isn't running.
@@ -98,6 +99,11 @@
         del self._running[name]
         self._scopes.pop(name).cancel()
 
+    def _is_given_up(self, name: str) -> bool:
+        """Whether others own a group now, and nothing is left to do here."""
+        owned = self._name in self._owners(name)
+        return not owned and self._running[name].idle
+
     def _set_watchers(self, name: str) -> None:
         runtime = self._running.get(name)
         if runtime is not None:
--- /dev/null
+++ b/tests/test_service_front.py
@@ -0,0 +1,39 @@
+"""What the balancer is told."""
+
+import pytest
+
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.service._front import Front
+from lagoonstair.service._started import StartedWork
+from lagoonstair.wire import HttpRequest
+
+HEALTH = HttpRequest(
+    method="GET", target="/health", headers={}, body=b"", connection=1
+)
+
+
+class Config:
+    def __init__(self, *, fresh):
+        self._fresh = fresh
+
+    def require_fresh(self, now):
+        if not self._fresh:
+            raise LagoonstairError(ErrorKind.NOT_FRESH, "no proof")
+
+
+@pytest.mark.parametrize(
+    ("fresh", "draining", "status"),
+    [(True, False, 200), (False, False, 503), (True, True, 503)],
+)
+async def test_health_says_whether_requests_may_come(fresh, draining, status):
+    started = StartedWork()
+    started.draining = draining
+    front = Front(
+        config=Config(fresh=fresh),
+        dispatcher=None,
+        tokens=None,
+        started=started,
+        deadline=1.0,
+        observe=lambda seen: None,
+    )
+    assert (await front.handle(HEALTH)).status == status
