Run the daemon with the times that were measured

Cause: the settings' defaults were a freshness bound of 6 s and a probe timeout of 0.5 s, while the limits and the failover were measured with 5 s and 1 s.

--- a/src/lagoonstair/settings/_settings.py
+++ b/src/lagoonstair/settings/_settings.py
@@ -94,11 +94,11 @@
     """
 
     request_deadline: Seconds = 10.0
-    freshness_bound: Seconds = 6.0
+    freshness_bound: Seconds = 5.0
     config_poll: Seconds = 1.5
     listing_poll: Seconds = 2.0
     probe_interval: Seconds = 0.25
-    probe_timeout: Seconds = 0.5
+    probe_timeout: Seconds = 1.0
     drain_limit: Seconds = 30.0
     transaction_idle: Seconds = 30.0
     owner_suspect: Seconds = 1.0
