Add make soak

Measured: twice the examples of the pool and the retries pass (25 tests, 4.9 s); the whole soak at twenty times was not run.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 
 capacity: $(STAMP)
 	$(BIN)/python -m lagoonstair.capacity
+
+soak: $(STAMP)
+	SOAK=20 $(BIN)/python -m pytest -k 'history or state or decisions'
--- a/tests/test_config_history.py
+++ b/tests/test_config_history.py
@@ -19,6 +19,7 @@
 from lagoonstair.config import _electorates
 from lagoonstair.config._freshness import Proof
 from lagoonstair.config._log import History
+from soak import examples
 
 SIZE = 5
 NUMBER = st.integers(0, SIZE - 1)
@@ -149,7 +150,10 @@
 
 TestInstances = Instances.TestCase
 TestInstances.settings = settings(
-    derandomize=True, max_examples=150, stateful_step_count=50, deadline=None
+    derandomize=True,
+    max_examples=examples(150),
+    stateful_step_count=50,
+    deadline=None,
 )
 
 
--- a/tests/test_groups_history.py
+++ b/tests/test_groups_history.py
@@ -16,12 +16,13 @@
 from lagoonstair.groups import Confirmation
 from lagoonstair.groups._promotion import Promotion
 from lagoonstair.measure._member import Entry, Member
+from soak import examples
 
 SETTINGS = settings(
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=150,
+    max_examples=examples(150),
     stateful_step_count=60,
     suppress_health_check=list(HealthCheck),
 )
--- a/tests/test_limits_history.py
+++ b/tests/test_limits_history.py
@@ -20,6 +20,7 @@
     _lender,
 )
 from limits_fleet import NAMES, Change, Fleet, Process, check
+from soak import examples
 
 SECOND = 1_000_000_000
 LIMITS = st.builds(
@@ -113,7 +114,7 @@
     settings = settings(
         derandomize=True,
         deadline=None,
-        max_examples=150,
+        max_examples=examples(150),
         stateful_step_count=50,
         suppress_health_check=list(HealthCheck),
     )
--- a/tests/test_pool_history.py
+++ b/tests/test_pool_history.py
@@ -24,6 +24,7 @@
 )
 from lagoonstair.retries import effect_of
 from lagoonstair.standins.database import Database, Received
+from soak import examples
 
 SCHEMA = "CREATE TABLE marks (tag TEXT, step INTEGER);"
 MARK = "INSERT INTO marks VALUES (:tag, :step) RETURNING tag, step"
@@ -175,7 +176,7 @@
     return faults, bench.foreign, left
 
 
-@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.settings(derandomize=True, max_examples=examples(60), deadline=None)
 @hypothesis.given(jobs=JOBS)
 def test_transactions_never_mix_and_answers_are_ones_own(jobs):
     named = {f"job{i}": job for i, job in enumerate(jobs)}
--- a/tests/test_pool_state.py
+++ b/tests/test_pool_state.py
@@ -14,6 +14,7 @@
     TransactionKey,
     TransactionTable,
 )
+from soak import examples
 
 LIMITS = PoolLimits(connections=3, warm=1, idle_seconds=5, retry_seconds=2)
 
@@ -114,7 +115,10 @@
 
 TestPoolMachine = PoolMachine.TestCase
 TestPoolMachine.settings = hypothesis.settings(
-    derandomize=True, max_examples=100, stateful_step_count=40, deadline=None
+    derandomize=True,
+    max_examples=examples(100),
+    stateful_step_count=40,
+    deadline=None,
 )
 
 
--- a/tests/test_retries_decisions.py
+++ b/tests/test_retries_decisions.py
@@ -24,6 +24,7 @@
     Stop,
     effect_of,
 )
+from soak import examples
 
 
 def _budget(**limits: float) -> RetryBudget:
@@ -58,7 +59,7 @@
     assert lies([Outcome(o) for o in outcomes], Outcome(claim), False)
 
 
-@hypothesis.settings(derandomize=True, max_examples=300)
+@hypothesis.settings(derandomize=True, max_examples=examples(300))
 @hypothesis.given(
     outcomes=st.lists(st.sampled_from(Outcome), min_size=1, max_size=8),
     repeatable=st.booleans(),
--- a/tests/test_retries_history.py
+++ b/tests/test_retries_history.py
@@ -28,6 +28,7 @@
     effect_of,
 )
 from lagoonstair.standins.database import Database
+from soak import examples
 
 SCHEMA = "CREATE TABLE marks (tag TEXT);"
 MARK = "INSERT INTO marks VALUES (:tag)"
@@ -211,7 +212,7 @@
     return [tag for tag in set(rows) if rows.count(tag) > 1]
 
 
-@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.settings(derandomize=True, max_examples=examples(60), deadline=None)
 @hypothesis.given(steps=STEPS)
 def test_a_request_id_runs_at_most_once_and_not_run_is_true(steps):
     named = {f"write{i}": step for i, step in enumerate(steps)}
