Name once what ends a peer connection

Cause: client and server listed the same five exceptions. Excluded: merging the parsed and the served HTTP request, which differ in what they promise and touch every handler; left for the next read-through. Measured: make check passes as before (605 tests, 205 s). Conclusion: kept; behaviour is unchanged.

--- a/src/lagoonstair/peers/_client.py
+++ b/src/lagoonstair/peers/_client.py
@@ -18,7 +18,7 @@
     sign,
     verify,
 )
-from lagoonstair.peers._outbox import Outbox
+from lagoonstair.peers._outbox import CONNECTION_ERRORS, Outbox
 from lagoonstair.wire import FrameReader, FrameTooLargeError, write_frame
 
 NONCE_BYTES = 16
@@ -73,13 +73,7 @@
                 nursery.start_soon(self._keep_alive)
                 await self._read()
                 nursery.cancel_scope.cancel()
-        except* (
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            FrameTooLargeError,
-            msgspec.MsgspecError,
-            OSError,
-        ):
+        except* CONNECTION_ERRORS:
             pass
         finally:
             self._close()
--- a/src/lagoonstair/peers/_outbox.py
+++ b/src/lagoonstair/peers/_outbox.py
@@ -1,9 +1,20 @@
 """Sends frames of one connection in batches, in order."""
 
+import msgspec
 import trio
 
+from lagoonstair.wire import FrameTooLargeError
 from lagoonstair.wire._frames import LENGTH
 
+CONNECTION_ERRORS = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    FrameTooLargeError,
+    msgspec.MsgspecError,
+    OSError,
+)
+"""What ends a connection: it broke, or what arrived makes no sense."""
+
 
 class Outbox:
     """Frames that wait to be sent on one stream."""
--- a/src/lagoonstair/peers/_server.py
+++ b/src/lagoonstair/peers/_server.py
@@ -22,10 +22,9 @@
     sign,
     verify,
 )
-from lagoonstair.peers._outbox import Outbox
+from lagoonstair.peers._outbox import CONNECTION_ERRORS, Outbox
 from lagoonstair.wire import (
     FrameReader,
-    FrameTooLargeError,
     listen,
     write_frame,
 )
@@ -129,13 +128,7 @@
                 logger.warning("refused an unknown peer")
                 return
             await self._converse(stream, reader, ctx)
-        except* (
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            FrameTooLargeError,
-            msgspec.MsgspecError,
-            OSError,
-        ):
+        except* CONNECTION_ERRORS:
             pass
         finally:
             with trio.CancelScope(shield=True), trio.move_on_after(1):
