--- a/src/lagoonstair/capacity/_store.py
+++ b/src/lagoonstair/capacity/_store.py
@@ -7,9 +7,9 @@
 from lagoonstair.capacity._calls import HOST, SECRET
 from lagoonstair.config import ConfigSync, SyncTiming
 from lagoonstair.peers import PeerClient, PeerServer, Registry
-from lagoonstair.platform import HttpPlatform
 from lagoonstair.standins.platform import (
     Counters,
+    HttpPlatform,
     PlatformConfig,
     PlatformStandin,
 )
--- a/src/lagoonstair/limits/_holder.py
+++ b/src/lagoonstair/limits/_holder.py
@@ -87,18 +87,23 @@
         limit: WorkspaceLimit | None,
         *,
         created: bool = False,
+        resumed: bool = False,
     ) -> None:
         """Takes a limit over from a configuration version.
 
         Versions are to be given one by one. After a skipped version the share
         starts anew, because the skipped one may have given it to others. The
         share of a workspace that was just created starts full and at once,
-        because nobody can have held it before.
+        because nobody can have held it before. A share that an earlier run of
+        this instance held starts empty, as that run may have spent it all, but
+        at once.
         """
         if version <= self.version:
             return
-        if created and self.version == 0:
+        if (created or resumed) and self.version == 0:
             self._create(now, version, limit)
+            if resumed:
+                self._balance = 0
             return
         self._advance(now)
         skipped = self.version > 0 and version > self.version + 1
--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -71,6 +71,7 @@
         limits: Mapping[str, WorkspaceLimit],
         *,
         created: Container[str] = (),
+        resumed: Container[str] = (),
     ) -> None:
         """Takes the limits of a configuration version; versions in order.
 
@@ -81,6 +82,7 @@
             created: Workspaces that no earlier version had, of which this
                 run of the instance is among the first holders. Without effect
                 when a version was skipped, which may have named others.
+            resumed: Workspaces whose share an earlier run held; likewise.
         """
         skipped = version != self._version + 1
         self._version = max(self._version, version)
@@ -91,6 +93,7 @@
                 workspace,
                 limits.get(workspace),
                 created=workspace in created and not skipped,
+                resumed=workspace in resumed and not skipped,
             )
 
     def accept(self, now: float, version: int) -> None:
@@ -108,13 +111,14 @@
         limit: WorkspaceLimit | None,
         *,
         created: bool = False,
+        resumed: bool = False,
     ) -> None:
         """Takes the limit of one workspace from a configuration version."""
         self._lender.expire(now)
         holder = self._lender.holder(workspace)
         if version <= holder.version:
             return
-        holder.configure(now, version, limit, created=created)
+        holder.configure(now, version, limit, created=created, resumed=resumed)
 
     def request(
         self, now: float, workspace: str, ticket: int, *, fresh: bool
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -98,6 +98,7 @@
         limits: Mapping[str, WorkspaceLimit],
         *,
         created: Container[str] = (),
+        resumed: Container[str] = (),
     ) -> None:
         """Takes over the limits of all workspaces from a configuration.
 
@@ -109,10 +110,14 @@
             limits: The limits of all workspaces.
             created: Workspaces that no earlier version had, if this run of
                 the instance had joined by then.
+            resumed: Workspaces whose share an earlier run of this instance
+                held, so that it starts empty but without delay.
         """
         self._workspaces = set(limits)
         self._take_accepted()
-        self._limiter.apply(self._clock(), version, limits, created=created)
+        self._limiter.apply(
+            self._clock(), version, limits, created=created, resumed=resumed
+        )
 
     async def admit(
         self,
@@ -143,6 +148,15 @@
         )
         self._workspaces.add(workspace)
         self._limiter.learn(now, config_version, workspace, limit)
+        await self.admit_known(workspace)
+
+    async def admit_known(self, workspace: str) -> None:
+        """Returns once the request may run, by the limits last applied.
+
+        Raises:
+            LagoonstairError: As ``admit`` does.
+        """
+        now = self._clock()
         self._last_ticket += 1
         ticket = self._last_ticket
         waiter = _Waiter()
--- /dev/null
+++ b/src/lagoonstair/platform/duties.py
@@ -0,0 +1,59 @@
+"""Calls to the platform that one instance at a time may make."""
+
+import enum
+from http import HTTPStatus
+
+import msgspec
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.wire import ConnectionPool, HttpError, NotSentError
+
+HOLDER_HEADER = "X-Lagoonstair-Duty-Holder"
+FENCE_HEADER = "X-Lagoonstair-Fence-Token"
+CALL_SECONDS = 1.0
+"""How long a call may take; the platform answers in some milliseconds."""
+
+
+class PromoteAnswer(enum.Enum):
+    """What the platform said to a promotion."""
+
+    ACCEPTED = "accepted"
+    NOT_RUNNING = "not_running"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Duties:
+    """Calls the platform's duties."""
+
+    def __init__(self, address: Address) -> None:
+        self._pool = ConnectionPool(address, size=2)
+
+    async def promote(
+        self, group: str, endpoint: str, *, holder: str, fence: int
+    ) -> PromoteAnswer:
+        """Has an endpoint lead the group's next term."""
+        body = msgspec.json.encode({"service": group, "id": endpoint})
+        headers = (
+            ("content-type", "application/json"),
+            (HOLDER_HEADER, holder),
+            (FENCE_HEADER, str(fence)),
+        )
+        try:
+            with trio.fail_after(CALL_SECONDS):
+                async with self._pool.lend() as conn:
+                    answer = await conn.call(
+                        "POST", "/promotion", body, headers=headers
+                    )
+        except NotSentError:
+            return PromoteAnswer.REFUSED
+        except (HttpError, trio.TooSlowError):
+            return PromoteAnswer.UNKNOWN
+        match answer.status:
+            case HTTPStatus.OK:
+                return PromoteAnswer.ACCEPTED
+            case HTTPStatus.CONFLICT:
+                return PromoteAnswer.NOT_RUNNING
+            case _:
+                return PromoteAnswer.REFUSED
--- /dev/null
+++ b/src/lagoonstair/platform/operator.py
@@ -0,0 +1,112 @@
+"""The operator's configuration, as it lies in the store."""
+
+import msgspec
+
+from lagoonstair.routing import (
+    Consistency,
+    EntryConfig,
+    GroupConfig,
+    Route,
+    Workspace,
+)
+
+TABLE = "op"
+KEY = "config"
+
+CONSISTENCY = {
+    "primary": Consistency.PRIMARY,
+    "bounded": Consistency.BOUNDED,
+    "read_your_writes": Consistency.SESSION,
+}
+
+
+class _WireRoute(msgspec.Struct):
+    name: str
+    database: str
+    service: str
+    route_type: str
+    timeout_ms: float = 1000
+    target_latency_ms: float = 1000
+    priority: int = 2
+    max_staleness_ms: float = 0
+    # Named public on the wire: the route needs no key.
+    public: bool = False
+
+
+class _WireService(msgspec.Struct):
+    name: str
+    max_conns: int = 30
+    sync_replicas: int = 0
+
+
+class _WireLimits(msgspec.Struct):
+    tx_idle_ms: float = 3000
+
+
+class _WireTenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class _WireConfig(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute]
+    services: list[_WireService]
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireTenant] = []
+
+
+class BadConfigError(Exception):
+    """The stored configuration can't be read."""
+
+
+def decode_config(value: bytes) -> EntryConfig:
+    """Decodes the configuration.
+
+    Raises:
+        BadConfigError: Says what is wrong and where.
+    """
+    try:
+        wire = msgspec.json.decode(value, type=_WireConfig)
+        return EntryConfig(
+            version=wire.version,
+            # The database is the name that callers ask for, not an endpoint.
+            routes={row.database: _route(row) for row in wire.routes},
+            groups={
+                row.name: GroupConfig(
+                    name=row.name,
+                    max_connections=row.max_conns,
+                    synchronous_replicas=row.sync_replicas,
+                )
+                for row in wire.services
+            },
+            workspaces={
+                row.name: Workspace(
+                    name=row.name,
+                    rate=row.rate_per_s,
+                    burst=row.burst,
+                )
+                for row in wire.tenants
+            },
+            keys={
+                key: row.name for row in wire.tenants for key in row.api_keys
+            },
+            transaction_idle=wire.limits.tx_idle_ms / 1000,
+        )
+    except (msgspec.MsgspecError, KeyError) as exc:
+        raise BadConfigError(str(exc)) from exc
+
+
+def _route(row: _WireRoute) -> Route:
+    return Route(
+        name=row.name,
+        group=row.service,
+        consistency=CONSISTENCY[row.route_type],
+        timeout=row.timeout_ms / 1000,
+        target_latency=row.target_latency_ms / 1000,
+        priority=row.priority,
+        max_staleness=row.max_staleness_ms / 1000,
+        open_to_all=row.public,
+    )
--- /dev/null
+++ b/src/lagoonstair/primacy/_cause.py
@@ -0,0 +1,83 @@
+"""Whether a primary is to be replaced, by whom and by which endpoint; pure."""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from lagoonstair._types import Position
+
+FAILING_SECONDS = 0.8
+"""How long a primary must be out of reach; a slow process that is stopped
+for a scheduling period of 0.1 s, or a lost packet, takes less."""
+
+PEER_FAILING_SECONDS = 0.3
+"""How long others must have failed too; they begin to try when asked."""
+
+GONE_SECONDS = 2.5
+"""How long an entry must be missing; after an outage of the store the entries
+of living endpoints are back within two seconds."""
+
+TURN_SECONDS = 0.35
+"""How much later each next instance begins a promotion than the one before;
+more than a transaction takes to be seen by the others."""
+
+
+class Cause(enum.Enum):
+    """Why a primary is replaced."""
+
+    FAILING = "failing"
+    GONE = "gone"
+    LEAVING = "leaving"
+    STALLED = "stalled"
+    UNKNOWN = "unknown"
+
+
+class PrimaryView(NamedTuple):
+    """What is known of a primary.
+
+    Attributes:
+        failing: Seconds for which this instance has not reached it; 0 when
+            it does.
+        others: The same, as others in touch said; below 0 when unknown.
+        missing: Seconds for which its entry has been missing.
+        leaving: Whether it said that it shuts down.
+    """
+
+    failing: float
+    others: tuple[float, ...]
+    missing: float
+    leaving: bool
+
+
+def cause_of(view: PrimaryView) -> Cause | None:
+    """Why the primary is to be replaced, if it is.
+
+    A primary that any instance reaches is not failing: those that are cut
+    off from it leave its work to the others.
+    """
+    if view.leaving:
+        return Cause.LEAVING
+    if view.missing >= GONE_SECONDS:
+        return Cause.GONE
+    if view.failing < FAILING_SECONDS:
+        return None
+    if all(other >= PEER_FAILING_SECONDS for other in view.others):
+        return Cause.FAILING
+    return None
+
+
+def choose_target(
+    received: Mapping[str, Position], *, except_for: Iterable[str]
+) -> str | None:
+    """The endpoint that takes over: the one with the longest log."""
+    names = sorted(received.keys() - set(except_for))
+    return max(names, key=lambda name: received[name], default=None)
+
+
+def turn_of(name: str, alive: Iterable[str], holder: str) -> float:
+    """After how many seconds an instance begins a promotion.
+
+    The holder of the duty comes first, so that it changes seldom.
+    """
+    order = sorted({*alive, name}, key=lambda other: (other != holder, other))
+    return order.index(name) * TURN_SECONDS
--- /dev/null
+++ b/src/lagoonstair/primacy/_primacy.py
@@ -0,0 +1,165 @@
+"""When an instance may rely on a primary; pure.
+
+A promotion begins with a change of the group's record in the store, and its
+instance says so to the others from before that change. An instance uses a
+primary only for ``PROOF_SECONDS`` after it asked for a proof that no
+promotion had begun:
+
+- the record, read from the store;
+- another instance's reading, made older by its age;
+- a word from each registered instance that it knows of no promotion.
+
+The promoter waits until every instance has said that it uses the primary of
+before no more, or until the proofs of the silent ones have run out. So no
+write is acknowledged by, and no read served from, a replaced primary, whoever
+is cut off from whom.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from lagoonstair.primacy._record import GroupRecord
+
+PROOF_SECONDS = 2.0
+"""How long a proof holds; also the longest that a promotion waits for it."""
+
+CLOCK_MARGIN = 1.05
+"""By how much the promoter waits longer: clocks run alike within 1%, and the
+user of a proof needs a moment between its check and its send."""
+
+
+class _Word(NamedTuple):
+    """What another instance said last, and when it was asked (seconds)."""
+
+    asked_at: float
+    members_version: int
+
+
+class Primacy:
+    """One instance's knowledge of the primaries of all groups.
+
+    Every time is monotonic, in seconds.
+
+    Attributes:
+        records: The records by group, as last read from the store.
+        members: The registered instances.
+        members_version: The store's version at which they were registered.
+        store_read_at: When the newest answer of the store was asked for.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._words: dict[str, _Word] = {}
+        self._epochs: dict[str, int] = {}
+        self._starting: dict[str, int] = {}
+        self._relayed_at = float("-inf")
+        self.records: dict[str, GroupRecord] = {}
+        self.members: frozenset[str] = frozenset()
+        self.members_version = 0
+        self.store_read_at = float("-inf")
+
+    def apply(self, group: str, record: GroupRecord) -> bool:
+        """Takes a record from the store; false when it is no newer."""
+        known = self.records.get(group)
+        if known is not None and record.epoch <= known.epoch:
+            return False
+        self.records[group] = record
+        self._epochs[group] = max(self.epoch(group), record.epoch)
+        if self._starting.get(group, 0) <= record.epoch:
+            self._starting.pop(group, None)
+        return True
+
+    def set_members(self, members: Iterable[str], version: int) -> None:
+        """Takes the registered instances from the store."""
+        self.members = frozenset(members)
+        self.members_version = max(self.members_version, version)
+
+    def note_store_read(self, asked_at: float) -> None:
+        """Notes that the records are those of the store at a time."""
+        self.store_read_at = max(self.store_read_at, asked_at)
+
+    def note_word(
+        self,
+        member: str,
+        asked_at: float,
+        *,
+        members_version: int,
+        epochs: Mapping[str, int],
+        store_read_age: float,
+    ) -> None:
+        """Takes what another instance answered.
+
+        Args:
+            member: The instance.
+            asked_at: When it was asked.
+            members_version: At which version it knows the instances.
+            epochs: The newest epoch of each group that it knows of.
+            store_read_age: Seconds since it read the store.
+        """
+        self._words[member] = _Word(asked_at, members_version)
+        behind = members_version > self.members_version
+        for group, epoch in epochs.items():
+            if epoch > self.epoch(group):
+                self._epochs[group] = epoch
+        if not behind and not any(map(self._is_behind, epochs)):
+            self._relayed_at = max(self._relayed_at, asked_at - store_read_age)
+
+    def start(self, group: str) -> int:
+        """Begins a promotion of a group here; returns its epoch."""
+        epoch = self.epoch(group) + 1
+        self._starting[group] = epoch
+        self._epochs[group] = epoch
+        return epoch
+
+    def give_up(self, group: str) -> None:
+        """Ends a promotion that the store has certainly not recorded."""
+        self._starting.pop(group, None)
+        record = self.records.get(group)
+        self._epochs[group] = record.epoch if record else 0
+
+    def epoch(self, group: str) -> int:
+        """The newest epoch of a group that this instance knows of."""
+        return self._epochs.get(group, 0)
+
+    def proved_at(self, now: float) -> float:
+        """When the newest proof was asked for."""
+        return max(self.store_read_at, self._relayed_at, self._unanimous(now))
+
+    def is_proved(self, now: float) -> bool:
+        """Whether no promotion can have come to its end unnoticed."""
+        return now - self.proved_at(now) < PROOF_SECONDS
+
+    def primary(self, group: str, now: float) -> str | None:
+        """The primary, if it may be used now."""
+        record = self.records.get(group)
+        if record is None or record.promoting or self._is_behind(group):
+            return None
+        return record.primary if self.is_proved(now) else None
+
+    def heard(self, now: float, within: float) -> set[str]:
+        """The other members that answered what was asked of late."""
+        return {
+            member
+            for member, word in self._words.items()
+            if member in self.members and now - word.asked_at <= within
+        }
+
+    def has_majority(self, now: float, within: float) -> bool:
+        """Whether more than half of the members are in touch."""
+        return (len(self.heard(now, within)) + 1) * 2 > len(self.members)
+
+    def _is_behind(self, group: str) -> bool:
+        record = self.records.get(group)
+        return self.epoch(group) > (record.epoch if record else 0)
+
+    def _unanimous(self, now: float) -> float:
+        """The oldest of the words of all others, if all of them count."""
+        oldest = now
+        for member in self.members:
+            if member == self._name:
+                continue
+            word = self._words.get(member)
+            if word is None or word.members_version > self.members_version:
+                return float("-inf")
+            oldest = min(oldest, word.asked_at)
+        return oldest if self._name in self.members else float("-inf")
--- /dev/null
+++ b/src/lagoonstair/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The program that runs in front of the database groups."""
--- /dev/null
+++ b/src/lagoonstair/proxy/__main__.py
@@ -0,0 +1,55 @@
+"""Starts an instance."""
+
+import sys
+
+import trio
+from loguru import logger
+
+from lagoonstair.proxy._daemon import Instance
+from lagoonstair.proxy._log import log_event, set_up_logging
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._settings import (
+    InstanceSettings,
+    SettingsError,
+    load_settings,
+)
+
+RETRY_SECONDS = 2.0
+"""Between two tries to read settings that can't be used."""
+
+
+async def _run() -> None:
+    settings = await _wait_settings()
+    set_up_logging(settings.instance)
+    log_event("starting", failure_domain=settings.failure_domain)
+    await Instance(settings, Metrics()).run()
+    log_event("stopped")
+
+
+async def _wait_settings() -> InstanceSettings:
+    """Reads the settings, again and again until they can be used."""
+    told = ""
+    while True:
+        try:
+            return load_settings()
+        except SettingsError as exc:
+            if str(exc) != told:
+                told = str(exc)
+                set_up_logging("")
+                log_event("settings refused", cause=told)
+            await trio.sleep(RETRY_SECONDS)
+
+
+def main() -> None:
+    """Runs an instance until it is told to stop."""
+    try:
+        trio.run(_run)
+    except KeyboardInterrupt:
+        sys.exit(130)
+    except BaseException:
+        logger.exception("failed")
+        raise
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -0,0 +1,266 @@
+"""Puts the parts of an instance together and runs them."""
+
+import signal
+
+import trio
+
+from lagoonstair.peers import PeerClient, PeerServer
+from lagoonstair.peers import Registry as Handlers
+from lagoonstair.platform.discovery import parse_address
+from lagoonstair.platform.duties import Duties
+from lagoonstair.platform.store import Store
+from lagoonstair.proxy._executor import Executor
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._follower import Follower
+from lagoonstair.proxy._front import Front
+from lagoonstair.proxy._gossip import Gossip
+from lagoonstair.proxy._log import log_event
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._promoter import Promoter
+from lagoonstair.proxy._quota import FRESHNESS_SECONDS, SETTINGS, Quota
+from lagoonstair.proxy._registry import Registry
+from lagoonstair.proxy._settings import (
+    InstanceSettings,
+    SettingsError,
+    load_settings,
+)
+from lagoonstair.wire import HttpRequest, HttpResponse, HttpServer
+
+READY_PATH = "/-/readiness"
+
+ROTATION_SECONDS = 2.3
+"""Until callers no longer come: two questions a second apart go unanswered
+with success."""
+
+POLL_SECONDS = 0.05
+"""Between two looks at what is still open while draining."""
+
+LAST_SECONDS = 0.7
+"""Left of the grace period when the process ends at the latest."""
+
+BACKLOG = 512
+"""Connections that wait to be accepted; a burst of returning callers."""
+
+
+class Instance:
+    """One instance of the system."""
+
+    def __init__(self, settings: InstanceSettings, metrics: Metrics) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._ready = False
+        self._store = Store(parse_address(settings.store))
+        self._fleet = Fleet(settings.instance, settings.failure_domain, metrics)
+        self._registry = Registry(self._store)
+        self._handlers = Handlers()
+        self._stopped = trio.Event()
+
+    async def run(self) -> None:
+        """Serves until it is told to stop."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._serve_readiness)
+            await nursery.start(self._serve_metrics)
+            stop = trio.Event()
+            await nursery.start(self._watch_signals, stop)
+            nursery.start_soon(self._serve, stop)
+            await stop.wait()
+            await self._stopped.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, stop: trio.Event) -> None:
+        settings = self._settings
+        await self._registry.register(settings)
+        founding = self._registry.founding
+        assert founding is not None
+        secret = bytes.fromhex(founding.secret)
+        async with trio.open_nursery() as nursery:
+            peers = PeerClient(settings.instance, secret, nursery)
+            quota = Quota(
+                settings.instance,
+                peers,
+                self._handlers,
+                self._registry.member_address,
+                self._is_fresh,
+            )
+            self._quota = quota
+            self._follower = Follower(
+                self._store,
+                self._fleet,
+                self._registry,
+                self._metrics,
+                self._take_registry,
+            )
+            executor = Executor(self._fleet, self._metrics)
+            gossip = Gossip(
+                self._fleet,
+                self._registry,
+                peers,
+                self._handlers,
+                self._metrics,
+            )
+            self._fleet.on_config.append(self._apply_limits)
+            server = PeerServer(settings.instance, secret, self._handlers)
+            await nursery.start(server.serve, *settings.peer_address)
+            await nursery.start(self._follower.run)
+            nursery.start_soon(gossip.run)
+            nursery.start_soon(quota.run)
+            promoter = Promoter(
+                self._fleet,
+                self._registry,
+                self._follower,
+                gossip,
+                executor,
+                Duties(parse_address(settings.duties)),
+                self._metrics,
+            )
+            nursery.start_soon(promoter.run)
+            nursery.start_soon(self._keep_proved)
+            front = Front(
+                self._fleet,
+                executor,
+                quota,
+                self._metrics,
+                settings.max_descriptors,
+            )
+            async with trio.open_nursery() as callers:
+                listeners = await self._listen()
+                accepting = await callers.start(
+                    self._accept, front, listeners, callers
+                )
+                self._ready = True
+                log_event("ready", members=len(self._registry.members))
+                await stop.wait()
+                await self._drain(front, accepting)
+                callers.cancel_scope.cancel()
+            nursery.cancel_scope.cancel()
+        self._stopped.set()
+
+    async def _listen(self) -> list[trio.SocketListener]:
+        host, port = parse_address(self._settings.listen.entry)
+        return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+
+    async def _accept(
+        self,
+        front: Front,
+        listeners: list[trio.SocketListener],
+        callers: trio.Nursery,
+        *,
+        task_status: trio.TaskStatus[trio.CancelScope],
+    ) -> None:
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            await trio.serve_listeners(
+                front.serve, listeners, handler_nursery=callers
+            )
+
+    async def _drain(self, front: Front, accepting: trio.CancelScope) -> None:
+        """Ends the work of callers within the grace period."""
+        began = trio.current_time()
+        grace = self._settings.grace_s
+        self._ready = False
+        log_event("draining", sessions=front.sessions)
+        await trio.sleep(ROTATION_SECONDS)
+        accepting.cancel()
+        front.drain()
+        while front.sessions and trio.current_time() < began + grace / 2:
+            await trio.sleep(POLL_SECONDS)
+        front.end_transactions()
+        while (
+            front.sessions
+            and trio.current_time() < began + grace - LAST_SECONDS
+        ):
+            await trio.sleep(POLL_SECONDS)
+        log_event("drained", sessions=front.sessions)
+
+    def _take_registry(self, store_now: float) -> None:
+        members = max(1, len(self._registry.members))
+        if members != self._fleet.members:
+            self._fleet.members = members
+            self._fleet.resize()
+            log_event("instances changed", members=members)
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        if self._fleet.config is None or not self._registry.members:
+            return
+        resumed = self._registry.held_before(
+            self._follower.store_now, SETTINGS.share_delay
+        )
+        self._quota.apply(
+            self._fleet.config, self._registry.members, resumed=resumed
+        )
+
+    def _is_fresh(self) -> bool:
+        """Whether a change of the shares can't have gone unnoticed."""
+        now = trio.current_time()
+        return now - self._follower.reached_at < FRESHNESS_SECONDS
+
+    async def _keep_proved(self) -> None:
+        """Reads the store when the others' words don't prove the primaries."""
+        from lagoonstair.platform.store import StoreError
+        from lagoonstair.primacy import PROOF_SECONDS
+        from lagoonstair.proxy._fleet import jittered
+
+        while True:
+            await trio.sleep(jittered(PROOF_SECONDS / 8))
+            now = trio.current_time()
+            age = now - self._fleet.primacy.proved_at(now)
+            if age < jittered(PROOF_SECONDS / 2):
+                continue
+            try:
+                await self._follower.read_own()
+            except StoreError:
+                self._metrics.count("proofs_failed")
+
+    async def _serve_readiness(
+        self, *, task_status: trio.TaskStatus[int]
+    ) -> None:
+        host, port = parse_address(self._settings.listen.ready)
+
+        async def answer(req: HttpRequest) -> HttpResponse:
+            status = 200 if self._ready else 503
+            return HttpResponse(status=status, body=b"")
+
+        await HttpServer(answer).serve(host, port, task_status=task_status)
+
+    async def _serve_metrics(
+        self, *, task_status: trio.TaskStatus[int]
+    ) -> None:
+        async def answer(req: HttpRequest) -> HttpResponse:
+            return HttpResponse(
+                status=200,
+                body=self._metrics.render().encode(),
+                content_type="text/plain; version=0.0.4",
+            )
+
+        await HttpServer(answer).serve(
+            self._settings.host,
+            self._settings.peer_ports[0] + 1,
+            task_status=task_status,
+        )
+
+    async def _watch_signals(
+        self, stop: trio.Event, *, task_status: trio.TaskStatus[None]
+    ) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGHUP
+        ) as signals:
+            task_status.started()
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload()
+                    continue
+                log_event("stopping")
+                if not self._ready:
+                    self._stopped.set()
+                stop.set()
+
+    def _reload(self) -> None:
+        """Reads the settings again; addresses hold until the next start."""
+        try:
+            settings = load_settings()
+        except SettingsError as exc:
+            log_event("settings refused", cause=str(exc))
+            return
+        changed = settings != self._settings
+        log_event("settings read", changed=changed)
--- /dev/null
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -0,0 +1,263 @@
+"""What an instance knows of groups, endpoints and other instances."""
+
+import random
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+import trio
+
+from lagoonstair._types import Position
+from lagoonstair.primacy import GroupRecord, Primacy, Statement
+from lagoonstair.proxy._log import log_event
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._pool import EndpointPool
+from lagoonstair.routing import (
+    Endpoint,
+    EntryConfig,
+    Load,
+    PositionHistory,
+)
+
+MIN_BUDGET = 2
+"""Connections that an instance has at least: a transaction and a read."""
+
+DETECT_SECONDS = 1.3
+"""From a primary's failure to the start of its replacement."""
+
+PROMOTE_SECONDS = 1.4
+"""From the start of a promotion to its end: the platform takes 0.6 to 1 s."""
+
+FOREIGN_SECONDS = 3.0
+"""When a caller is told to come back if the cause is not known here."""
+
+
+class Fleet:
+    """The shared state of one instance.
+
+    Attributes:
+        name: The instance's name.
+        failure_domain: Where it runs.
+        config: The newest configuration; ``None`` before the first.
+        endpoints: The endpoints by name, with those that just went missing.
+        primacy: Which primaries may be used.
+        pools: Connections by endpoint.
+        members: How many instances share the endpoints' connections.
+        uses: Statements and transactions that run on a group's primary,
+            by group.
+    """
+
+    def __init__(
+        self, name: str, failure_domain: str, metrics: Metrics
+    ) -> None:
+        self._metrics = metrics
+        self._changed = trio.Event()
+        self._histories: dict[str, PositionHistory] = {}
+        self._promoting_since: dict[str, float] = {}
+        self._released: dict[str, int] = {}
+        self.name = name
+        self.failure_domain = failure_domain
+        self.config: EntryConfig | None = None
+        self.endpoints: dict[str, Endpoint] = {}
+        self.missing_since: dict[str, float] = {}
+        self.primacy = Primacy(name)
+        self.pools: dict[str, EndpointPool] = {}
+        self.members = 1
+        self.uses: dict[str, int] = {}
+        self.on_config: list[Callable[[], None]] = []
+
+    def set_config(self, config: EntryConfig) -> bool:
+        """Takes a configuration; false when it is no newer."""
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        self.resize()
+        for notify in self.on_config:
+            notify()
+        return True
+
+    def set_endpoint(self, endpoint: Endpoint) -> None:
+        """Takes an endpoint's entry."""
+        known = self.endpoints.get(endpoint.name)
+        self.missing_since.pop(endpoint.name, None)
+        if known == endpoint:
+            return
+        self.endpoints[endpoint.name] = endpoint
+        pool = self.pools.get(endpoint.name)
+        if pool is None or _is_other(pool.endpoint, endpoint):
+            if pool is not None:
+                pool.close()
+            budget = self._budget(endpoint)
+            self.pools[endpoint.name] = EndpointPool(endpoint, budget)
+        else:
+            pool.endpoint = endpoint
+        log_event(
+            "endpoint changed",
+            endpoint=endpoint.name,
+            group=endpoint.group,
+            leaving=endpoint.leaving,
+            says_primary=endpoint.says_primary,
+        )
+        self.notify()
+
+    def drop_endpoint(self, name: str) -> None:
+        """Forgets an endpoint that is gone."""
+        endpoint = self.endpoints.pop(name, None)
+        self.missing_since.pop(name, None)
+        pool = self.pools.pop(name, None)
+        if pool is not None:
+            pool.close()
+        if endpoint is not None:
+            log_event("endpoint gone", endpoint=name, group=endpoint.group)
+        self.notify()
+
+    def set_record(self, group: str, record: GroupRecord) -> None:
+        """Takes the record of a group's primary."""
+        if not self.primacy.apply(group, record):
+            return
+        if record.promoting:
+            self._promoting_since[group] = trio.current_time()
+        else:
+            self._promoting_since.pop(group, None)
+        log_event(
+            "primary record changed",
+            group=group,
+            epoch=record.epoch,
+            primary=record.primary,
+            promoting=record.promoting,
+        )
+        self._metrics.count("primary_records")
+        self.notify()
+
+    def resize(self) -> None:
+        """Shares the endpoints' connections among the instances anew."""
+        for pool in self.pools.values():
+            pool.budget = self._budget(pool.endpoint)
+
+    def notify(self) -> None:
+        """Wakes who waits for a change of this state."""
+        event, self._changed = self._changed, trio.Event()
+        event.set()
+
+    async def wait_change(self, seconds: float) -> None:
+        """Waits for a change of this state."""
+        with trio.move_on_after(max(0.0, seconds)):
+            await self._changed.wait()
+
+    def primary(self, group: str) -> EndpointPool | None:
+        """The primary that may be used now."""
+        name = self.primacy.primary(group, trio.current_time())
+        return None if name is None else self.pools.get(name)
+
+    def group_pools(self, group: str) -> Iterator[EndpointPool]:
+        """The endpoints of a group."""
+        return (
+            pool for pool in self.pools.values() if pool.endpoint.group == group
+        )
+
+    def loads(
+        self, group: str, workspace: str, *, except_for: Iterable[str] = ()
+    ) -> list[Load]:
+        """What a choice between a group's endpoints needs to know."""
+        now = trio.current_time()
+        return [
+            pool.load(workspace, now)
+            for pool in self.group_pools(group)
+            if pool.endpoint.name not in except_for
+        ]
+
+    def note_position(
+        self, group: str, asked_at: float, position: Position
+    ) -> None:
+        """Notes what the present primary reported."""
+        history = self._histories.setdefault(group, PositionHistory())
+        history.note(asked_at, position)
+
+    def covering(self, group: str, since: float) -> Position | None:
+        """A position that covers all acknowledged before a time."""
+        history = self._histories.get(group)
+        return None if history is None else history.covering(since)
+
+    def release(self, group: str) -> None:
+        """Notes that no earlier primary of the group is used any more."""
+        self._released[group] = self.primacy.epoch(group)
+
+    def recovery_in(self, group: str) -> float:
+        """In how many seconds the group probably has a usable primary."""
+        now = trio.current_time()
+        since = self._promoting_since.get(group)
+        if since is not None:
+            return max(0.05, since + PROMOTE_SECONDS - now)
+        record = self.primacy.records.get(group)
+        pool = None if record is None else self.pools.get(record.primary)
+        failing = 0.0 if pool is None else max(0.0, pool.failing(now))
+        if pool is None or failing > FOREIGN_SECONDS:
+            # Others reach it, or a promotion can't begin: nobody knows.
+            return FOREIGN_SECONDS
+        if failing > 0:
+            return max(0.1, DETECT_SECONDS + PROMOTE_SECONDS - failing)
+        return 0.1
+
+    def statements(self) -> list[Statement]:
+        """What this instance tells others of all groups."""
+        groups = {endpoint.group for endpoint in self.endpoints.values()}
+        return [self._statement(group) for group in sorted(groups)]
+
+    def take_statements(
+        self, statements: Iterable[Statement], asked_at: float
+    ) -> None:
+        """Takes the positions that another instance observed."""
+        for statement in statements:
+            if statement.offset < 0:
+                continue
+            seen_at = asked_at - statement.position_age
+            position = Position(statement.term, statement.offset)
+            self.note_position(statement.group, seen_at, position)
+
+    def _statement(self, group: str) -> Statement:
+        now = trio.current_time()
+        primacy = self.primacy
+        record = primacy.records.get(group)
+        pool = None if record is None else self.pools.get(record.primary)
+        history = self._histories.get(group)
+        latest = None if history is None else history.latest()
+        if not self.uses.get(group) and (
+            record is None
+            or record.promoting
+            or record.epoch < primacy.epoch(group)
+        ):
+            self.release(group)
+        return Statement(
+            group=group,
+            epoch=primacy.epoch(group),
+            released=self._released.get(group, 0),
+            term=latest.position.term if latest else 0,
+            offset=latest.position.offset if latest else -1,
+            position_age=round(now - latest.asked_at, 4) if latest else 0.0,
+            failing=round(pool.failing(now), 3) if pool else -1.0,
+        )
+
+    def _budget(self, endpoint: Endpoint) -> int:
+        if self.config is None:
+            return MIN_BUDGET
+        group = self.config.groups.get(endpoint.group)
+        if group is None:
+            return MIN_BUDGET
+        return max(MIN_BUDGET, group.max_connections // max(1, self.members))
+
+
+def _is_other(known: Endpoint, new: Endpoint) -> bool:
+    """Whether an entry is of another process than the one known."""
+    return (known.address, known.started, known.group) != (
+        new.address,
+        new.started,
+        new.group,
+    )
+
+
+def jittered(seconds: float) -> float:
+    """A duration that is up to a half longer, so that instances spread."""
+    return seconds * (1 + random.random() / 2)
+
+
+def epochs_of(statements: Iterable[Statement]) -> Mapping[str, int]:
+    """The epoch of each group that an instance knows."""
+    return {item.group: item.epoch for item in statements}
--- /dev/null
+++ b/src/lagoonstair/proxy/_follower.py
@@ -0,0 +1,220 @@
+"""Follows the store's tables."""
+
+from collections.abc import Callable
+
+import trio
+
+from lagoonstair.platform import discovery, operator
+from lagoonstair.platform.store import (
+    HistoryLostError,
+    Rows,
+    Store,
+    StoredRow,
+    StoreError,
+)
+from lagoonstair.proxy._fleet import Fleet, jittered
+from lagoonstair.proxy._log import log_event
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._registry import TABLE, Registry
+
+FEED_WAIT_SECONDS = 10.0
+"""How long a call of the feed waits; each one is priced."""
+
+RETRY_SECONDS = 0.25
+"""Before the store is called again after a failure; doubles up to the next."""
+
+MAX_RETRY_SECONDS = 1.0
+"""An outage must be over for no longer than this before it is noticed."""
+
+ENDPOINTS_PERIOD_SECONDS = 0.7
+"""Least time between two calls for the endpoints' entries, which change with
+each heartbeat."""
+
+MISSING_SECONDS = 2.5
+"""How long an endpoint whose entry is missing stays in use; entries are back
+within two seconds after an outage of the store."""
+
+
+class Follower:
+    """Keeps what the store holds in force here.
+
+    Attributes:
+        reached_at: When the last answered call was asked, in seconds.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        fleet: Fleet,
+        registry: Registry,
+        metrics: Metrics,
+        on_registry: Callable[[float], None],
+    ) -> None:
+        self._store = store
+        self._fleet = fleet
+        self._registry = registry
+        self._metrics = metrics
+        self._on_registry = on_registry
+        self._lost = False
+        self._store_now = 0.0
+        self._answered_at = 0.0
+        self.reached_at = float("-inf")
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Follows all tables; reports once each was read."""
+        async with trio.open_nursery() as nursery:
+            for table, apply, period in (
+                (TABLE, self._apply_own, 0.0),
+                (operator.TABLE, self._apply_config, 0.0),
+                (
+                    discovery.TABLE,
+                    self._apply_endpoints,
+                    ENDPOINTS_PERIOD_SECONDS,
+                ),
+            ):
+                await nursery.start(self._follow, table, apply, period)
+            nursery.start_soon(self._expire_endpoints)
+            task_status.started()
+
+    async def read_own(self) -> None:
+        """Reads the system's own table now.
+
+        Raises:
+            StoreError: The store did not answer, or refused.
+        """
+        rows = await self._store.read_table(TABLE)
+        self._note_answer(rows)
+        self._apply_own(rows, True)
+
+    @property
+    def store_now(self) -> float:
+        """The store's clock, as estimated (s)."""
+        return self._store_now + trio.current_time() - self._answered_at
+
+    async def _follow(
+        self,
+        table: str,
+        apply: Callable[[Rows, bool], None],
+        period: float,
+        *,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        version = 0
+        pause = RETRY_SECONDS
+        started = False
+        while True:
+            whole = version == 0
+            try:
+                if whole:
+                    rows = await self._store.read_table(table)
+                else:
+                    rows = await self._store.follow(
+                        table, version, FEED_WAIT_SECONDS
+                    )
+            except HistoryLostError:
+                log_event("store history lost", table=table, version=version)
+                version = 0
+                continue
+            except StoreError as exc:
+                self._note_loss(table, exc)
+                await trio.sleep(jittered(pause))
+                pause = min(MAX_RETRY_SECONDS, pause * 2)
+                continue
+            pause = RETRY_SECONDS
+            if rows.version < version:
+                # An answer from before what is known; nothing to learn.
+                await trio.sleep(jittered(RETRY_SECONDS))
+                continue
+            self._note_answer(rows)
+            apply(rows, whole)
+            version = rows.version
+            if not started:
+                started = True
+                task_status.started()
+            left = rows.asked_at + period - trio.current_time()
+            if left > 0:
+                await trio.sleep(left)
+
+    def _note_answer(self, rows: Rows) -> None:
+        self.reached_at = max(self.reached_at, rows.asked_at)
+        self._store_now = rows.now
+        self._answered_at = trio.current_time()
+        self._metrics.set("store_calls", self._store.calls)
+        if self._lost:
+            self._lost = False
+            log_event("store regained")
+            now = trio.current_time()
+            for name in self._fleet.missing_since:
+                self._fleet.missing_since[name] = now
+
+    def _note_loss(self, table: str, exc: StoreError) -> None:
+        self._metrics.count("store_failures")
+        if not self._lost:
+            self._lost = True
+            log_event("store lost", table=table, cause=str(exc))
+
+    def _apply_own(self, rows: Rows, whole: bool) -> None:
+        if whole:
+            self._registry.load(rows)
+        else:
+            for row in rows.rows:
+                self._registry.apply(row)
+        for group, record in self._registry.groups.items():
+            self._fleet.set_record(group, record)
+        self._fleet.primacy.set_members(
+            self._registry.members, self._registry.members_version
+        )
+        self._fleet.primacy.note_store_read(rows.asked_at)
+        self._on_registry(rows.now)
+
+    def _apply_config(self, rows: Rows, whole: bool) -> None:
+        for row in rows.rows:
+            if row.key == operator.KEY and row.value is not None:
+                self._take_config(row)
+
+    def _take_config(self, row: StoredRow) -> None:
+        assert row.value is not None
+        try:
+            config = operator.decode_config(row.value)
+        except operator.BadConfigError as exc:
+            log_event("configuration unreadable", cause=str(exc))
+            return
+        if self._fleet.set_config(config):
+            self._metrics.set("configuration_version", config.version)
+            log_event(
+                "configuration in force",
+                version=config.version,
+                routes=len(config.routes),
+                keys=len(config.keys),
+            )
+
+    def _apply_endpoints(self, rows: Rows, whole: bool) -> None:
+        now = trio.current_time()
+        if whole:
+            present = {row.key for row in rows.rows}
+            for name in self._fleet.endpoints:
+                if name not in present:
+                    self._fleet.missing_since.setdefault(name, now)
+        for row in rows.rows:
+            endpoint = None
+            if row.value is not None:
+                endpoint = discovery.decode_endpoint(row.key, row.value)
+                if endpoint is None:
+                    self._metrics.count("entries_unreadable")
+            if endpoint is not None:
+                self._fleet.set_endpoint(endpoint)
+            elif row.key in self._fleet.endpoints:
+                self._fleet.missing_since.setdefault(row.key, now)
+
+    async def _expire_endpoints(self) -> None:
+        """Drops endpoints whose entry has been missing with the store up."""
+        while True:
+            await trio.sleep(RETRY_SECONDS)
+            if self._lost:
+                continue
+            now = trio.current_time()
+            for name, since in [*self._fleet.missing_since.items()]:
+                if now - since > MISSING_SECONDS:
+                    self._fleet.drop_endpoint(name)
--- /dev/null
+++ b/src/lagoonstair/proxy/_front.py
@@ -0,0 +1,396 @@
+"""Callers' connections."""
+
+import random
+import socket
+from dataclasses import dataclass, field
+
+import trio
+
+from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.platform import lines
+from lagoonstair.proxy._executor import Caller, Executor, Transaction
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._log import log_event
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._quota import Quota
+from lagoonstair.routing import EntryConfig, Route
+from lagoonstair.statements import (
+    Answer,
+    Begin,
+    Code,
+    Done,
+    EndTransaction,
+    Failure,
+    OpenTransaction,
+    Result,
+    Run,
+    Session,
+    State,
+)
+
+READ_BYTES = 64 * 1024
+
+START_SECONDS = 10.0
+"""How long a caller may take to open its session."""
+
+SILENCE_MS = 10_000
+"""Unacknowledged bytes end a caller's connection after this time: longer than
+any cut of a link that callers outlive."""
+
+SAMPLED = 1 / 64
+"""The part of the answers without an error that is logged."""
+
+FULL_SHARE = 0.9
+"""The part of the descriptors that callers may use; the rest is for
+endpoints, instances and the store."""
+
+ENDING = frozenset({Code.NO_AUTH, Code.NO_DATABASE})
+"""Errors after which the session can run nothing more."""
+
+RESERVED_DESCRIPTORS = 200
+"""Descriptors that the platform keeps for files."""
+
+
+@dataclass(slots=True)
+class _Conversation:
+    """One caller's connection.
+
+    Attributes:
+        database: The database name that it asked for.
+        key: Its key.
+        waiting: The scope to cancel while nothing of it is under way.
+    """
+
+    stream: trio.SocketStream
+    splitter: lines.LineSplitter
+    session: Session = field(default_factory=Session)
+    database: str = ""
+    key: str = ""
+    caller: Caller | None = None
+    tx: Transaction | None = None
+    waiting: trio.CancelScope | None = None
+
+
+class Front:
+    """Serves callers.
+
+    Attributes:
+        draining: Once set, sessions are closed as soon as they are idle.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        executor: Executor,
+        quota: Quota,
+        metrics: Metrics,
+        max_descriptors: int,
+    ) -> None:
+        self._fleet = fleet
+        self._executor = executor
+        self._quota = quota
+        self._metrics = metrics
+        sockets = max_descriptors - RESERVED_DESCRIPTORS
+        self._max_open = int(sockets * FULL_SHARE)
+        self._conversations: dict[int, _Conversation] = {}
+        self.draining = False
+        fleet.on_config.append(self._close_revoked)
+
+    @property
+    def sessions(self) -> int:
+        """How many callers are connected."""
+        return len(self._conversations)
+
+    @property
+    def transactions(self) -> int:
+        """How many callers have a transaction open."""
+        return sum(
+            conv.session.state is not State.IDLE
+            for conv in self._conversations.values()
+        )
+
+    def drain(self) -> None:
+        """Closes idle sessions now and the others once they are idle."""
+        self.draining = True
+        for conv in [*self._conversations.values()]:
+            if conv.waiting is not None and self._may_close(conv):
+                conv.waiting.cancel()
+
+    def end_transactions(self) -> None:
+        """Rolls open transactions back whose callers are silent."""
+        for conv in [*self._conversations.values()]:
+            if conv.waiting is not None:
+                conv.waiting.cancel()
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serves one caller until it leaves."""
+        conv = _Conversation(stream, lines.LineSplitter())
+        self._conversations[id(conv)] = conv
+        stream.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS
+        )
+        try:
+            await self._converse(conv)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            # The caller has gone; there is nobody to answer.
+            self._metrics.count("callers_gone")
+        except lines.BadLineError as exc:
+            self._metrics.count("bad_lines", code=exc.code.value)
+            await self._refuse(conv, Failure(exc.code, str(exc)))
+        finally:
+            del self._conversations[id(conv)]
+            if conv.tx is not None:
+                self._executor.abandon(conv.tx)
+            with trio.CancelScope(shield=True), trio.move_on_after(1):
+                await stream.aclose()
+
+    async def _converse(self, conv: _Conversation) -> None:
+        if not await self._open_session(conv):
+            return
+        await conv.stream.send_all(lines.encode_ready(State.IDLE))
+        while not (self.draining and self._may_close(conv)):
+            line = await self._next_line(conv)
+            if line is None:
+                return
+            message = lines.parse_caller_line(line)
+            match message:
+                case lines.Release():
+                    return
+                case lines.Start():
+                    raise lines.BadLineError(
+                        Code.MALFORMED, "the session is open"
+                    )
+                case lines.Query():
+                    if not await self._answer(conv, message):
+                        return
+
+    async def _open_session(self, conv: _Conversation) -> bool:
+        with trio.move_on_after(START_SECONDS):
+            line = await self._receive_line(conv)
+            if line is None:
+                return False
+            message = lines.parse_caller_line(line)
+            if not isinstance(message, lines.Start):
+                raise lines.BadLineError(
+                    Code.MALFORMED, "the session is not open"
+                )
+            conv.database = message.database
+            conv.key = message.key
+            if len(self._conversations) > self._max_open:
+                failure = Failure(Code.BUSY, "too many sessions")
+                await self._refuse(conv, failure)
+                return False
+            granted = self._authorize(conv)
+            if isinstance(granted, Failure):
+                self._metrics.count("starts_refused", code=granted.code.value)
+                await self._refuse(conv, granted)
+                return False
+            return True
+        return False
+
+    def _authorize(self, conv: _Conversation) -> Route | Failure:
+        """Checks the key and the route by the configuration of now."""
+        config = self._fleet.config
+        if config is None:
+            return Failure(Code.BUSY, "no configuration yet")
+        route = config.routes.get(conv.database)
+        if route is None:
+            return Failure(Code.NO_DATABASE, "no route has this name")
+        workspace = config.keys.get(conv.key)
+        if workspace is None:
+            if not route.open_to_all:
+                return Failure(Code.NO_AUTH, "unknown key")
+            workspace = _anyone(config)
+        if conv.caller is None:
+            conv.caller = Caller(workspace=workspace, session=conv.session)
+        elif conv.caller.workspace != workspace:
+            return Failure(Code.NO_AUTH, "the key has another workspace now")
+        return route
+
+    async def _answer(self, conv: _Conversation, query: lines.Query) -> bool:
+        """Answers a statement; false when the session must end."""
+        began = trio.current_time()
+        result = await self._perform(conv, query)
+        state = conv.session.state
+        await conv.stream.send_all(lines.encode_result(result, state))
+        self._tell(conv, query, result, trio.current_time() - began)
+        ends = isinstance(result, Failure) and result.code in ENDING
+        return not ends
+
+    async def _perform(self, conv: _Conversation, query: lines.Query) -> Result:
+        session = conv.session
+        step = session.step(query.statement)
+        match step:
+            case Answer(result):
+                return result
+            case OpenTransaction(read_only):
+                return await self._open_transaction(conv, read_only)
+            case EndTransaction(commits):
+                return await self._end_transaction(conv, query, commits)
+            case Run():
+                return await self._run(conv, query, step)
+
+    async def _open_transaction(
+        self, conv: _Conversation, read_only: bool
+    ) -> Result:
+        granted = await self._admit(conv)
+        if isinstance(granted, Failure):
+            return granted
+        conv.tx = Transaction(
+            route=granted, read_only=read_only, began=trio.current_time()
+        )
+        conv.session.opened()
+        return Done()
+
+    async def _end_transaction(
+        self, conv: _Conversation, query: lines.Query, commits: bool
+    ) -> Result:
+        tx, conv.tx = conv.tx, None
+        assert tx is not None
+        assert conv.caller is not None
+        try:
+            if commits:
+                return await self._executor.commit(
+                    conv.caller, tx, query.request_id
+                )
+            await self._executor.roll_back(tx)
+            return Done()
+        finally:
+            conv.session.ended()
+
+    async def _run(
+        self, conv: _Conversation, query: lines.Query, run: Run
+    ) -> Result:
+        if run.alone:
+            granted = await self._admit(conv)
+            if isinstance(granted, Failure):
+                return granted
+            assert conv.caller is not None
+            return await self._executor.run_alone(
+                conv.caller, granted, run, query.request_id
+            )
+        assert conv.tx is not None
+        assert conv.caller is not None
+        result = await self._executor.run_inside(
+            conv.caller, conv.tx, run, query.request_id
+        )
+        if isinstance(result, Failure):
+            conv.tx = None
+            conv.session.failed()
+        return result
+
+    async def _admit(self, conv: _Conversation) -> Route | Failure:
+        """Checks the key, the route and the rate before an operation."""
+        granted = self._authorize(conv)
+        if isinstance(granted, Failure):
+            return granted
+        assert conv.caller is not None
+        try:
+            await self._quota.admit(conv.caller.workspace)
+        except LagoonstairError as exc:
+            later = int((exc.retry_after or 1.0) * 1000)
+            message = f"{exc.message}; retry_after_ms={later}"
+            self._metrics.count("over_rate")
+            return Failure(Code.BUSY, message)
+        return granted
+
+    async def _next_line(self, conv: _Conversation) -> bytes | None:
+        """The next line; ``None`` when the caller left or must leave."""
+        line = conv.splitter.next_line()
+        while line is None:
+            seconds = float("inf")
+            if conv.tx is not None and self._fleet.config is not None:
+                seconds = self._fleet.config.transaction_idle
+            with trio.move_on_after(seconds) as scope:
+                conv.waiting = scope
+                try:
+                    line = await self._receive_line(conv)
+                    if line is None:
+                        return None
+                finally:
+                    conv.waiting = None
+            if line is None and not self._end_idle(conv):
+                return None
+        return line
+
+    def _end_idle(self, conv: _Conversation) -> bool:
+        """Ends an idle transaction; false when the session is to end."""
+        if conv.tx is None:
+            return False
+        self._executor.abandon(conv.tx)
+        conv.tx = None
+        conv.session.failed()
+        self._metrics.count("idle_transactions_ended")
+        return not self.draining
+
+    async def _receive_line(self, conv: _Conversation) -> bytes | None:
+        while (line := conv.splitter.next_line()) is None:
+            chunk = await conv.stream.receive_some(READ_BYTES)
+            if not chunk:
+                return None
+            conv.splitter.feed(chunk)
+        return line
+
+    async def _refuse(self, conv: _Conversation, failure: Failure) -> None:
+        """Tells a caller why its session ends."""
+        with trio.move_on_after(1):
+            try:
+                await conv.stream.send_all(lines.encode_failure(failure))
+            except trio.BrokenResourceError:
+                # The caller has gone.
+                self._metrics.count("callers_gone")
+
+    def _may_close(self, conv: _Conversation) -> bool:
+        return conv.session.state is State.IDLE and not conv.splitter.pending
+
+    def _close_revoked(self) -> None:
+        """Closes idle sessions whose key or route is gone."""
+        for conv in [*self._conversations.values()]:
+            if conv.caller is None or conv.waiting is None:
+                continue
+            if self._may_close(conv) and isinstance(
+                self._authorize(conv), Failure
+            ):
+                conv.waiting.cancel()
+
+    def _tell(
+        self,
+        conv: _Conversation,
+        query: lines.Query,
+        result: Result,
+        seconds: float,
+    ) -> None:
+        kind = type(query.statement).__name__.lower()
+        assert conv.caller is not None
+        match result:
+            case Done():
+                self._metrics.count("statements", outcome="done")
+                code = "done"
+                message = ""
+            case Failure():
+                code = result.code.value
+                message = result.message
+                self._metrics.count("statements", outcome=code)
+        self._metrics.observe("statement", seconds, kind=kind)
+        if code == "done" and (
+            isinstance(query.statement, Begin) or random.random() > SAMPLED
+        ):
+            return
+        config = self._fleet.config
+        log_event(
+            "statement answered",
+            request=query.request_id,
+            kind=kind,
+            outcome=code,
+            cause=message,
+            database=conv.database,
+            workspace=conv.caller.workspace,
+            seconds=round(seconds, 4),
+            state=conv.session.state.value,
+            config_version=0 if config is None else config.version,
+        )
+
+
+def _anyone(config: EntryConfig) -> str:
+    """The workspace in whose name callers of an open route run."""
+    return next(iter(config.workspaces), "")
--- /dev/null
+++ b/src/lagoonstair/proxy/_pool.py
@@ -0,0 +1,289 @@
+"""The connections of one instance to one endpoint."""
+
+import heapq
+import itertools
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from lagoonstair._types import Position
+from lagoonstair.proxy._link import Link, LinkError
+from lagoonstair.queueing import QueueSettings, SlotScheduler
+from lagoonstair.routing import Endpoint, Load
+from lagoonstair.statements import Code, Failure
+
+OPEN_SECONDS = 0.6
+"""How long an opening may take; it costs 12 ms and waits for a slot."""
+
+LATENCY_WEIGHT = 0.15
+"""Weight of the newest duration in the average."""
+
+FIRST_LATENCY_SECONDS = 0.02
+"""What a statement is taken to cost before any ran; a typical read."""
+
+PROBE_SECONDS = 0.15
+"""After which an endpoint that refuses connections is tried again."""
+
+SUSPECT_SECONDS = 1.0
+"""For how long a failure is held against an endpoint that answers again."""
+
+OK_SECONDS = 1.0
+"""An answer younger than this shows that the endpoint is in reach."""
+
+
+class NoLinkError(Exception):
+    """No connection was free in time, or the endpoint refused one."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
+
+
+class EndpointPool:
+    """Connections to an endpoint, and what is known of it.
+
+    Attributes:
+        endpoint: The endpoint.
+        budget: How many connections this instance may have.
+        slots: Shares the endpoint's slots among the workspaces.
+        position: The end of its log, as it last told.
+        answered_at: When it last answered, in seconds.
+        failing_since: When the first of the attempts began that have failed
+            without an answer since; ``None`` when it is in reach.
+        opened: How many connections were opened.
+        probing: Whether a try of the endpoint is under way.
+    """
+
+    def __init__(self, endpoint: Endpoint, budget: int) -> None:
+        self.endpoint = endpoint
+        self.budget = budget
+        self.slots = SlotScheduler(
+            endpoint.slots, settings=QueueSettings(max_wait=10.0)
+        )
+        self.position: Position | None = None
+        self.answered_at = -math.inf
+        self.failing_since: float | None = None
+        self.opened = 0
+        self.probing = False
+        self._latency = FIRST_LATENCY_SECONDS
+        self._suspect_until = -math.inf
+        self._links: set[Link] = set()
+        self._idle: list[Link] = []
+        self._opening = 0
+        self._busy = 0
+        self._outstanding: dict[int, float] = {}
+        self._tickets = itertools.count()
+        self._waiters: list[tuple[int, int, trio.Event]] = []
+        self._closed = False
+
+    def load(self, workspace: str, now: float) -> Load:
+        """What a choice between endpoints needs to know."""
+        return Load(
+            endpoint=self.endpoint,
+            busy=self._busy,
+            latency=self._latency,
+            has_link=any(link.workspace == workspace for link in self._idle),
+            position=self.position,
+            answered_at=self.answered_at,
+            suspect=self.failing_since is not None or now < self._suspect_until,
+        )
+
+    @property
+    def latency(self) -> float:
+        """Seconds that a statement took of late."""
+        return self._latency
+
+    async def take(
+        self, workspace: str, *, deadline: float, priority: int
+    ) -> Link:
+        """Takes a connection of a workspace.
+
+        Raises:
+            NoLinkError: None was to be had; nothing was sent.
+        """
+        while not self._closed:
+            link = self._take_idle(workspace)
+            if link is not None:
+                return link
+            if len(self._links) + self._opening >= self.budget:
+                self._close_one_idle()
+            if len(self._links) + self._opening < self.budget:
+                return await self._open(workspace, deadline)
+            await self._wait(deadline, priority)
+        raise NoLinkError(Failure(Code.BUSY, "the endpoint has left"))
+
+    def give_back(self, link: Link) -> None:
+        """Returns a connection that is in no transaction."""
+        if link not in self._links:
+            return
+        if self._closed or not link.usable:
+            self.discard(link)
+            return
+        self._idle.append(link)
+        self._wake_one()
+
+    def discard(self, link: Link) -> None:
+        """Closes a connection."""
+        link.close()
+        self._links.discard(link)
+        if link in self._idle:
+            self._idle.remove(link)
+        self._wake_one()
+
+    @asynccontextmanager
+    async def statement(
+        self, workspace: str, deadline: float
+    ) -> AsyncIterator[None]:
+        """Holds a slot while a statement runs.
+
+        Raises:
+            LagoonstairError: No slot will be free in time; nothing was run.
+        """
+        self._busy += 1
+        try:
+            async with self.slots.slot(workspace, deadline=deadline):
+                ticket = next(self._tickets)
+                self._outstanding[ticket] = trio.current_time()
+                try:
+                    yield
+                finally:
+                    del self._outstanding[ticket]
+        finally:
+            self._busy -= 1
+
+    def note_answer(self, link: Link, seconds: float) -> None:
+        """Notes that the endpoint answered after some time."""
+        self._latency += LATENCY_WEIGHT * (seconds - self._latency)
+        self.note_reach()
+        if link.position is not None:
+            self.position = link.position
+
+    def note_reach(self) -> None:
+        """Notes that the endpoint is in reach."""
+        self.answered_at = trio.current_time()
+        self.failing_since = None
+
+    def note_failure(self, began: float) -> None:
+        """Notes that an attempt failed without any answer."""
+        now = trio.current_time()
+        self._suspect_until = now + SUSPECT_SECONDS
+        if self.failing_since is None and began >= self.answered_at:
+            self.failing_since = began
+
+    def silent_for(self, now: float) -> float:
+        """For how long statements have waited without any answer."""
+        oldest = min(self._outstanding.values(), default=now)
+        return now - max(oldest, self.answered_at)
+
+    def failing(self, now: float) -> float:
+        """Seconds out of reach; 0 in reach, below 0 when not tried of late."""
+        if self.failing_since is not None:
+            return now - self.failing_since
+        return 0.0 if now - self.answered_at < OK_SECONDS else -1.0
+
+    async def probe(self, workspace: str) -> None:
+        """Opens a connection to see whether the endpoint is in reach."""
+        began = trio.current_time()
+        self.probing = True
+        try:
+            with trio.fail_after(OPEN_SECONDS):
+                link = await Link.open(self.endpoint, workspace)
+        except LinkError as exc:
+            await trio.sleep(PROBE_SECONDS)
+            if exc.refusal is None or exc.refusal.code is Code.MISROUTED:
+                self.note_failure(began)
+            else:
+                self.note_reach()
+        except trio.TooSlowError:
+            self.note_failure(began)
+        else:
+            self.opened += 1
+            self.note_reach()
+            self._adopt(link)
+        finally:
+            self.probing = False
+
+    def close(self) -> None:
+        """Closes idle connections now and the others when they return."""
+        self._closed = True
+        for link in [*self._idle]:
+            self.discard(link)
+        while self._waiters:
+            self._wake_one()
+
+    def cut(self) -> None:
+        """Closes every connection at once, whatever runs on it."""
+        for link in [*self._links]:
+            self.discard(link)
+
+    def _take_idle(self, workspace: str) -> Link | None:
+        for link in reversed(self._idle):
+            if link.workspace != workspace:
+                continue
+            self._idle.remove(link)
+            if link.is_alive():
+                return link
+            self.discard(link)
+            return self._take_idle(workspace)
+        return None
+
+    def _close_one_idle(self) -> None:
+        if self._idle:
+            self.discard(self._idle[0])
+
+    def _adopt(self, link: Link) -> None:
+        if self._closed or len(self._links) + self._opening >= self.budget:
+            link.close()
+            return
+        self._links.add(link)
+        self.give_back(link)
+
+    async def _open(self, workspace: str, deadline: float) -> Link:
+        self._opening += 1
+        began = trio.current_time()
+        seconds = min(OPEN_SECONDS, max(0.0, deadline - began))
+        try:
+            with trio.fail_after(seconds):
+                link = await Link.open(self.endpoint, workspace)
+        except LinkError as exc:
+            if exc.refusal is None:
+                self.note_failure(began)
+                failure = Failure(Code.BUSY, "the endpoint is out of reach")
+            else:
+                failure = exc.refusal
+            raise NoLinkError(failure) from exc
+        except trio.TooSlowError as exc:
+            self.note_failure(began)
+            failure = Failure(Code.BUSY, "the endpoint is out of reach")
+            raise NoLinkError(failure) from exc
+        finally:
+            self._opening -= 1
+            self._wake_one()
+        self.opened += 1
+        self.note_reach()
+        self._links.add(link)
+        return link
+
+    async def _wait(self, deadline: float, priority: int) -> None:
+        event = trio.Event()
+        entry = (priority, next(self._tickets), event)
+        heapq.heappush(self._waiters, entry)
+        try:
+            with trio.fail_after(max(0.0, deadline - trio.current_time())):
+                await event.wait()
+        except trio.TooSlowError as exc:
+            if event.is_set():
+                self._wake_one()
+            failure = Failure(Code.BUSY, "no connection was free in time")
+            raise NoLinkError(failure) from exc
+        finally:
+            if entry in self._waiters:
+                self._waiters.remove(entry)
+                heapq.heapify(self._waiters)
+
+    def _wake_one(self) -> None:
+        if self._waiters:
+            _, _, event = heapq.heappop(self._waiters)
+            event.set()
--- /dev/null
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -0,0 +1,478 @@
+"""Replaces primaries that failed or leave."""
+
+import trio
+
+from lagoonstair._types import Position
+from lagoonstair.platform import lines
+from lagoonstair.platform.duties import Duties, PromoteAnswer
+from lagoonstair.platform.store import StoreError
+from lagoonstair.primacy import (
+    CLOCK_MARGIN,
+    PROOF_SECONDS,
+    Cause,
+    Duty,
+    GroupRecord,
+    PrimaryView,
+    cause_of,
+    choose_target,
+    turn_of,
+)
+from lagoonstair.proxy._executor import Executor
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._follower import Follower
+from lagoonstair.proxy._gossip import Gossip
+from lagoonstair.proxy._link import Link, LinkError
+from lagoonstair.proxy._log import log_event
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._pool import EndpointPool
+from lagoonstair.proxy._registry import DUTY_KEY, GROUP_PREFIX, Registry
+from lagoonstair.statements import Done
+
+TICK_SECONDS = 0.1
+"""How often causes are looked for."""
+
+HEARD_SECONDS = 1.3
+"""An instance that answered a question of this age counts as alive; two of
+three rounds may be lost."""
+
+STALLED_SECONDS = 4.0
+"""A promotion that has not ended by then is taken over; the longest part of
+one, the platform's, takes a second."""
+
+STORE_SECONDS = 12.0
+"""Without the store for so long, entries say nothing of primaries."""
+
+DRAIN_SECONDS = 0.5
+"""How long transactions on a leaving primary may go on."""
+
+CATCH_UP_SECONDS = 1.0
+"""How long a replica may take to receive what a leaving primary has."""
+
+STATUS_SECONDS = 0.5
+"""How long a status may take; it waits for a slot."""
+
+LEAD_SECONDS = 3.0
+"""How long the promoted endpoint may take to lead; 0.6 to 1 s is usual."""
+
+POLL_SECONDS = 0.04
+"""Between two looks at an endpoint that is about to lead."""
+
+FENCE_SECONDS = 1.5
+"""A call to the platform must begin this soon after its fencing token was
+written, so that a process that was stopped does not send an old one."""
+
+RECORD_TRIES = 20
+"""Tries to write how a promotion ended, half a second apart at most."""
+
+
+class Promoter:
+    """Watches the primaries and replaces them."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        registry: Registry,
+        follower: Follower,
+        gossip: Gossip,
+        executor: Executor,
+        duties: Duties,
+        metrics: Metrics,
+    ) -> None:
+        self._fleet = fleet
+        self._registry = registry
+        self._follower = follower
+        self._gossip = gossip
+        self._executor = executor
+        self._duties = duties
+        self._metrics = metrics
+        self._due: dict[str, tuple[Cause, float]] = {}
+        self._running: set[str] = set()
+        self._changed_at: dict[str, tuple[int, float]] = {}
+        self._started_at = trio.current_time()
+
+    async def run(self) -> None:
+        """Looks for causes until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(TICK_SECONDS)
+                self._release_primaries(nursery)
+                self._probe(nursery)
+                for group in self._groups():
+                    if group in self._running:
+                        continue
+                    if self._is_due(group):
+                        self._running.add(group)
+                        nursery.start_soon(self._handle, group)
+
+    def _groups(self) -> set[str]:
+        return {
+            endpoint.group for endpoint in self._fleet.endpoints.values()
+        } | self._fleet.primacy.records.keys()
+
+    def _probe(self, nursery: trio.Nursery) -> None:
+        """Tries primaries that are silent, or that others can't reach."""
+        now = trio.current_time()
+        for group, record in self._fleet.primacy.records.items():
+            pool = self._fleet.pools.get(record.primary)
+            if pool is None or pool.probing:
+                continue
+            asked = now - self._gossip.suspected.get(group, -1e9) < 1.0
+            if (
+                pool.failing_since is not None
+                or pool.silent_for(now) > POLL_SECONDS * 8
+                or (asked and pool.failing(now) != 0)
+            ):
+                nursery.start_soon(pool.probe, self._any_workspace())
+        for pool in self._fleet.pools.values():
+            if pool.failing_since is not None and not pool.probing:
+                nursery.start_soon(pool.probe, self._any_workspace())
+
+    def _release_primaries(self, nursery: trio.Nursery) -> None:
+        """Ends work on primaries whose replacement has begun."""
+        now = trio.current_time()
+        primacy = self._fleet.primacy
+        for group in self._groups():
+            record = primacy.records.get(group)
+            epoch = primacy.epoch(group)
+            seen = self._changed_at.get(group)
+            if seen is None or seen[0] != epoch:
+                self._changed_at[group] = seen = (epoch, now)
+            stale = record is not None and (
+                record.promoting or epoch > record.epoch
+            )
+            if stale and self._fleet.uses.get(group):
+                failing = self._view(group, record).failing > 0
+                if failing or now - seen[1] > DRAIN_SECONDS:
+                    self._executor.cut_group(group)
+
+    def _is_due(self, group: str) -> bool:
+        cause = self._cause(group)
+        if cause is None:
+            self._due.pop(group, None)
+            return False
+        now = trio.current_time()
+        known = self._due.get(group)
+        if known is None or known[0] is not cause:
+            alive = self._fleet.primacy.heard(now, HEARD_SECONDS)
+            duty = self._registry.duty
+            holder = duty.holder if duty else ""
+            due = now + turn_of(self._fleet.name, alive, holder)
+            self._due[group] = known = (cause, due)
+        return now >= known[1]
+
+    def _cause(self, group: str) -> Cause | None:
+        now = trio.current_time()
+        primacy = self._fleet.primacy
+        if now - self._follower.reached_at > STORE_SECONDS:
+            return None
+        record = primacy.records.get(group)
+        if record is None:
+            return Cause.UNKNOWN if self._said_primary(group) else None
+        if not primacy.has_majority(now, HEARD_SECONDS):
+            return None
+        if record.promoting or primacy.epoch(group) > record.epoch:
+            changed = self._changed_at.get(group, (0, now))[1]
+            mine = record.promoting == self._fleet.name
+            if now - changed > STALLED_SECONDS or mine:
+                return Cause.STALLED
+            return None
+        if now - self._started_at < PROOF_SECONDS * CLOCK_MARGIN:
+            return None
+        return cause_of(self._view(group, record))
+
+    def _view(self, group: str, record: GroupRecord | None) -> PrimaryView:
+        now = trio.current_time()
+        name = "" if record is None else record.primary
+        pool = self._fleet.pools.get(name)
+        said = self._gossip.statements_of(group, HEARD_SECONDS)
+        since = self._fleet.missing_since.get(name)
+        missing = 0.0 if since is None else now - since
+        if name not in self._fleet.endpoints:
+            missing = now - self._started_at
+        endpoint = self._fleet.endpoints.get(name)
+        return PrimaryView(
+            failing=0.0 if pool is None else max(0.0, pool.failing(now)),
+            others=tuple(word.failing for word in said.values()),
+            missing=missing,
+            leaving=endpoint is not None and endpoint.leaving,
+        )
+
+    def _said_primary(self, group: str) -> str | None:
+        names = [
+            endpoint.name
+            for endpoint in self._fleet.endpoints.values()
+            if endpoint.group == group and endpoint.says_primary
+        ]
+        return names[0] if len(names) == 1 else None
+
+    async def _handle(self, group: str) -> None:
+        try:
+            cause = self._cause(group)
+            if cause is Cause.UNKNOWN:
+                await self._found(group)
+            elif cause is not None:
+                await self._replace(group, cause)
+        except StoreError as exc:
+            log_event("promotion put off", group=group, cause=str(exc))
+            await trio.sleep(TICK_SECONDS)
+        finally:
+            self._due.pop(group, None)
+            self._gossip.relax(group)
+            self._running.discard(group)
+
+    async def _found(self, group: str) -> None:
+        """Writes the first record of a group."""
+        primary = self._said_primary(group)
+        if primary is None:
+            return
+        record = GroupRecord(epoch=1, primary=primary)
+        if await self._registry.write({GROUP_PREFIX + group: record}):
+            self._fleet.set_record(group, record)
+        else:
+            await self._follower.read_own()
+
+    async def _replace(self, group: str, cause: Cause) -> None:
+        primacy = self._fleet.primacy
+        record = primacy.records[group]
+        candidates = self._candidates(group, record, cause)
+        if not candidates and cause is not Cause.STALLED:
+            log_event("promotion without candidates", group=group)
+            await trio.sleep(TICK_SECONDS * 5)
+            return
+        epoch = primacy.start(group)
+        self._fleet.notify()
+        self._gossip.hurry(group)
+        duty = self._next_duty()
+        begun = GroupRecord(
+            epoch=epoch,
+            primary=record.primary,
+            term=record.term,
+            promoting=self._fleet.name,
+        )
+        log_event(
+            "promotion begins",
+            group=group,
+            epoch=epoch,
+            cause=cause.value,
+            primary=record.primary,
+            fence=duty.fence,
+        )
+        done = await self._registry.write(
+            {GROUP_PREFIX + group: begun, DUTY_KEY: duty}
+        )
+        if done is None:
+            log_event("promotion lost the race", group=group, epoch=epoch)
+            await self._follower.read_own()
+            return
+        self._fleet.set_record(group, begun)
+        await self._wait_released(group, epoch)
+        await self._promote(group, begun, duty, cause)
+
+    def _next_duty(self) -> Duty:
+        duty = self._registry.duty
+        if duty is None:
+            return Duty(holder=self._fleet.name, fence=1)
+        if duty.holder == self._fleet.name:
+            return duty
+        return Duty(holder=self._fleet.name, fence=duty.fence + 1)
+
+    def _candidates(
+        self, group: str, record: GroupRecord, cause: Cause
+    ) -> list[EndpointPool]:
+        return [
+            pool
+            for pool in self._fleet.group_pools(group)
+            if not pool.endpoint.leaving
+            and pool.endpoint.name not in self._fleet.missing_since
+            and (pool.endpoint.name != record.primary or cause is Cause.STALLED)
+        ]
+
+    async def _wait_released(self, group: str, epoch: int) -> None:
+        """Waits until no instance uses the primary of before any more."""
+        began = trio.current_time()
+        until = began + PROOF_SECONDS * CLOCK_MARGIN
+        while trio.current_time() < until:
+            said = self._gossip.statements_of(group, HEARD_SECONDS)
+            others = self._fleet.primacy.members - {self._fleet.name}
+            used = [
+                name
+                for name in others
+                if name not in said or said[name].released < epoch
+            ]
+            if not used and not self._fleet.uses.get(group):
+                break
+            await trio.sleep(POLL_SECONDS)
+        log_event(
+            "primary released",
+            group=group,
+            epoch=epoch,
+            waited=round(trio.current_time() - began, 3),
+        )
+
+    async def _promote(
+        self, group: str, record: GroupRecord, duty: Duty, cause: Cause
+    ) -> None:
+        written_at = trio.current_time()
+        candidates = self._candidates(group, record, cause)
+        received = await self._positions(group, record, candidates, cause)
+        target = choose_target(received, except_for=())
+        if target is None:
+            log_event("promotion without a target", group=group)
+            await trio.sleep(TICK_SECONDS * 2)
+            return
+        if trio.current_time() - written_at > FENCE_SECONDS:
+            again = await self._registry.write(
+                {GROUP_PREFIX + group: record, DUTY_KEY: duty}
+            )
+            if again is None:
+                await self._follower.read_own()
+                return
+        answer = await self._duties.promote(
+            group, target, holder=self._fleet.name, fence=duty.fence
+        )
+        log_event(
+            "promotion sent",
+            group=group,
+            target=target,
+            fence=duty.fence,
+            answer=answer.value,
+            received=str(received[target]),
+        )
+        self._metrics.count("promotions", answer=answer.value)
+        if answer in (PromoteAnswer.REFUSED, PromoteAnswer.NOT_RUNNING):
+            await trio.sleep(TICK_SECONDS)
+            return
+        term = await self._wait_leads(target)
+        if term is None:
+            return
+        await self._record(group, record, target, term)
+        await self._demote(record.primary, target, term)
+
+    async def _positions(
+        self,
+        group: str,
+        record: GroupRecord,
+        candidates: list[EndpointPool],
+        cause: Cause,
+    ) -> dict[str, Position]:
+        """The ends of the candidates' logs, once they have what they can."""
+        until = trio.current_time() + CATCH_UP_SECONDS
+        wanted = None
+        old = self._fleet.pools.get(record.primary)
+        if cause in (Cause.LEAVING, Cause.GONE) and old is not None:
+            status = await self._status(old)
+            wanted = None if status is None else status.received
+        config = self._fleet.config
+        settings = None if config is None else config.groups.get(group)
+        if settings is not None and settings.synchronous_replicas:
+            await self._suspend(candidates)
+        while True:
+            received: dict[str, Position] = {}
+            async with trio.open_nursery() as nursery:
+                for pool in candidates:
+                    nursery.start_soon(self._add_position, pool, received)
+            best = max(received.values(), default=None)
+            if wanted is None or (best is not None and best >= wanted):
+                return received
+            if trio.current_time() > until:
+                return received
+            await trio.sleep(POLL_SECONDS)
+
+    async def _add_position(
+        self, pool: EndpointPool, received: dict[str, Position]
+    ) -> None:
+        status = await self._status(pool)
+        if status is not None:
+            received[pool.endpoint.name] = status.received
+
+    async def _suspend(self, candidates: list[EndpointPool]) -> None:
+        """Keeps replicas from receiving until one of them leads.
+
+        The old primary, if it lives, can then acknowledge nothing that the
+        new one lacks.
+        """
+        statuses = [await self._status(pool) for pool in candidates]
+        term = max((s.term for s in statuses if s is not None), default=0) + 1
+        for pool in candidates:
+            await self._command(pool, lines.suspend_text(term))
+
+    async def _wait_leads(self, target: str) -> int | None:
+        until = trio.current_time() + LEAD_SECONDS
+        while trio.current_time() < until:
+            pool = self._fleet.pools.get(target)
+            if pool is None:
+                return None
+            status = await self._status(pool)
+            if status is not None and status.is_primary:
+                return status.term
+            await trio.sleep(POLL_SECONDS)
+        log_event("promotion without effect", target=target)
+        return None
+
+    async def _record(
+        self, group: str, begun: GroupRecord, target: str, term: int
+    ) -> None:
+        """Writes the new primary; others take over if this never succeeds."""
+        ended = GroupRecord(epoch=begun.epoch + 1, primary=target, term=term)
+        for _ in range(RECORD_TRIES):
+            try:
+                done = await self._registry.write({GROUP_PREFIX + group: ended})
+                if done is None:
+                    await self._follower.read_own()
+                    known = self._fleet.primacy.records.get(group)
+                    if known is not None and known.epoch > begun.epoch:
+                        return
+                    continue
+                self._fleet.set_record(group, ended)
+                return
+            except StoreError as exc:
+                log_event("promotion not recorded", cause=str(exc))
+                await trio.sleep(TICK_SECONDS * 3)
+
+    async def _demote(self, old: str, target: str, term: int) -> None:
+        pool = self._fleet.pools.get(old)
+        if pool is None or old == target or pool.failing_since is not None:
+            return
+        await self._command(pool, lines.demote_text(term))
+
+    async def _status(self, pool: EndpointPool) -> lines.EndpointStatus | None:
+        rows = await self._command(pool, lines.STATUS)
+        if rows is None:
+            return None
+        try:
+            return lines.parse_status(rows)
+        except lines.BadLineError as exc:
+            log_event(
+                "status unreadable", endpoint=pool.endpoint.name, cause=str(exc)
+            )
+            return None
+
+    async def _command(
+        self, pool: EndpointPool, text: str
+    ) -> tuple[bytes, ...] | None:
+        """Runs a command on a connection of its own."""
+        began = trio.current_time()
+        with trio.move_on_after(STATUS_SECONDS):
+            link = None
+            try:
+                link = await Link.open(pool.endpoint, self._any_workspace())
+                reply = await link.command(text)
+                pool.note_reach()
+                if isinstance(reply.result, Done):
+                    return reply.result.rows
+                return None
+            except LinkError as exc:
+                if exc.refusal is None:
+                    pool.note_failure(began)
+                return None
+            finally:
+                if link is not None:
+                    link.close()
+        pool.note_failure(began)
+        return None
+
+    def _any_workspace(self) -> str:
+        """In whose name the instance itself connects: endpoints ask for one."""
+        config = self._fleet.config
+        names = () if config is None else config.workspaces
+        return next(iter(names), self._fleet.name)
--- /dev/null
+++ b/src/lagoonstair/proxy/_quota.py
@@ -0,0 +1,97 @@
+"""Shares of the workspaces' rates, over the limits slice."""
+
+from collections.abc import Callable, Mapping
+
+from lagoonstair._types import Address
+from lagoonstair.limits import LimitService, LimitSettings, WorkspaceLimit
+from lagoonstair.membership import Ranked, rank
+from lagoonstair.peers import PeerClient, Registry
+from lagoonstair.proxy._registry import Member
+from lagoonstair.routing import EntryConfig
+
+FRESHNESS_SECONDS = 25.0
+"""How long an instance without the store may spend its share; longer than an
+outage of the store usually lasts, and what a new instance waits for."""
+
+SETTINGS = LimitSettings(
+    freshness_bound=FRESHNESS_SECONDS, ask_period=0.2, max_wait=0.15
+)
+"""Asks cost bytes between failure domains, so they are rarer than usual."""
+
+
+class Quota:
+    """Admits operations within the workspaces' rates."""
+
+    def __init__(
+        self,
+        name: str,
+        peers: PeerClient,
+        registry: Registry,
+        addresses: Callable[[str], Address | None],
+        fresh: Callable[[], bool],
+    ) -> None:
+        self._service = LimitService(
+            name,
+            peers,
+            registry,
+            addresses,
+            lambda now: fresh(),
+            settings=SETTINGS,
+        )
+        self._version = 0
+        self._limits: dict[str, WorkspaceLimit] = {}
+        self._holders: dict[str, tuple[str, ...]] = {}
+        self._members: frozenset[tuple[str, str]] = frozenset()
+
+    def apply(
+        self,
+        config: EntryConfig,
+        members: Mapping[str, Member],
+        *,
+        resumed: bool,
+    ) -> None:
+        """Takes the limits and the instances that hold shares of them.
+
+        Args:
+            config: The newest configuration.
+            members: The registered instances.
+            resumed: Whether this instance held its shares before it started.
+        """
+        ranked = [
+            Ranked(name, member.failure_domain)
+            for name, member in members.items()
+        ]
+        key = frozenset(ranked)
+        if key != self._members:
+            self._members = frozenset(key)
+            self._holders.clear()
+        limits = {}
+        for workspace in config.workspaces.values():
+            holders = self._holders.get(workspace.name)
+            if holders is None:
+                holders = rank(f"workspace:{workspace.name}", ranked)
+                self._holders[workspace.name] = holders
+            limits[workspace.name] = WorkspaceLimit.from_config(
+                rate=workspace.rate, burst=workspace.burst, holders=holders
+            )
+        if limits == self._limits:
+            return
+        self._version += 1
+        new = limits.keys() - self._limits.keys()
+        self._limits = limits
+        self._service.apply(
+            self._version, limits, resumed=new if resumed else ()
+        )
+
+    async def admit(self, workspace: str) -> None:
+        """Returns once an operation may run.
+
+        Raises:
+            LagoonstairError: It is over the rate, or this instance may be
+                cut off from a change of the shares.
+        """
+        await self._service.admit_known(workspace)
+
+    async def run(self) -> None:
+        """Exchanges tokens with the others, until cancelled."""
+        await self._service.run()
--- /dev/null
+++ b/src/lagoonstair/proxy/_settings.py
@@ -0,0 +1,91 @@
+"""The settings of one instance."""
+
+import os
+import pathlib
+
+import msgspec
+
+from lagoonstair._types import Address
+
+SETTINGS_VARIABLE = "LAGOONSTAIR_SETTINGS"
+"""Names the settings file; set by whoever starts the process."""
+
+
+class SettingsError(Exception):
+    """The settings can't be used; says which field and why."""
+
+
+class Listen(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the instance listens, as ``IP:PORT``."""
+
+    entry: str
+    ready: str
+
+
+class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The settings file, in JSON.
+
+    Attributes:
+        instance: The instance's name; no other one has it.
+        failure_domain: Where the instance runs.
+        host: The IP number that other instances reach it by.
+        listen: The addresses of callers and of the readiness check.
+        peer_ports: First and last port that is free for calls between
+            instances; the first carries them, the second the metrics.
+        store: The address of the metadata store.
+        duties: The address of the calls that one instance at a time makes.
+        first_start: Whether the whole system starts for the first time.
+        memory_mb: Memory that the process may use.
+        max_descriptors: File descriptors that it may use.
+        heartbeat_ms: How often endpoints write their entries.
+        drain_ms: How long a leaving endpoint may still get work.
+        grace_s: How long a stopping process may take.
+        fence_required: Whether the platform checks fencing tokens.
+    """
+
+    instance: str
+    failure_domain: str
+    host: str
+    listen: Listen
+    peer_ports: tuple[int, int]
+    store: str
+    duties: str
+    first_start: bool = False
+    memory_mb: float = 300
+    max_descriptors: int = 1024
+    heartbeat_ms: float = 1200
+    drain_ms: float = 7000
+    grace_s: float = 6
+    fence_required: bool = False
+
+    @property
+    def peer_address(self) -> Address:
+        """Where other instances call this one."""
+        return Address(self.host, self.peer_ports[0])
+
+
+def load_settings() -> InstanceSettings:
+    """Reads the settings file that the environment names.
+
+    Raises:
+        SettingsError: There is none, or a field is missing or wrong.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE} is not set")
+    try:
+        return parse_settings(pathlib.Path(path).read_bytes())
+    except OSError as exc:
+        raise SettingsError(f"{path}: {exc.strerror}") from exc
+
+
+def parse_settings(text: bytes) -> InstanceSettings:
+    """Parses and checks settings.
+
+    Raises:
+        SettingsError: Names the field and what is wrong with it.
+    """
+    try:
+        return msgspec.json.decode(text, type=InstanceSettings)
+    except msgspec.MsgspecError as exc:
+        raise SettingsError(str(exc)) from exc
--- a/src/lagoonstair/service/_daemon.py
+++ b/src/lagoonstair/service/_daemon.py
@@ -27,7 +27,6 @@
     PeerServer,
     Registry,
 )
-from lagoonstair.platform import HttpPlatform
 from lagoonstair.ports import ListedEndpoint, ListedGroup
 from lagoonstair.report import Metrics, Objectives, Recorder
 from lagoonstair.retries import BudgetLimits, RetryBudget
@@ -43,6 +42,7 @@
 from lagoonstair.service._transactions import Transactions
 from lagoonstair.sessions import TokenCodec
 from lagoonstair.settings import Settings
+from lagoonstair.standins.platform import HttpPlatform
 from lagoonstair.wire import HttpLimits, HttpServer
 
 JOIN_SECONDS = 3.0
--- a/src/lagoonstair/standins/platform/__init__.py
+++ b/src/lagoonstair/standins/platform/__init__.py
@@ -1,5 +1,6 @@
 """A stand-in for the platform, with faults that a test can set."""
 
+from lagoonstair.standins.platform._client import HttpPlatform
 from lagoonstair.standins.platform._config import PlatformConfig
 from lagoonstair.standins.platform._faults import Faults, FaultSet
 from lagoonstair.standins.platform._listing import ListingChange
@@ -9,6 +10,7 @@
     "Counters",
     "FaultSet",
     "Faults",
+    "HttpPlatform",
     "ListingChange",
     "PlatformConfig",
     "PlatformStandin",
--- a/src/lagoonstair/platform/_adapter.py
+++ b/src/lagoonstair/standins/platform/_client.py
@@ -9,7 +9,13 @@
 import trio
 
 from lagoonstair._types import Address
-from lagoonstair.platform._messages import (
+from lagoonstair.ports import (
+    Listing,
+    PlatformUnavailableError,
+    Row,
+    Transaction,
+)
+from lagoonstair.standins.platform._messages import (
     INSTANCE_HEADER,
     ReadRequest,
     ReadResponse,
@@ -17,14 +23,12 @@
     ScanResponse,
     TransactResponse,
 )
-from lagoonstair.platform._pool import ConnectionPool
-from lagoonstair.ports import (
-    Listing,
-    PlatformUnavailableError,
-    Row,
-    Transaction,
+from lagoonstair.wire import (
+    ConnectionPool,
+    HttpAnswer,
+    HttpError,
+    NotSentError,
 )
-from lagoonstair.wire import HttpAnswer, HttpError, NotSentError
 
 TIMEOUT_SECONDS = 2.0
 CONNECTIONS = 4
--- a/src/lagoonstair/standins/platform/_server.py
+++ b/src/lagoonstair/standins/platform/_server.py
@@ -6,14 +6,6 @@
 import msgspec
 import trio
 
-from lagoonstair.platform import (
-    INSTANCE_HEADER,
-    ReadRequest,
-    ReadResponse,
-    ScanRequest,
-    ScanResponse,
-    TransactResponse,
-)
 from lagoonstair.ports import Transaction
 from lagoonstair.standins.platform._config import PlatformConfig
 from lagoonstair.standins.platform._faults import FaultSet
@@ -21,6 +13,14 @@
     LaggingListing,
     ListingChange,
 )
+from lagoonstair.standins.platform._messages import (
+    INSTANCE_HEADER,
+    ReadRequest,
+    ReadResponse,
+    ScanRequest,
+    ScanResponse,
+    TransactResponse,
+)
 from lagoonstair.standins.platform._tables import Tables
 from lagoonstair.wire import (
     HttpLimits,
--- a/src/lagoonstair/wire/__init__.py
+++ b/src/lagoonstair/wire/__init__.py
@@ -11,6 +11,7 @@
     HttpError,
     NotSentError,
 )
+from lagoonstair.wire._http_pool import ConnectionPool
 from lagoonstair.wire._http_server import (
     HttpLimits,
     HttpRequest,
@@ -20,6 +21,7 @@
 from lagoonstair.wire._listen import listen
 
 __all__ = [
+    "ConnectionPool",
     "FrameReader",
     "FrameTooLargeError",
     "HttpAnswer",
--- a/src/lagoonstair/platform/_pool.py
+++ b/src/lagoonstair/wire/_http_pool.py
@@ -6,7 +6,7 @@
 import trio
 
 from lagoonstair._types import Address
-from lagoonstair.wire import HttpConnection
+from lagoonstair.wire._http_client import HttpConnection
 
 IDLE_SECONDS = 60.0
 """An idle connection is not reused after this time.
--- a/tests/test_cli_operator_api.py
+++ b/tests/test_cli_operator_api.py
@@ -12,8 +12,11 @@
 from lagoonstair.cli._main import run
 from lagoonstair.config import ConfigSync, OperatorApi
 from lagoonstair.peers import PeerClient, Registry
-from lagoonstair.platform import HttpPlatform
-from lagoonstair.standins.platform import PlatformConfig, PlatformStandin
+from lagoonstair.standins.platform import (
+    HttpPlatform,
+    PlatformConfig,
+    PlatformStandin,
+)
 from lagoonstair.wire import HttpServer
 
 SECRET = "ls_0123456789abcdef_operatorsecret"
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -11,8 +11,6 @@
 import trio
 
 from lagoonstair._types import Address
-from lagoonstair.platform import HttpPlatform
-from lagoonstair.platform._adapter import CONNECTIONS
 from lagoonstair.ports import (
     ListedInstance,
     Platform,
@@ -23,10 +21,12 @@
 from lagoonstair.standins.platform import (
     Faults,
     FaultSet,
+    HttpPlatform,
     ListingChange,
     PlatformConfig,
     PlatformStandin,
 )
+from lagoonstair.standins.platform._client import CONNECTIONS
 
 PUT_A = Transaction(conditions={"a": 0}, writes={"a": b"\x00\xff"})
 
