--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -6,6 +6,7 @@
 from lagoonstair.limits import LimitService, LimitSettings, WorkspaceLimit
 from lagoonstair.membership import Ranked, rank
 from lagoonstair.peers import PeerClient, Registry
+from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._registry import Member
 from lagoonstair.routing import EntryConfig
 
@@ -71,9 +72,19 @@
             if holders is None:
                 holders = rank(f"workspace:{workspace.name}", ranked)
                 self._holders[workspace.name] = holders
-            limits[workspace.name] = WorkspaceLimit.from_config(
+            limit = WorkspaceLimit.from_config(
                 rate=workspace.rate, burst=workspace.burst, holders=holders
             )
+            limits[workspace.name] = limit
+            if limit != self._limits.get(workspace.name):
+                log_event(
+                    "limit changed",
+                    workspace=workspace.name,
+                    rate=workspace.rate,
+                    burst=workspace.burst,
+                    holders=len(limit.holders),
+                    resumed=resumed,
+                )
         if limits == self._limits:
             return
         self._version += 1
