Let a restarted instance use its share at once

Cause: after all instances were killed or restarted in turn, each one waited 26 s before its share of the rates grew, as a new instance must; every operation was refused meanwhile. An instance that has been registered for longer than others may be unaware needs no such wait. Excluded: the endpoints (idle), the primaries (in use within 1 s).

--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -184,7 +184,9 @@
         if self._fleet.config is None or not self._registry.members:
             return
         resumed = self._registry.held_before(
-            self._follower.store_now, SETTINGS.share_delay
+            self._settings.instance,
+            self._follower.store_now,
+            SETTINGS.share_delay,
         )
         self._quota.apply(
             self._fleet.config, self._registry.members, resumed=resumed
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -182,21 +182,24 @@
         member = self.members.get(name)
         return None if member is None else member.address
 
-    def held_before(self, now: float, settled: float) -> bool:
-        """Whether the instances' shares are those of some time ago.
+    def held_before(self, name: str, now: float, settled: float) -> bool:
+        """Whether an instance has held its shares since some time ago.
+
+        An instance that has been registered for long may use its shares as
+        soon as it starts again: those that have not heard of newer instances
+        count with more of its part, never with less, and nobody is removed
+        before it has certainly stopped.
 
         Args:
+            name: The instance.
             now: The store's clock (s).
             settled: After how many seconds every instance knows of a change.
         """
-        if self.founding is None:
+        member = self.members.get(name)
+        if self.founding is None or member is None:
             return False
-        if now - self.founding.at < FOUNDING_SECONDS:
-            return True
-        newest = max(
-            (member.since for member in self.members.values()), default=now
-        )
-        return now - newest > settled
+        founded = member.since - self.founding.at < FOUNDING_SECONDS
+        return founded or now - member.since > settled
 
     def _missing_rows(
         self, settings: InstanceSettings, now: float
