Prove primaries and shares by a majority; remove instances that are gone

A replaced instance's part of the rates stayed unused, and the new one waited 26 s for its own. Excluded: the endpoints, in reach all the while. A proof now needs words from a majority, and a promotion waits for a majority before the proofs run out; shares count under the same proof for 6 s. Silent instances are suspected in their row and removed unless they deny it.

--- a/src/lagoonstair/limits/_settings.py
+++ b/src/lagoonstair/limits/_settings.py
@@ -69,14 +69,19 @@
 
     @classmethod
     def from_config(
-        cls, *, rate: float, burst: float, holders: tuple[str, ...]
+        cls,
+        *,
+        rate: float,
+        burst: float,
+        holders: tuple[str, ...],
+        max_holders: int = MAX_HOLDERS,
     ) -> "WorkspaceLimit":
         """Makes a limit from requests a second and requests.
 
         A small burst is split over fewer holders: shares below one token would
         have to be collected from several of them for a single request.
         """
-        count = max(1, min(MAX_HOLDERS, int(burst) // TOKENS_PER_HOLDER))
+        count = max(1, min(max_holders, int(burst) // TOKENS_PER_HOLDER))
         return cls(
             rate=to_micro(rate), burst=to_micro(burst), holders=holders[:count]
         )
--- a/src/lagoonstair/primacy/_primacy.py
+++ b/src/lagoonstair/primacy/_primacy.py
@@ -7,12 +7,17 @@
 
 - the record, read from the store;
 - another instance's reading, made older by its age;
-- a word from each registered instance that it knows of no promotion.
+- words from more than half of the registered instances, itself included, that
+  they know of no promotion.
 
-The promoter waits until every instance has said that it uses the primary of
-before no more, or until the proofs of the silent ones have run out. So no
-write is acknowledged by, and no read served from, a replaced primary, whoever
-is cut off from whom.
+The promoter waits until more than half of the instances have said that they
+use the primary of before no more. Unless all have, it waits until the proofs
+of the silent ones have run out too, counted from then: any two majorities
+share an instance, whose word was either asked for before it knew of the
+promotion, and has run out, or tells of it. So no write is acknowledged by, and
+no read served from, a replaced primary, whoever is cut off from whom.
+
+The same proof shows that the registered instances are those that are known.
 """
 
 from collections.abc import Iterable, Mapping
@@ -123,7 +128,7 @@
 
     def proved_at(self, now: float) -> float:
         """When the newest proof was asked for."""
-        return max(self.store_read_at, self._relayed_at, self._unanimous(now))
+        return max(self.store_read_at, self._relayed_at, self._agreed(now))
 
     def is_proved(self, now: float) -> bool:
         """Whether no promotion can have come to its end unnoticed."""
@@ -152,14 +157,19 @@
         record = self.records.get(group)
         return self.epoch(group) > (record.epoch if record else 0)
 
-    def _unanimous(self, now: float) -> float:
-        """The oldest of the words of all others, if all of them count."""
-        oldest = now
-        for member in self.members:
-            if member == self._name:
-                continue
-            word = self._words.get(member)
-            if word is None or word.members_version > self.members_version:
-                return float("-inf")
-            oldest = min(oldest, word.asked_at)
-        return oldest if self._name in self.members else float("-inf")
+    def _agreed(self, now: float) -> float:
+        """Since when more than half of the members agree, if they do."""
+        if self._name not in self.members:
+            return float("-inf")
+        needed = len(self.members) // 2
+        words = [
+            word
+            for member, word in self._words.items()
+            if member in self.members and member != self._name
+        ]
+        if any(word.members_version > self.members_version for word in words):
+            return float("-inf")
+        asked = sorted((word.asked_at for word in words), reverse=True)
+        if needed == 0:
+            return now
+        return asked[needed - 1] if len(asked) >= needed else float("-inf")
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -18,6 +18,7 @@
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._promoter import Promoter
 from lagoonstair.proxy._quota import FRESHNESS_SECONDS, SETTINGS, Quota
+from lagoonstair.proxy._reaper import Reaper
 from lagoonstair.proxy._registry import Registry
 from lagoonstair.proxy._settings import (
     InstanceSettings,
@@ -49,6 +50,7 @@
         self._settings = settings
         self._metrics = metrics
         self._ready = False
+        self._resumed = False
         self._store = Store(parse_address(settings.store))
         self._fleet = Fleet(settings.instance, settings.failure_domain, metrics)
         self._registry = Registry(self._store)
@@ -114,6 +116,8 @@
                 self._metrics,
             )
             nursery.start_soon(promoter.run)
+            reaper = Reaper(self._fleet, self._registry, self._follower, gossip)
+            nursery.start_soon(reaper.run, settings)
             nursery.start_soon(self._keep_proved)
             front = Front(
                 self._fleet,
@@ -183,19 +187,26 @@
     def _apply_limits(self) -> None:
         if self._fleet.config is None or not self._registry.members:
             return
-        resumed = self._registry.held_before(
+        self._resumed = self._registry.held_before(
             self._settings.instance,
             self._follower.store_now,
             SETTINGS.share_delay,
         )
         self._quota.apply(
-            self._fleet.config, self._registry.members, resumed=resumed
+            self._fleet.config, self._registry.members, resumed=self._resumed
         )
 
     def _is_fresh(self) -> bool:
-        """Whether a change of the shares can't have gone unnoticed."""
+        """Whether a change of the shares can't have gone unnoticed.
+
+        A new instance's share counts once most of the others know of it, so
+        it has to be in touch with them.
+        """
         now = trio.current_time()
-        return now - self._follower.reached_at < FRESHNESS_SECONDS
+        primacy = self._fleet.primacy
+        if now - primacy.proved_at(now) >= FRESHNESS_SECONDS:
+            return False
+        return self._resumed or primacy.has_majority(now, FRESHNESS_SECONDS)
 
     async def _keep_proved(self) -> None:
         """Reads the store when the others' words don't prove the primaries."""
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -39,6 +39,10 @@
 """A promotion that has not ended by then is taken over; the longest part of
 one, the platform's, takes a second."""
 
+SETTLED_SECONDS = 30.0
+"""An instance that registered longer ago is known to all that are in touch
+with anyone."""
+
 STORE_SECONDS = 12.0
 """Without the store for so long, entries say nothing of primaries."""
 
@@ -265,8 +269,8 @@
             await self._follower.read_own()
             return
         self._fleet.set_record(group, begun)
-        await self._wait_released(group, epoch)
-        await self._promote(group, begun, duty, cause)
+        if await self._wait_released(group, epoch):
+            await self._promote(group, begun, duty, cause)
 
     def _next_duty(self) -> Duty:
         duty = self._registry.duty
@@ -287,27 +291,59 @@
             and (pool.endpoint.name != record.primary or cause is Cause.STALLED)
         ]
 
-    async def _wait_released(self, group: str, epoch: int) -> None:
-        """Waits until no instance uses the primary of before any more."""
+    async def _wait_released(self, group: str, epoch: int) -> bool:
+        """Waits until no instance uses the primary of before any more.
+
+        Returns:
+            Whether that is certain.
+        """
         began = trio.current_time()
-        until = began + PROOF_SECONDS * CLOCK_MARGIN
-        while trio.current_time() < until:
-            said = self._gossip.statements_of(group, HEARD_SECONDS)
-            others = self._fleet.primacy.members - {self._fleet.name}
-            used = [
-                name
-                for name in others
-                if name not in said or said[name].released < epoch
-            ]
-            if not used and not self._fleet.uses.get(group):
-                break
+        agreed_at = None
+        released = False
+        while not released and trio.current_time() < began + STALLED_SECONDS:
             await trio.sleep(POLL_SECONDS)
+            now = trio.current_time()
+            if self._fleet.uses.get(group):
+                continue
+            known = self._known_by(group, epoch)
+            members = self._registry.members.keys()
+            if agreed_at is None and self._is_majority(known):
+                agreed_at = now
+            released = known >= members or (
+                agreed_at is not None
+                and now - agreed_at > PROOF_SECONDS * CLOCK_MARGIN
+            )
         log_event(
-            "primary released",
+            "primary released" if released else "primary not released",
             group=group,
             epoch=epoch,
             waited=round(trio.current_time() - began, 3),
         )
+        return released
+
+    def _known_by(self, group: str, epoch: int) -> set[str]:
+        """The instances that have released all primaries before an epoch."""
+        said = self._gossip.statements_of(group, STALLED_SECONDS)
+        known = {name for name, word in said.items() if word.released >= epoch}
+        return known | {self._fleet.name}
+
+    def _is_majority(self, known: set[str]) -> bool:
+        """Whether these are most instances, with the newest and without.
+
+        Instances that don't know of the newest ones yet count without them.
+        """
+        members = self._registry.members
+        now = self._follower.store_now
+        settled = {
+            name
+            for name in members
+            if self._registry.held_before(name, now, SETTLED_SECONDS)
+        }
+        return all(
+            len(known & names) * 2 > len(names)
+            for names in (members.keys(), settled)
+            if names
+        )
 
     async def _promote(
         self, group: str, record: GroupRecord, duty: Duty, cause: Cause
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -10,9 +10,13 @@
 from lagoonstair.proxy._registry import Member
 from lagoonstair.routing import EntryConfig
 
-FRESHNESS_SECONDS = 25.0
-"""How long an instance without the store may spend its share; longer than an
-outage of the store usually lasts, and what a new instance waits for."""
+FRESHNESS_SECONDS = 6.0
+"""How long an instance may spend its share without a proof that it knows the
+registered instances. A new one waits for as long, and a second more."""
+
+MAX_HOLDERS = 16
+"""Instances that hold shares of one workspace; with fewer instances, all do,
+so that none has to borrow."""
 
 SETTINGS = LimitSettings(
     freshness_bound=FRESHNESS_SECONDS,
@@ -78,7 +82,10 @@
                 holders = rank(f"workspace:{workspace.name}", ranked)
                 self._holders[workspace.name] = holders
             limit = WorkspaceLimit.from_config(
-                rate=workspace.rate, burst=workspace.burst, holders=holders
+                rate=workspace.rate,
+                burst=workspace.burst,
+                holders=holders,
+                max_holders=MAX_HOLDERS,
             )
             limits[workspace.name] = limit
             if limit != self._limits.get(workspace.name):
