Start a restarted share with a part of the tolerated excess

Excluded: the start of the processes (0.3 s to ready). The settings now carry the window, excess and slack that the rates are judged by; a third of what they tolerate is shared among the instances at a restart.

--- a/src/lagoonstair/limits/_holder.py
+++ b/src/lagoonstair/limits/_holder.py
@@ -87,7 +87,7 @@
         limit: WorkspaceLimit | None,
         *,
         created: bool = False,
-        resumed: bool = False,
+        resumed: int | None = None,
     ) -> None:
         """Takes a limit over from a configuration version.
 
@@ -95,15 +95,15 @@
         starts anew, because the skipped one may have given it to others. The
         share of a workspace that was just created starts full and at once,
         because nobody can have held it before. A share that an earlier run of
-        this instance held starts empty, as that run may have spent it all, but
-        at once.
+        this instance held counts at once too, but starts with ``resumed``
+        micro-tokens, as that run may have spent it all.
         """
         if version <= self.version:
             return
-        if (created or resumed) and self.version == 0:
+        if self.version == 0 and (created or resumed is not None):
             self._create(now, version, limit)
-            if resumed:
-                self._balance = 0
+            if resumed is not None:
+                self._balance = min(self._balance, resumed)
             return
         self._advance(now)
         skipped = self.version > 0 and version > self.version + 1
--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -71,7 +71,7 @@
         limits: Mapping[str, WorkspaceLimit],
         *,
         created: Container[str] = (),
-        resumed: Container[str] = (),
+        resumed: Mapping[str, int] | None = None,
     ) -> None:
         """Takes the limits of a configuration version; versions in order.
 
@@ -82,8 +82,10 @@
             created: Workspaces that no earlier version had, of which this
                 run of the instance is among the first holders. Without effect
                 when a version was skipped, which may have named others.
-            resumed: Workspaces whose share an earlier run held; likewise.
+            resumed: Workspaces whose share an earlier run held, with the
+                micro-tokens that it starts with; likewise.
         """
+        kept = resumed or {}
         skipped = version != self._version + 1
         self._version = max(self._version, version)
         for workspace in {*self._lender.holders, *limits}:
@@ -93,7 +95,7 @@
                 workspace,
                 limits.get(workspace),
                 created=workspace in created and not skipped,
-                resumed=workspace in resumed and not skipped,
+                resumed=None if skipped else kept.get(workspace),
             )
 
     def accept(self, now: float, version: int) -> None:
@@ -111,7 +113,7 @@
         limit: WorkspaceLimit | None,
         *,
         created: bool = False,
-        resumed: bool = False,
+        resumed: int | None = None,
     ) -> None:
         """Takes the limit of one workspace from a configuration version."""
         self._lender.expire(now)
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -98,7 +98,7 @@
         limits: Mapping[str, WorkspaceLimit],
         *,
         created: Container[str] = (),
-        resumed: Container[str] = (),
+        resumed: Mapping[str, int] | None = None,
     ) -> None:
         """Takes over the limits of all workspaces from a configuration.
 
@@ -111,7 +111,7 @@
             created: Workspaces that no earlier version had, if this run of
                 the instance had joined by then.
             resumed: Workspaces whose share an earlier run of this instance
-                held, so that it starts empty but without delay.
+                held, with the micro-tokens that it starts with.
         """
         self._workspaces = set(limits)
         self._take_accepted()
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -17,7 +17,12 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._promoter import Promoter
-from lagoonstair.proxy._quota import FRESHNESS_SECONDS, SETTINGS, Quota
+from lagoonstair.proxy._quota import (
+    FRESHNESS_SECONDS,
+    SETTINGS,
+    Quota,
+    Tolerance,
+)
 from lagoonstair.proxy._reaper import Reaper
 from lagoonstair.proxy._registry import Registry
 from lagoonstair.proxy._settings import (
@@ -83,6 +88,11 @@
                 self._handlers,
                 self._registry.member_address,
                 self._is_fresh,
+                Tolerance(
+                    window=settings.quota_window_s,
+                    excess=settings.quota_excess,
+                    slack=settings.quota_slack,
+                ),
             )
             self._quota = quota
             self._follower = Follower(
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -1,14 +1,20 @@
 """Shares of the workspaces' rates, over the limits slice."""
 
 from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 from lagoonstair._types import Address
-from lagoonstair.limits import LimitService, LimitSettings, WorkspaceLimit
+from lagoonstair.limits import (
+    MICRO,
+    LimitService,
+    LimitSettings,
+    WorkspaceLimit,
+)
 from lagoonstair.membership import Ranked, rank
 from lagoonstair.peers import PeerClient, Registry
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._registry import Member
-from lagoonstair.routing import EntryConfig
+from lagoonstair.routing import EntryConfig, Workspace
 
 FRESHNESS_SECONDS = 6.0
 """How long an instance may spend its share without a proof that it knows the
@@ -29,6 +35,35 @@
 its rate, and waiting would only make late what is admitted."""
 
 
+RESTART_SHARE = 1 / 3
+"""The part of the tolerated excess that restarts may use up: all instances
+may start again three times in one window."""
+
+
+class Tolerance(NamedTuple):
+    """By how much a workspace may exceed its limit in a window.
+
+    Attributes:
+        window: The window's length, in seconds.
+        excess: A part of what the limit allows in the window.
+        slack: Operations besides.
+    """
+
+    window: float
+    excess: float
+    slack: float
+
+    def allowance(self, limit: Workspace, holders: int) -> int:
+        """Micro-tokens that each holder may start again with.
+
+        Nobody knows what the runs of before have spent. Without any, every
+        workspace would be refused for a while after a crash of all instances.
+        """
+        allowed = limit.rate * self.window + limit.burst
+        tolerated = allowed * self.excess + self.slack
+        return int(tolerated * RESTART_SHARE * MICRO / max(1, holders))
+
+
 class Quota:
     """Admits operations within the workspaces' rates."""
 
@@ -39,7 +74,9 @@
         registry: Registry,
         addresses: Callable[[str], Address | None],
         fresh: Callable[[], bool],
+        tolerance: Tolerance,
     ) -> None:
+        self._tolerance = tolerance
         self._service = LimitService(
             name,
             peers,
@@ -102,8 +139,14 @@
         self._version += 1
         new = limits.keys() - self._limits.keys()
         self._limits = limits
+        kept = {
+            name: self._tolerance.allowance(
+                config.workspaces[name], len(limits[name].holders)
+            )
+            for name in new
+        }
         self._service.apply(
-            self._version, limits, resumed=new if resumed else ()
+            self._version, limits, resumed=kept if resumed else None
         )
 
     async def admit(self, workspace: str) -> None:
--- a/src/lagoonstair/proxy/_settings.py
+++ b/src/lagoonstair/proxy/_settings.py
@@ -41,6 +41,9 @@
         drain_ms: How long a leaving endpoint may still get work.
         grace_s: How long a stopping process may take.
         fence_required: Whether the platform checks fencing tokens.
+        quota_window_s: The window in which rates are judged.
+        quota_excess: The part by which a rate may be exceeded in it.
+        quota_slack: Operations that may come on top in it.
     """
 
     instance: str
@@ -57,6 +60,9 @@
     drain_ms: float = 7000
     grace_s: float = 6
     fence_required: bool = False
+    quota_window_s: float = 5
+    quota_excess: float = 0
+    quota_slack: float = 0
 
     @property
     def peer_address(self) -> Address:
