Give workspaces homes; let voters follow the store for all

Seven voters follow the store and prove primaries; the others ask one of them a round for a proof and for what they lack. Where an instance's part of the connections is small for the number of workspaces, each workspace has a home that runs its statements, and the other instances relay its sessions there. Excluded: the endpoints (slots free), the store (751 calls either way).

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -113,6 +113,13 @@
         """How many bytes of an unfinished line, or of later ones, are held."""
         return len(self._buffer)
 
+    def take_rest(self) -> bytes:
+        """Takes out what was fed and not yet returned."""
+        rest = bytes(self._buffer)
+        self._buffer.clear()
+        self._scanned = 0
+        return rest
+
     def next_line(self) -> bytes | None:
         """The next whole line without its end; ``None`` until it is whole.
 
@@ -209,11 +216,28 @@
             return encode_failure(result) + encode_ready(state)
 
 
+def parse_ready(line: bytes) -> State:
+    """The state that a line tells which ends an answer.
+
+    Raises:
+        BadLineError: It is no such line.
+    """
+    word = line.decode("latin-1").split(" ")[1:2]
+    if not word or word[0] not in STATES:
+        raise BadLineError(Code.MALFORMED, "unknown state")
+    return STATES[word[0]]
+
+
 def encode_start(group: str, workspace: str, endpoint: str) -> bytes:
     """Opens a connection to an endpoint, which checks its own id."""
     return f"START {group} {workspace} {endpoint}\r\n".encode("latin-1")
 
 
+def encode_caller_start(database: str, key: str) -> bytes:
+    """Opens a caller's session at another instance; without a line's end."""
+    return f"START {database} {key}".rstrip(" ").encode("latin-1")
+
+
 def encode_query(request_id: str, text: str) -> bytes:
     """Encodes a statement for an endpoint."""
     return f"QUERY {request_id} {text}\r\n".encode("latin-1")
--- a/src/lagoonstair/primacy/_primacy.py
+++ b/src/lagoonstair/primacy/_primacy.py
@@ -6,16 +6,18 @@
 promotion had begun:
 
 - the record, read from the store;
-- another instance's reading, made older by its age;
-- words from more than half of the registered instances, itself included, that
-  they know of no promotion.
-
-The promoter waits until more than half of the instances have said that they
-use the primary of before no more. Unless all have, it waits until the proofs
-of the silent ones have run out too, counted from then: any two majorities
-share an instance, whose word was either asked for before it knew of the
-promotion, and has run out, or tells of it. So no write is acknowledged by, and
-no read served from, a replaced primary, whoever is cut off from whom.
+- words from more than half of the voters that they know of no promotion;
+- another instance's proof, made older by its age.
+
+The voters are the instances that registered first. The promoter, one of them,
+waits until more than half of them have said that they use the primary of
+before no more. Unless all instances have, it waits until the proofs of the
+silent ones have run out too, counted from then: any two majorities share a
+voter, whose word was either asked for before it knew of the promotion, and has
+run out, or tells of it. So no write is acknowledged by, and no read served
+from, a replaced primary, whoever is cut off from whom. A voter that is removed
+was silent for longer than a proof holds, and the next one in line takes its
+place, so that majorities before and after share a voter as well.
 
 The same proof shows that the registered instances are those that are known.
 """
@@ -47,8 +49,8 @@
 
     Attributes:
         records: The records by group, as last read from the store.
-        members: The registered instances.
-        members_version: The store's version at which they were registered.
+        voters: The instances whose words count.
+        members_version: The store's version of the registered instances.
         store_read_at: When the newest answer of the store was asked for.
     """
 
@@ -59,7 +61,7 @@
         self._starting: dict[str, int] = {}
         self._relayed_at = float("-inf")
         self.records: dict[str, GroupRecord] = {}
-        self.members: frozenset[str] = frozenset()
+        self.voters: frozenset[str] = frozenset()
         self.members_version = 0
         self.store_read_at = float("-inf")
 
@@ -74,9 +76,9 @@
             self._starting.pop(group, None)
         return True
 
-    def set_members(self, members: Iterable[str], version: int) -> None:
-        """Takes the registered instances from the store."""
-        self.members = frozenset(members)
+    def set_voters(self, voters: Iterable[str], version: int) -> None:
+        """Takes the voters from the store."""
+        self.voters = frozenset(voters)
         self.members_version = max(self.members_version, version)
 
     def note_store_read(self, asked_at: float) -> None:
@@ -90,7 +92,7 @@
         *,
         members_version: int,
         epochs: Mapping[str, int],
-        store_read_age: float,
+        proof_age: float,
     ) -> None:
         """Takes what another instance answered.
 
@@ -99,7 +101,7 @@
             asked_at: When it was asked.
             members_version: At which version it knows the instances.
             epochs: The newest epoch of each group that it knows of.
-            store_read_age: Seconds since it read the store.
+            proof_age: The age of its own proof, in seconds.
         """
         self._words[member] = _Word(asked_at, members_version)
         behind = members_version > self.members_version
@@ -107,7 +109,7 @@
             if epoch > self.epoch(group):
                 self._epochs[group] = epoch
         if not behind and not any(map(self._is_behind, epochs)):
-            self._relayed_at = max(self._relayed_at, asked_at - store_read_age)
+            self._relayed_at = max(self._relayed_at, asked_at - proof_age)
 
     def start(self, group: str) -> int:
         """Begins a promotion of a group here; returns its epoch."""
@@ -142,34 +144,42 @@
         return record.primary if self.is_proved(now) else None
 
     def heard(self, now: float, within: float) -> set[str]:
-        """The other members that answered what was asked of late."""
+        """The other voters that answered what was asked of late."""
         return {
             member
             for member, word in self._words.items()
-            if member in self.members and now - word.asked_at <= within
+            if member in self.voters and now - word.asked_at <= within
         }
 
     def has_majority(self, now: float, within: float) -> bool:
-        """Whether more than half of the members are in touch."""
-        return (len(self.heard(now, within)) + 1) * 2 > len(self.members)
+        """Whether more than half of the voters are in touch."""
+        known = self.heard(now, within) | ({self._name} & self.voters)
+        return len(known) * 2 > len(self.voters)
+
+    def note_start(self, group: str, epoch: int) -> None:
+        """Learns from its promoter that a promotion begins."""
+        self._epochs[group] = max(self.epoch(group), epoch)
+
+    def starting(self) -> dict[str, int]:
+        """The promotions that this instance has begun, with their epochs."""
+        return dict(self._starting)
 
     def _is_behind(self, group: str) -> bool:
         record = self.records.get(group)
         return self.epoch(group) > (record.epoch if record else 0)
 
     def _agreed(self, now: float) -> float:
-        """Since when more than half of the members agree, if they do."""
-        if self._name not in self.members:
-            return float("-inf")
-        needed = len(self.members) // 2
+        """Since when more than half of the voters agree, if they do."""
         words = [
             word
             for member, word in self._words.items()
-            if member in self.members and member != self._name
+            if member in self.voters and member != self._name
         ]
         if any(word.members_version > self.members_version for word in words):
             return float("-inf")
-        asked = sorted((word.asked_at for word in words), reverse=True)
-        if needed == 0:
-            return now
+        asked = [word.asked_at for word in words]
+        if self._name in self.voters:
+            asked.append(now)
+        asked.sort(reverse=True)
+        needed = len(self.voters) // 2 + 1
         return asked[needed - 1] if len(asked) >= needed else float("-inf")
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -1,9 +1,11 @@
 """Puts the parts of an instance together and runs them."""
 
 import signal
+from collections.abc import Awaitable, Callable
 
 import trio
 
+from lagoonstair._types import Address
 from lagoonstair.peers import PeerClient, PeerServer
 from lagoonstair.peers import Registry as Handlers
 from lagoonstair.platform.discovery import parse_address
@@ -30,6 +32,7 @@
     SettingsError,
     load_settings,
 )
+from lagoonstair.proxy._tables import Tables
 from lagoonstair.wire import HttpRequest, HttpResponse, HttpServer
 
 READY_PATH = "/-/readiness"
@@ -38,12 +41,20 @@
 """Until callers no longer come: two questions a second apart go unanswered
 with success."""
 
+CONTACT_SECONDS = 10.0
+"""Within which a new instance must have heard from most voters; it asks each
+of them once in six seconds."""
+
 POLL_SECONDS = 0.05
 """Between two looks at what is still open while draining."""
 
 LAST_SECONDS = 0.7
 """Left of the grace period when the process ends at the latest."""
 
+METRICS_PORT_OFFSET = 1
+RELAY_PORT_OFFSET = 2
+"""Ports of an instance, counted from that of calls between instances."""
+
 BACKLOG = 512
 """Connections that wait to be accepted; a burst of returning callers."""
 
@@ -95,20 +106,17 @@
                 ),
             )
             self._quota = quota
+            tables = Tables(self._fleet, self._registry, self._metrics)
             self._follower = Follower(
-                self._store,
-                self._fleet,
-                self._registry,
-                self._metrics,
-                self._take_registry,
+                self._store, self._fleet, self._registry, tables, self._metrics
             )
             executor = Executor(self._fleet, self._metrics)
             gossip = Gossip(
                 self._fleet,
                 self._registry,
+                tables,
                 peers,
                 self._handlers,
-                self._metrics,
             )
             self._fleet.on_config.append(self._apply_limits)
             server = PeerServer(settings.instance, secret, self._handlers)
@@ -135,11 +143,20 @@
                 quota,
                 self._metrics,
                 settings.max_descriptors,
+                self._home_address,
             )
             async with trio.open_nursery() as callers:
                 listeners = await self._listen()
                 accepting = await callers.start(
-                    self._accept, front, listeners, callers
+                    self._accept, front.serve, listeners, callers
+                )
+                relayed = await trio.open_tcp_listeners(
+                    settings.peer_ports[0] + RELAY_PORT_OFFSET,
+                    host=settings.host,
+                    backlog=BACKLOG,
+                )
+                await callers.start(
+                    self._accept, front.serve_relayed, relayed, callers
                 )
                 self._ready = True
                 log_event("ready", members=len(self._registry.members))
@@ -155,7 +172,7 @@
 
     async def _accept(
         self,
-        front: Front,
+        serve: Callable[[trio.SocketStream], Awaitable[None]],
         listeners: list[trio.SocketListener],
         callers: trio.Nursery,
         *,
@@ -164,9 +181,16 @@
         with trio.CancelScope() as scope:
             task_status.started(scope)
             await trio.serve_listeners(
-                front.serve, listeners, handler_nursery=callers
+                serve, listeners, handler_nursery=callers
             )
 
+    def _home_address(self, name: str) -> Address | None:
+        """Where an instance takes sessions that others relay."""
+        member = self._registry.members.get(name)
+        if member is None:
+            return None
+        return Address(member.host, member.port + RELAY_PORT_OFFSET)
+
     async def _drain(self, front: Front, accepting: trio.CancelScope) -> None:
         """Ends the work of callers within the grace period."""
         began = trio.current_time()
@@ -177,23 +201,17 @@
         accepting.cancel()
         front.drain()
         while front.sessions and trio.current_time() < began + grace / 2:
+            front.drain()
             await trio.sleep(POLL_SECONDS)
         front.end_transactions()
         while (
             front.sessions
             and trio.current_time() < began + grace - LAST_SECONDS
         ):
+            front.drain()
             await trio.sleep(POLL_SECONDS)
         log_event("drained", sessions=front.sessions)
 
-    def _take_registry(self, store_now: float) -> None:
-        members = max(1, len(self._registry.members))
-        if members != self._fleet.members:
-            self._fleet.members = members
-            self._fleet.resize()
-            log_event("instances changed", members=members)
-        self._apply_limits()
-
     def _apply_limits(self) -> None:
         if self._fleet.config is None or not self._registry.members:
             return
@@ -203,7 +221,7 @@
             SETTINGS.share_delay,
         )
         self._quota.apply(
-            self._fleet.config, self._registry.members, resumed=self._resumed
+            self._fleet.config, self._fleet.homes, resumed=self._resumed
         )
 
     def _is_fresh(self) -> bool:
@@ -216,7 +234,7 @@
         primacy = self._fleet.primacy
         if now - primacy.proved_at(now) >= FRESHNESS_SECONDS:
             return False
-        return self._resumed or primacy.has_majority(now, FRESHNESS_SECONDS)
+        return self._resumed or primacy.has_majority(now, CONTACT_SECONDS)
 
     async def _keep_proved(self) -> None:
         """Reads the store when the others' words don't prove the primaries."""
@@ -258,7 +276,7 @@
 
         await HttpServer(answer).serve(
             self._settings.host,
-            self._settings.peer_ports[0] + 1,
+            self._settings.peer_ports[0] + METRICS_PORT_OFFSET,
             task_status=task_status,
         )
 
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -7,6 +7,7 @@
 
 from lagoonstair._types import Position
 from lagoonstair.primacy import GroupRecord, Primacy, Statement
+from lagoonstair.proxy._homes import Homes
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
@@ -17,6 +18,9 @@
     PositionHistory,
 )
 
+DEFAULT_CONNECTIONS = 30
+"""What an endpoint is taken to accept before the configuration tells."""
+
 MIN_BUDGET = 2
 """Connections that an instance has at least: a transaction and a read."""
 
@@ -40,7 +44,9 @@
         endpoints: The endpoints by name, with those that just went missing.
         primacy: Which primaries may be used.
         pools: Connections by endpoint.
-        members: How many instances share the endpoints' connections.
+        members: How many instances are registered.
+        homes: Which instances run the workspaces' statements.
+        domains: The failure domain of each instance.
         uses: Statements and transactions that run on a group's primary,
             by group.
     """
@@ -61,7 +67,13 @@
         self.primacy = Primacy(name)
         self.pools: dict[str, EndpointPool] = {}
         self.members = 1
+        self.homes = Homes(
+            {name: failure_domain},
+            max_connections=DEFAULT_CONNECTIONS,
+            workspaces=1,
+        )
         self.uses: dict[str, int] = {}
+        self.domains: dict[str, str] = {}
         self.on_config: list[Callable[[], None]] = []
 
     def set_config(self, config: EntryConfig) -> bool:
@@ -129,6 +141,16 @@
 
     def resize(self) -> None:
         """Shares the endpoints' connections among the instances anew."""
+        if self.config is not None and self.domains:
+            least = min(
+                (g.max_connections for g in self.config.groups.values()),
+                default=DEFAULT_CONNECTIONS,
+            )
+            self.homes = Homes(
+                self.domains,
+                max_connections=least,
+                workspaces=len(self.config.workspaces),
+            )
         for pool in self.pools.values():
             pool.budget = self._budget(pool.endpoint)
 
@@ -241,7 +263,7 @@
         group = self.config.groups.get(endpoint.group)
         if group is None:
             return MIN_BUDGET
-        return max(MIN_BUDGET, group.max_connections // max(1, self.members))
+        return max(MIN_BUDGET, group.max_connections // self.homes.sharers)
 
 
 def _is_other(known: Endpoint, new: Endpoint) -> bool:
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -9,13 +9,13 @@
     HistoryLostError,
     Rows,
     Store,
-    StoredRow,
     StoreError,
 )
 from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._registry import TABLE, Registry
+from lagoonstair.proxy._tables import Tables
 
 FEED_WAIT_SECONDS = 10.0
 """How long a call of the feed waits; each one is priced."""
@@ -35,9 +35,24 @@
 within two seconds after an outage of the store."""
 
 
+ENDPOINT_READERS = 3
+"""Instances that follow the endpoints' entries; the others ask them."""
+
+SILENT_SECONDS = 2.0
+"""An instance that has heard from no voter for so long asks the store."""
+
+STALE_SECONDS = 2.5
+"""A voter whose endpoints are older than this reads them itself."""
+
+IDLE_SECONDS = 0.3
+"""Between two looks at whether the store must be asked."""
+
+
 class Follower:
     """Keeps what the store holds in force here.
 
+    The voters follow the store, and the other instances learn from them.
+
     Attributes:
         reached_at: When the last answered call was asked, in seconds.
     """
@@ -47,14 +62,14 @@
         store: Store,
         fleet: Fleet,
         registry: Registry,
+        tables: Tables,
         metrics: Metrics,
-        on_registry: Callable[[float], None],
     ) -> None:
         self._store = store
         self._fleet = fleet
         self._registry = registry
         self._metrics = metrics
-        self._on_registry = on_registry
+        self._tables = tables
         self._lost = False
         self._store_now = 0.0
         self._answered_at = 0.0
@@ -74,7 +89,12 @@
                     ENDPOINTS_PERIOD_SECONDS,
                 ),
             ):
-                await nursery.start(self._follow, table, apply, period)
+                needed = (
+                    self._reads_endpoints
+                    if table == discovery.TABLE
+                    else self._reads_store
+                )
+                await nursery.start(self._follow, table, apply, needed, period)
             nursery.start_soon(self._expire_endpoints)
             task_status.started()
 
@@ -97,6 +117,7 @@
         self,
         table: str,
         apply: Callable[[Rows, bool], None],
+        needed: Callable[[], bool],
         period: float,
         *,
         task_status: trio.TaskStatus[None],
@@ -105,6 +126,10 @@
         pause = RETRY_SECONDS
         started = False
         while True:
+            if started and not needed():
+                await trio.sleep(IDLE_SECONDS)
+                version = 0
+                continue
             whole = version == 0
             try:
                 if whole:
@@ -157,56 +182,45 @@
 
     def _apply_own(self, rows: Rows, whole: bool) -> None:
         if whole:
-            self._registry.load(rows)
+            self._registry.load(rows.rows, rows.version)
         else:
             for row in rows.rows:
                 self._registry.apply(row)
-        for group, record in self._registry.groups.items():
-            self._fleet.set_record(group, record)
-        self._fleet.primacy.set_members(
-            self._registry.members, self._registry.members_version
-        )
         self._fleet.primacy.note_store_read(rows.asked_at)
-        self._on_registry(rows.now)
+        if whole or rows.rows:
+            self._tables.apply_registry()
 
     def _apply_config(self, rows: Rows, whole: bool) -> None:
         for row in rows.rows:
             if row.key == operator.KEY and row.value is not None:
-                self._take_config(row)
-
-    def _take_config(self, row: StoredRow) -> None:
-        assert row.value is not None
-        try:
-            config = operator.decode_config(row.value)
-        except operator.BadConfigError as exc:
-            log_event("configuration unreadable", cause=str(exc))
-            return
-        if self._fleet.set_config(config):
-            self._metrics.set("configuration_version", config.version)
-            log_event(
-                "configuration in force",
-                version=config.version,
-                routes=len(config.routes),
-                keys=len(config.keys),
-            )
+                self._tables.take_config(row.value)
 
     def _apply_endpoints(self, rows: Rows, whole: bool) -> None:
-        now = trio.current_time()
+        self._tables.endpoints_at = rows.asked_at
         if whole:
-            present = {row.key for row in rows.rows}
-            for name in self._fleet.endpoints:
-                if name not in present:
-                    self._fleet.missing_since.setdefault(name, now)
+            self._tables.take_endpoints(
+                {row.key: row.value or b"" for row in rows.rows}
+            )
+            return
         for row in rows.rows:
-            endpoint = None
-            if row.value is not None:
-                endpoint = discovery.decode_endpoint(row.key, row.value)
-                if endpoint is None:
-                    self._metrics.count("entries_unreadable")
-            if endpoint is not None:
-                self._fleet.set_endpoint(endpoint)
-            elif row.key in self._fleet.endpoints:
-                self._fleet.missing_since.setdefault(row.key, now)
+            self._tables.change_endpoint(row.key, row.value)
+
+    def _reads_store(self) -> bool:
+        voters = self._registry.voters()
+        if self._fleet.name in voters:
+            return True
+        now = trio.current_time()
+        heard = self._tables.heard_at
+        return all(now - heard.get(name, 0) > SILENT_SECONDS for name in voters)
+
+    def _reads_endpoints(self) -> bool:
+        voters = self._registry.voters()
+        if self._fleet.name in voters[:ENDPOINT_READERS]:
+            return True
+        age = trio.current_time() - self._tables.endpoints_at
+        if self._fleet.name in voters:
+            return age > STALE_SECONDS
+        return age > STALE_SECONDS and self._reads_store()
 
     async def _expire_endpoints(self) -> None:
         """Drops endpoints whose entry has been missing with the store up."""
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -2,10 +2,12 @@
 
 import random
 import socket
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import trio
 
+from lagoonstair._types import Address
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.platform import lines
 from lagoonstair.proxy._executor import Caller, Executor, Transaction
@@ -13,6 +15,7 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._quota import Quota
+from lagoonstair.proxy._relay import HomeLostError, RelayedSession
 from lagoonstair.routing import EntryConfig, Route
 from lagoonstair.statements import (
     Answer,
@@ -37,6 +40,9 @@
 """Unacknowledged bytes end a caller's connection after this time: longer than
 any cut of a link that callers outlive."""
 
+LOST_HOME_SECONDS = 2.0
+"""For how long a home that could not be reached is passed over."""
+
 SAMPLED = 1 / 64
 """The part of the answers without an error that is logged."""
 
@@ -59,6 +65,7 @@
         database: The database name that it asked for.
         key: Its key.
         waiting: The scope to cancel while nothing of it is under way.
+        relayed: The session at the workspace's home, if that is elsewhere.
     """
 
     stream: trio.SocketStream
@@ -69,6 +76,7 @@
     caller: Caller | None = None
     tx: Transaction | None = None
     waiting: trio.CancelScope | None = None
+    relayed: RelayedSession | None = None
 
 
 class Front:
@@ -85,11 +93,14 @@
         quota: Quota,
         metrics: Metrics,
         max_descriptors: int,
+        home_address: Callable[[str], Address | None],
     ) -> None:
         self._fleet = fleet
         self._executor = executor
         self._quota = quota
         self._metrics = metrics
+        self._home_address = home_address
+        self._lost_homes: dict[str, float] = {}
         sockets = max_descriptors - RESERVED_DESCRIPTORS
         self._max_open = int(sockets * FULL_SHARE)
         self._conversations: dict[int, _Conversation] = {}
@@ -115,6 +126,8 @@
         for conv in [*self._conversations.values()]:
             if conv.waiting is not None and self._may_close(conv):
                 conv.waiting.cancel()
+            if conv.relayed is not None and conv.relayed.is_idle:
+                conv.relayed.cancel()
 
     def end_transactions(self) -> None:
         """Rolls open transactions back whose callers are silent."""
@@ -124,13 +137,25 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serves one caller until it leaves."""
+        await self._serve(stream, self._converse_or_relay)
+
+    async def serve_relayed(self, stream: trio.SocketStream) -> None:
+        """Serves one caller that another instance relays."""
+        await self._serve(stream, self._converse)
+
+    async def _serve(
+        self,
+        stream: trio.SocketStream,
+        converse: Callable[[_Conversation], Awaitable[None]],
+    ) -> None:
         conv = _Conversation(stream, lines.LineSplitter())
         self._conversations[id(conv)] = conv
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS
         )
         try:
-            await self._converse(conv)
+            if await self._open_session(conv):
+                await converse(conv)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # The caller has gone; there is nobody to answer.
             self._metrics.count("callers_gone")
@@ -144,9 +169,49 @@
             with trio.CancelScope(shield=True), trio.move_on_after(1):
                 await stream.aclose()
 
-    async def _converse(self, conv: _Conversation) -> None:
-        if not await self._open_session(conv):
+    async def _converse_or_relay(self, conv: _Conversation) -> None:
+        assert conv.caller is not None
+        homes = self._fleet.homes
+        if homes.is_direct:
+            await self._converse(conv)
             return
+        now = trio.current_time()
+        line = homes.line_of(conv.caller.workspace)
+        lost = self._lost_homes
+        alive = [name for name in line if lost.get(name, now) <= now]
+        for name in alive or line:
+            if name == self._fleet.name:
+                await self._converse(conv)
+                return
+            if await self._relay(conv, name):
+                return
+        await self._refuse(conv, Failure(Code.BUSY, "no home is in reach"))
+
+    async def _relay(self, conv: _Conversation, name: str) -> bool:
+        """Relays a session to a home; false when that can't be reached."""
+        address = self._home_address(name)
+        if address is None:
+            return False
+        start = lines.encode_caller_start(conv.database, conv.key)
+        try:
+            conv.relayed = await RelayedSession.open(
+                conv.stream, address, start
+            )
+        except HomeLostError as exc:
+            self._lost_homes[name] = trio.current_time() + LOST_HOME_SECONDS
+            log_event("home lost", peer=name, cause=str(exc))
+            self._metrics.count("homes_lost")
+            return False
+        failure = await conv.relayed.run(conv.splitter.take_rest())
+        if failure is not None:
+            log_event(
+                "relayed session lost", peer=name, told=failure.code.value
+            )
+            self._lost_homes[name] = trio.current_time() + LOST_HOME_SECONDS
+            await self._refuse(conv, failure)
+        return True
+
+    async def _converse(self, conv: _Conversation) -> None:
         await conv.stream.send_all(lines.encode_ready(State.IDLE))
         while not (self.draining and self._may_close(conv)):
             line = await self._next_line(conv)
--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -1,5 +1,8 @@
 """What instances tell each other between two reads of the store."""
 
+import itertools
+from collections.abc import Callable
+
 import msgspec
 import trio
 
@@ -13,21 +16,25 @@
 )
 from lagoonstair.peers import Registry as Handlers
 from lagoonstair.primacy import Statement
-from lagoonstair.proxy._fleet import Fleet, epochs_of, jittered
+from lagoonstair.proxy._fleet import Fleet, epochs_of
 from lagoonstair.proxy._log import log_event
-from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._registry import Registry
+from lagoonstair.proxy._tables import Knowledge, Tables, Update
 
-PERIOD_SECONDS = 0.5
-"""Between two rounds: a quarter of the time for which a proof holds."""
+PERIOD_SECONDS = 0.45
+"""Between two rounds. A proof that another instance passes on is up to two
+rounds old, which is half of the time for which it holds."""
 
 URGENT_SECONDS = 0.05
 """Between two rounds while a promotion waits for the others' words."""
 
+SWEEP_SECONDS = 2.0
+"""Between two rounds to the instances that are no voters."""
+
 CALL_SECONDS = 0.4
 """After which a peer is taken not to answer in this round."""
 
-SILENT_ROUNDS = 4
+LOST_ROUNDS = 4
 """Rounds without an answer after which a peer is told as lost."""
 
 
@@ -36,9 +43,13 @@
 
     Attributes:
         suspects: Groups whose primary the asker can't reach.
+        starting: Groups whose promotion the asker has begun, with the epoch.
+        knowledge: What the asker knows already.
     """
 
     suspects: tuple[str, ...]
+    starting: tuple[tuple[str, int], ...]
+    knowledge: Knowledge
 
 
 class Word(msgspec.Struct, frozen=True, array_like=True):
@@ -46,40 +57,45 @@
 
     Attributes:
         members_version: The version at which it knows the instances.
-        config_version: The version of its configuration.
-        store_read_age: Seconds since it read the store.
+        proof_age: The age in seconds of its proof that this is current.
         statements: What it says of each group.
+        update: What the asker lacks.
     """
 
     members_version: int
-    config_version: int
-    store_read_age: float
+    proof_age: float
     statements: tuple[Statement, ...]
+    update: Update
 
 
 class Gossip:
-    """Asks every other instance, round after round.
+    """Asks other instances, round after round.
+
+    The voters ask each other. Every other instance asks one voter a round,
+    so that what this costs grows with the instances, not with their square.
 
     Attributes:
         words: The last answer of each instance, by name.
         suspected: When others last asked for a try of a group's primary.
-        urgent: Groups for which rounds follow each other fast.
+        urgent: Groups for which rounds to all instances follow each other
+            fast.
     """
 
     def __init__(
         self,
         fleet: Fleet,
         registry: Registry,
+        tables: Tables,
         peers: PeerClient,
         handlers: Handlers,
-        metrics: Metrics,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
+        self._tables = tables
         self._peers = peers
-        self._metrics = metrics
         self._missed: dict[str, int] = {}
         self._wake = trio.Event()
+        self._turns = itertools.count()
         self.words: dict[str, Word] = {}
         self.suspected: dict[str, float] = {}
         self.urgent: set[str] = set()
@@ -88,17 +104,11 @@
     async def run(self) -> None:
         """Runs rounds until cancelled."""
         async with trio.open_nursery() as nursery:
-            while True:
-                for name, member in [*self._registry.members.items()]:
-                    if name != self._fleet.name:
-                        nursery.start_soon(self._ask, name, member.address)
-                period = URGENT_SECONDS if self.urgent else PERIOD_SECONDS
-                with trio.move_on_after(jittered(period)):
-                    self._wake = trio.Event()
-                    await self._wake.wait()
+            nursery.start_soon(self._repeat, self._near, PERIOD_SECONDS)
+            nursery.start_soon(self._repeat, self._rest, SWEEP_SECONDS)
 
     def hurry(self, group: str) -> None:
-        """Has rounds follow each other fast, from now on."""
+        """Has rounds to all instances follow each other fast."""
         self.urgent.add(group)
         self._wake.set()
 
@@ -113,41 +123,84 @@
     def statements_of(self, group: str, within: float) -> dict[str, Statement]:
         """What others said of a group of late, by name."""
         now = trio.current_time()
-        heard = self._fleet.primacy.heard(now, within)
         return {
             name: statement
-            for name in heard
-            if name in self.words
-            for statement in self.words[name].statements
+            for name, word in self.words.items()
+            if now - self._tables.heard_at.get(name, 0.0) <= within
+            for statement in word.statements
             if statement.group == group
         }
 
+    def _near(self) -> list[str]:
+        """Whom to ask in each round."""
+        if self.urgent:
+            return [*self._registry.members]
+        voters = self._registry.voters()
+        if self._fleet.name in voters:
+            return [*voters]
+        near = [
+            name
+            for name in voters
+            if self._registry.members[name].failure_domain
+            == self._fleet.failure_domain
+            and not self._missed.get(name)
+        ]
+        # The near ones twice as often: bytes between domains cost.
+        choice = [*near, *near, *voters]
+        return [choice[next(self._turns) % len(choice)]] if choice else []
+
+    def _rest(self) -> list[str]:
+        """Whom to ask once in a while, to see who is gone."""
+        voters = self._registry.voters()
+        alive = self._fleet.primacy.heard(trio.current_time(), SWEEP_SECONDS)
+        if self._fleet.name != min(alive | {self._fleet.name}):
+            return []
+        return [name for name in self._registry.members if name not in voters]
+
+    async def _repeat(
+        self, whom: Callable[[], list[str]], period: float
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                for name in whom():
+                    member = self._registry.members.get(name)
+                    if name != self._fleet.name and member is not None:
+                        nursery.start_soon(self._ask, name, member.address)
+                pause = URGENT_SECONDS if self.urgent else period
+                with trio.move_on_after(pause):
+                    self._wake = trio.Event()
+                    await self._wake.wait()
+
     async def _ask(self, name: str, address: Address) -> None:
         asked_at = trio.current_time()
         word = None
+        ask = Ask(
+            self._suspects(),
+            tuple(self._fleet.primacy.starting().items()),
+            self._tables.knowledge(),
+        )
         with trio.move_on_after(CALL_SECONDS):
             try:
-                word = await self._peers.call(
-                    address, Ask(self._suspects()), Word
-                )
+                word = await self._peers.call(address, ask, Word)
             except (LagoonstairError, PeerLostError, PeerNotSentError):
                 # Counted below, like a peer that is silent.
                 word = None
         if word is None:
             missed = self._missed.get(name, 0) + 1
             self._missed[name] = missed
-            if missed == SILENT_ROUNDS:
+            if missed == LOST_ROUNDS:
                 log_event("instance lost", peer=name)
             return
-        if self._missed.pop(name, 0) >= SILENT_ROUNDS:
+        if self._missed.pop(name, 0) >= LOST_ROUNDS:
             log_event("instance regained", peer=name)
         self.words[name] = word
+        self._tables.take(name, word.update, asked_at)
         self._fleet.primacy.note_word(
             name,
             asked_at,
             members_version=word.members_version,
             epochs=epochs_of(word.statements),
-            store_read_age=word.store_read_age,
+            proof_age=word.proof_age,
         )
         self._fleet.take_statements(word.statements, asked_at)
 
@@ -155,14 +208,15 @@
         now = trio.current_time()
         for group in ask.suspects:
             self.suspected[group] = now
-        config = self._fleet.config
         primacy = self._fleet.primacy
-        age = min(now - primacy.store_read_at, 1e6)
+        for group, epoch in ask.starting:
+            primacy.note_start(group, epoch)
+        age = min(now - primacy.proved_at(now), 1e6)
         return Word(
             members_version=primacy.members_version,
-            config_version=0 if config is None else config.version,
-            store_read_age=round(age, 4),
+            proof_age=round(age, 4),
             statements=tuple(self._fleet.statements()),
+            update=self._tables.update_for(ask.knowledge),
         )
 
     def _suspects(self) -> tuple[str, ...]:
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -39,10 +39,6 @@
 """A promotion that has not ended by then is taken over; the longest part of
 one, the platform's, takes a second."""
 
-SETTLED_SECONDS = 30.0
-"""An instance that registered longer ago is known to all that are in touch
-with anyone."""
-
 STORE_SECONDS = 12.0
 """Without the store for so long, entries say nothing of primaries."""
 
@@ -167,6 +163,8 @@
     def _cause(self, group: str) -> Cause | None:
         now = trio.current_time()
         primacy = self._fleet.primacy
+        if self._fleet.name not in primacy.voters:
+            return None
         if now - self._follower.reached_at > STORE_SECONDS:
             return None
         record = primacy.records.get(group)
@@ -328,22 +326,9 @@
         return known | {self._fleet.name}
 
     def _is_majority(self, known: set[str]) -> bool:
-        """Whether these are most instances, with the newest and without.
-
-        Instances that don't know of the newest ones yet count without them.
-        """
-        members = self._registry.members
-        now = self._follower.store_now
-        settled = {
-            name
-            for name in members
-            if self._registry.held_before(name, now, SETTLED_SECONDS)
-        }
-        return all(
-            len(known & names) * 2 > len(names)
-            for names in (members.keys(), settled)
-            if names
-        )
+        """Whether these are most of the voters."""
+        voters = self._fleet.primacy.voters
+        return len(known & voters) * 2 > len(voters)
 
     async def _promote(
         self, group: str, record: GroupRecord, duty: Duty, cause: Cause
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -1,6 +1,6 @@
 """Shares of the workspaces' rates, over the limits slice."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import NamedTuple
 
 from lagoonstair._types import Address
@@ -10,10 +10,9 @@
     LimitSettings,
     WorkspaceLimit,
 )
-from lagoonstair.membership import Ranked, rank
 from lagoonstair.peers import PeerClient, Registry
+from lagoonstair.proxy._homes import Homes
 from lagoonstair.proxy._log import log_event
-from lagoonstair.proxy._registry import Member
 from lagoonstair.routing import EntryConfig, Workspace
 
 FRESHNESS_SECONDS = 6.0
@@ -87,13 +86,11 @@
         )
         self._version = 0
         self._limits: dict[str, WorkspaceLimit] = {}
-        self._holders: dict[str, tuple[str, ...]] = {}
-        self._members: frozenset[tuple[str, str]] = frozenset()
 
     def apply(
         self,
         config: EntryConfig,
-        members: Mapping[str, Member],
+        homes: Homes,
         *,
         resumed: bool,
     ) -> None:
@@ -101,27 +98,16 @@
 
         Args:
             config: The newest configuration.
-            members: The registered instances.
+            homes: Which instances run the workspaces' operations; they hold
+                the shares.
             resumed: Whether this instance held its shares before it started.
         """
-        ranked = [
-            Ranked(name, member.failure_domain)
-            for name, member in members.items()
-        ]
-        key = frozenset(ranked)
-        if key != self._members:
-            self._members = frozenset(key)
-            self._holders.clear()
         limits = {}
         for workspace in config.workspaces.values():
-            holders = self._holders.get(workspace.name)
-            if holders is None:
-                holders = rank(f"workspace:{workspace.name}", ranked)
-                self._holders[workspace.name] = holders
             limit = WorkspaceLimit.from_config(
                 rate=workspace.rate,
                 burst=workspace.burst,
-                holders=holders,
+                holders=homes.line_of(workspace.name),
                 max_holders=MAX_HOLDERS,
             )
             limits[workspace.name] = limit
--- a/src/lagoonstair/proxy/_reaper.py
+++ b/src/lagoonstair/proxy/_reaper.py
@@ -16,6 +16,9 @@
 """Rounds without an answer after which an instance is suspected: a restart
 takes less than these 4 s."""
 
+SILENT_SWEEPS = 3
+"""The same for instances that are no voters, which are asked more rarely."""
+
 REMOVE_SECONDS = FRESHNESS_SECONDS + 2.0
 """How long an instance has to deny the suspicion. One that is cut off has
 stopped to spend its shares and to use primaries by then."""
@@ -73,7 +76,9 @@
     async def _look(self, name: str) -> None:
         now = self._follower.store_now
         for other, member in [*self._registry.members.items()]:
-            silent = self._gossip.silent_for(other) >= SILENT_ROUNDS
+            is_voter = other in self._fleet.primacy.voters
+            limit = SILENT_ROUNDS if is_voter else SILENT_SWEEPS
+            silent = self._gossip.silent_for(other) >= limit
             if other == name or not silent:
                 continue
             if not member.suspected:
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+from collections.abc import Iterable
 from typing import TypeVar
 
 import msgspec
@@ -32,6 +33,10 @@
 RETRY_SECONDS = 0.2
 """Between two tries to register; a transaction takes 8 ms."""
 
+VOTERS = 7
+"""Instances whose words prove primaries: most may fail three at a time, and
+what they exchange does not grow with the number of instances."""
+
 FOUNDING_SECONDS = 15.0
 """Instances that register this soon after the first hold their shares at
 once: the system has not begun to serve, or all of it has just begun."""
@@ -86,31 +91,53 @@
         duty: Who may promote.
         groups: The groups' records.
         members_version: The newest version among the members' rows.
+        version: The store's version at the table's newest change.
     """
 
     def __init__(self, store: Store) -> None:
         self._store = store
         self._versions: dict[str, int] = {}
+        self._values: dict[str, bytes] = {}
+        self.version = 0
         self.members: dict[str, Member] = {}
         self.founding: Founding | None = None
         self.duty: Duty | None = None
         self.groups: dict[str, GroupRecord] = {}
         self.members_version = 0
 
-    def load(self, rows: Rows) -> None:
-        """Takes the whole table."""
-        present = {row.key for row in rows.rows}
-        gone = [key for key in self._versions if key not in present]
-        for key in gone:
-            self.apply(StoredRow(key, None, rows.version))
-        for row in rows.rows:
+    def load(self, rows: Iterable[StoredRow], version: int) -> None:
+        """Takes the whole table as of a version."""
+        rows = tuple(rows)
+        present = {row.key for row in rows}
+        for key in [key for key in self._versions if key not in present]:
+            self.apply(StoredRow(key, None, version))
+        for row in rows:
             self.apply(row)
 
+    def snapshot(self) -> tuple[StoredRow, ...]:
+        """All rows, for another instance."""
+        return tuple(
+            StoredRow(key, value, self._versions[key])
+            for key, value in self._values.items()
+        )
+
+    def voters(self) -> tuple[str, ...]:
+        """The instances that registered first, in order."""
+        order = sorted(
+            self.members, key=lambda name: (self.members[name].since, name)
+        )
+        return tuple(order[:VOTERS])
+
     def apply(self, row: StoredRow) -> None:
         """Takes a row that is newer than the one known."""
         if row.version <= self._versions.get(row.key, 0):
             return
+        self.version = max(self.version, row.version)
         self._versions[row.key] = row.version
+        if row.value is None:
+            self._values.pop(row.key, None)
+        else:
+            self._values[row.key] = row.value
         if row.key.startswith(MEMBER_PREFIX):
             self._apply_member(row)
         elif row.value is None:
@@ -166,7 +193,7 @@
         while True:
             try:
                 rows = await self._store.read_table(TABLE)
-                self.load(rows)
+                self.load(rows.rows, rows.version)
                 missing = self._missing_rows(settings, rows.now)
                 if not missing:
                     return rows
--- /dev/null
+++ b/src/lagoonstair/proxy/_tables.py
@@ -0,0 +1,209 @@
+"""What the store holds, as known here, and what others lack of it."""
+
+import zlib
+
+import msgspec
+import trio
+
+from lagoonstair.platform import discovery, operator
+from lagoonstair.platform.store import StoredRow
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._log import log_event
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._registry import Registry
+from lagoonstair.routing import Endpoint
+
+
+class Knowledge(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance knows.
+
+    Attributes:
+        config_version: The version of its configuration.
+        registry_version: The version of the system's own table.
+        endpoints: A checksum of the endpoints that it knows.
+    """
+
+    config_version: int
+    registry_version: int
+    endpoints: int
+
+
+class Update(msgspec.Struct, frozen=True, array_like=True):
+    """What another instance lacks; empty parts where it lacks nothing.
+
+    Attributes:
+        config: The configuration as the store holds it.
+        registry: All rows of the system's own table.
+        registry_version: The version of that table.
+        endpoints: The endpoints' entries as the store holds them.
+        endpoints_age: Seconds since the endpoints were read.
+    """
+
+    config: bytes | None
+    registry: tuple[tuple[str, bytes, int], ...]
+    registry_version: int
+    endpoints: tuple[tuple[str, bytes], ...]
+    endpoints_age: float
+
+
+class Tables:
+    """Puts rows of the store in force here, wherever they come from.
+
+    Attributes:
+        heard_at: When each instance was asked for its last answer, by name.
+        endpoints_at: When the endpoints known here were asked for.
+        on_registry: Called when the own table has changed.
+    """
+
+    def __init__(
+        self, fleet: Fleet, registry: Registry, metrics: Metrics
+    ) -> None:
+        self._fleet = fleet
+        self._registry = registry
+        self._metrics = metrics
+        self._config = b""
+        self._entries: dict[str, bytes] = {}
+        self._checksum = 0
+        self.heard_at: dict[str, float] = {}
+        self.endpoints_at = float("-inf")
+
+    def knowledge(self) -> Knowledge:
+        """What is known here."""
+        config = self._fleet.config
+        return Knowledge(
+            0 if config is None else config.version,
+            self._registry.version,
+            self._checksum,
+        )
+
+    def update_for(self, known: Knowledge) -> Update:
+        """What an instance lacks that knows this."""
+        own = self.knowledge()
+        rows: tuple[tuple[str, bytes, int], ...] = ()
+        if own.registry_version > known.registry_version:
+            rows = tuple(
+                (row.key, row.value, row.version)
+                for row in self._registry.snapshot()
+                if row.value is not None
+            )
+        entries: tuple[tuple[str, bytes], ...] = ()
+        if own.endpoints != known.endpoints:
+            entries = tuple(self._entries.items())
+        newer = own.config_version > known.config_version
+        age = min(trio.current_time() - self.endpoints_at, 1e6)
+        return Update(
+            self._config if newer else None,
+            rows,
+            own.registry_version,
+            entries,
+            round(age, 3),
+        )
+
+    def take(self, name: str, update: Update, asked_at: float) -> None:
+        """Takes what another instance answered."""
+        self.heard_at[name] = asked_at
+        if update.config is not None:
+            self.take_config(update.config)
+        if update.registry and update.registry_version > self._registry.version:
+            rows = tuple(StoredRow(*row) for row in update.registry)
+            self._registry.load(rows, update.registry_version)
+            self.apply_registry()
+        read_at = asked_at - update.endpoints_age
+        if read_at > self.endpoints_at:
+            self.endpoints_at = read_at
+            if update.endpoints:
+                self.take_endpoints(dict(update.endpoints))
+
+    def apply_registry(self) -> None:
+        """Puts the system's own table in force."""
+        for group, record in self._registry.groups.items():
+            self._fleet.set_record(group, record)
+        self._fleet.primacy.set_voters(
+            self._registry.voters(), self._registry.members_version
+        )
+        members = max(1, len(self._registry.members))
+        domains = {
+            name: member.failure_domain
+            for name, member in self._registry.members.items()
+        }
+        if domains != self._fleet.domains:
+            self._fleet.members = members
+            self._fleet.domains = domains
+            self._fleet.resize()
+            log_event(
+                "instances changed",
+                members=members,
+                is_direct=self._fleet.homes.is_direct,
+                sharers=self._fleet.homes.sharers,
+            )
+        for notify in self._fleet.on_config:
+            notify()
+
+    def take_config(self, value: bytes) -> None:
+        """Puts a configuration in force if it is newer."""
+        try:
+            config = operator.decode_config(value)
+        except operator.BadConfigError as exc:
+            log_event("configuration unreadable", cause=str(exc))
+            return
+        if not self._fleet.set_config(config):
+            return
+        self._config = value
+        self._metrics.set("configuration_version", config.version)
+        log_event(
+            "configuration in force",
+            version=config.version,
+            routes=len(config.routes),
+            keys=len(config.keys),
+        )
+
+    def take_endpoints(self, entries: dict[str, bytes]) -> None:
+        """Takes all endpoints' entries."""
+        present = set()
+        for name, value in entries.items():
+            if self._take_endpoint(name, value):
+                present.add(name)
+        now = trio.current_time()
+        for name in self._fleet.endpoints.keys() - present:
+            self._fleet.missing_since.setdefault(name, now)
+        self._sum_up()
+
+    def change_endpoint(self, name: str, value: bytes | None) -> None:
+        """Takes one endpoint's entry; ``None`` when it was dropped."""
+        taken = value is not None and self._take_endpoint(name, value)
+        if not taken:
+            self._entries.pop(name, None)
+            if name in self._fleet.endpoints:
+                now = trio.current_time()
+                self._fleet.missing_since.setdefault(name, now)
+        self._sum_up()
+
+    def _take_endpoint(self, name: str, value: bytes) -> bool:
+        endpoint = discovery.decode_endpoint(name, value)
+        if endpoint is None:
+            self._metrics.count("entries_unreadable")
+            return False
+        if self._fleet.endpoints.get(name) != endpoint:
+            self._entries[name] = value
+        self._entries.setdefault(name, value)
+        self._fleet.set_endpoint(endpoint)
+        return True
+
+    def _sum_up(self) -> None:
+        known = sorted(
+            repr(_said(self._fleet.endpoints[name]))
+            for name in self._entries
+            if name in self._fleet.endpoints
+        )
+        self._checksum = zlib.crc32("\n".join(known).encode())
+
+
+def _said(endpoint: Endpoint) -> tuple[object, ...]:
+    return (
+        endpoint.name,
+        endpoint.group,
+        endpoint.address,
+        endpoint.leaving,
+        endpoint.says_primary,
+        endpoint.started,
+    )
