Test the whole path on real processes before stand-ins of the platform

Found on the way: ports taken from the system's own range clash with outgoing connections, so the tests take theirs from below it.

--- /dev/null
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -0,0 +1,354 @@
+"""Stand-ins for databases that speak the statement protocol."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import trio
+
+from lagoonstair._types import Position
+from lagoonstair.platform import lines
+from lagoonstair.statements import (
+    Begin,
+    Execute,
+    Prepare,
+    Read,
+    Rollback,
+    SetValue,
+    Shape,
+    State,
+    Write,
+)
+from lagoonstair.statements import (
+    Commit as CommitStatement,
+)
+
+READ_BYTES = 64 * 1024
+
+
+class Commit(NamedTuple):
+    """A commit in a log.
+
+    Attributes:
+        term: The term of the primary that wrote it.
+        number: Its number.
+        writes: Request id, item and data of each write.
+    """
+
+    term: int
+    number: int
+    writes: tuple[tuple[str, str, str], ...]
+
+
+class Group:
+    """A primary and its replicas.
+
+    Attributes:
+        name: The group's name.
+        term: The newest term.
+        databases: The databases by name.
+        lag: Seconds after which a replica has a commit.
+        promote_seconds: How long a promotion takes.
+    """
+
+    def __init__(self, name: str, on_change: Callable[["Database"], None]):
+        self._on_change = on_change
+        self.name = name
+        self.term = 1
+        self.databases: dict[str, Database] = {}
+        self.lag = 0.01
+        self.promote_seconds = 0.1
+
+    def add(self, name: str, *, slots: int, max_connections: int) -> "Database":
+        """Adds a database; the first one is the primary."""
+        database = Database(self, name, slots, max_connections)
+        database.is_primary = not self.databases
+        self.databases[name] = database
+        return database
+
+    @property
+    def primary(self) -> "Database":
+        """The database that leads the newest term."""
+        leading = [db for db in self.databases.values() if db.is_primary]
+        return max(leading, key=lambda db: db.term)
+
+    def promote(self, name: str) -> bool:
+        """Begins a promotion; false when the database is not running."""
+        database = self.databases[name]
+        if database.down:
+            return False
+        if not database.is_primary:
+            database.leads_at = trio.current_time() + self.promote_seconds
+        return True
+
+    def tell(self, database: "Database") -> None:
+        """Has a database's entry written anew."""
+        self._on_change(database)
+
+
+class Database:
+    """One database.
+
+    Attributes:
+        log: Its commits.
+        is_primary: Whether it leads, as it sees itself.
+        down: Whether it neither accepts nor answers.
+        loses: How many of the next answers are lost.
+        most_open: How many connections were open at once.
+        statements: Request id and text of what it ran, in order.
+    """
+
+    def __init__(
+        self, group: Group, name: str, slots: int, max_connections: int
+    ) -> None:
+        self._group = group
+        self._max_connections = max_connections
+        self._open: set[trio.SocketStream] = set()
+        self._coming: deque[tuple[float, Commit]] = deque()
+        self._signatures = 0
+        self.name = name
+        self.slots = slots
+        self.port = 0
+        self.term = 1
+        self.log: list[Commit] = []
+        self.is_primary = False
+        self.leads_at: float | None = None
+        self.down = False
+        self.leaving = False
+        self.loses = 0
+        self.most_open = 0
+        self.statements: list[tuple[str, str]] = []
+
+    @property
+    def position(self) -> Position:
+        """The end of the log."""
+        if not self.log:
+            return Position(self.term, 0)
+        return Position(self.log[-1].term, self.log[-1].number)
+
+    def entry(self, host: str) -> dict[str, Any]:
+        """What it says of itself in the store."""
+        return {
+            "service": self._group.name,
+            "address": f"{host}:{self.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": self.slots,
+            "state": "draining" if self.leaving else "ready",
+            "cold_left_ms": 0,
+            "db_role": "primary" if self.is_primary else "replica",
+            "seq_no": 1,
+            "born": 1,
+        }
+
+    async def serve(
+        self, host: str, *, task_status: trio.TaskStatus[None]
+    ) -> None:
+        """Listens until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host=host)
+        self.port = listeners[0].socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+            task_status.started()
+
+    def crash(self) -> None:
+        """Stops at once; the log stays."""
+        self.down = True
+        for stream in [*self._open]:
+            stream.socket.close()
+
+    def recover(self) -> None:
+        """Runs again, as a replica if another one leads by now."""
+        self.down = False
+        if self._group.primary is not self:
+            self.demote()
+
+    def demote(self) -> None:
+        """Follows the primary; what only this log holds is rolled back."""
+        self.is_primary = False
+        self.term = self._group.term
+        self.log = list(self._group.primary.log)
+        self._group.tell(self)
+
+    def _settle(self) -> None:
+        """Brings about what time has brought."""
+        now = trio.current_time()
+        while self._coming and self._coming[0][0] <= now:
+            _, commit = self._coming.popleft()
+            if not self.is_primary and commit.number == len(self.log) + 1:
+                self.log.append(commit)
+        if self.leads_at is not None and now >= self.leads_at:
+            self.leads_at = None
+            self._group.term += 1
+            self.term = self._group.term
+            self.is_primary = True
+            self._group.tell(self)
+
+    def _commit(self, writes: tuple[tuple[str, str, str], ...]) -> None:
+        commit = Commit(self.term, len(self.log) + 1, writes)
+        self.log.append(commit)
+        due = trio.current_time() + self._group.lag
+        for other in self._group.databases.values():
+            if other is not self and other.term <= self.term:
+                other._coming.append((due, commit))
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        if self.down:
+            return
+        self._open.add(stream)
+        self.most_open = max(self.most_open, len(self._open))
+        try:
+            await _Connection(self, stream).run()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            # The far end is gone, or the database has crashed.
+            return
+        finally:
+            self._open.discard(stream)
+            with trio.CancelScope(shield=True), trio.move_on_after(1):
+                await stream.aclose()
+
+
+class _Connection:
+    """One connection and its transaction."""
+
+    def __init__(self, database: Database, stream: trio.SocketStream) -> None:
+        self._db = database
+        self._stream = stream
+        self._splitter = lines.LineSplitter()
+        self._state = State.IDLE
+        self._read_only = False
+        self._writes: list[tuple[str, str, str]] = []
+        self._prepared: dict[str, Shape] = {}
+
+    async def run(self) -> None:
+        if not await self._start():
+            return
+        while (line := await self._line()) is not None:
+            _, request_id, text = line.decode("latin-1").split(" ", 2)
+            answer = self._run(request_id, text)
+            if self._db.loses and request_id != "-":
+                self._db.loses -= 1
+                await trio.sleep_forever()
+            ready = f"READY {lines.STATE_WORDS[self._state]} "
+            position = self._db.position
+            ready += f"{position.term}.{position.offset}\r\n"
+            await self._stream.send_all(answer + ready.encode("latin-1"))
+
+    async def _start(self) -> bool:
+        line = await self._line()
+        if line is None:
+            return False
+        _, group, _, *names = line.decode("latin-1").split(" ")
+        if group != self._db._group.name or names not in ([], [self._db.name]):
+            await self._stream.send_all(b"ERROR MISROUTED wrong\r\n")
+            return False
+        if len(self._db._open) > self._db._max_connections:
+            await self._stream.send_all(b"ERROR CONGESTED full\r\n")
+            return False
+        await self._stream.send_all(b"READY I -\r\n")
+        return True
+
+    async def _line(self) -> bytes | None:
+        while (line := self._splitter.next_line()) is None:
+            chunk = await self._stream.receive_some(READ_BYTES)
+            if not chunk or self._db.down:
+                return None
+            self._splitter.feed(chunk)
+        return line
+
+    def _run(self, request_id: str, text: str) -> bytes:
+        db = self._db
+        db._settle()
+        db.statements.append((request_id, text))
+        verb, _, rest = text.partition(" ")
+        match verb:
+            case "AFTER":
+                position, _, text = rest.partition(" ")
+                wanted = lines.parse_position(position)
+                if wanted is not None and db.position < wanted:
+                    return self._error(f"LAGGING {db.name}")
+            case "STATUS":
+                role = "primary" if db.is_primary else "replica"
+                held = f"{db.position.term}.{db.position.offset}"
+                row = f"ROW {role} {db.term} {held} {db.term} 0 0 1\r\n"
+                return row.encode() + b"COMPLETE -\r\n"
+            case "DEMOTE":
+                db.demote()
+                return b"COMPLETE -\r\n"
+            case "RESET":
+                self._prepared.clear()
+                return b"COMPLETE -\r\n"
+            case "SUSPEND" | "RESUME":
+                return b"COMPLETE -\r\n"
+        return self._statement(request_id, text)
+
+    def _statement(self, request_id: str, text: str) -> bytes:
+        db = self._db
+        match lines.parse_statement(text):
+            case Begin(read_only):
+                if not read_only and not db.is_primary:
+                    return self._error(f"READONLY {db.name}")
+                self._state = State.OPEN
+                self._read_only = read_only
+                return b"COMPLETE -\r\n"
+            case Rollback():
+                self._writes.clear()
+                self._state = State.IDLE
+                return b"COMPLETE -\r\n"
+            case CommitStatement():
+                if self._writes:
+                    db._commit(tuple(self._writes))
+                self._writes.clear()
+                self._state = State.IDLE
+                return self._done(())
+            case Read(text):
+                return self._read(text.split(" ")[1])
+            case Write(text):
+                _, item, data = text.split(" ", 2)
+                return self._write(request_id, item, data)
+            case Prepare(name, shape):
+                self._prepared[name] = shape
+                return b"COMPLETE -\r\n"
+            case Execute(name, arguments):
+                found = self._prepared.get(name)
+                if found is None:
+                    return self._error("NOSTMT")
+                item, _, data = arguments.partition(" ")
+                if found.writes:
+                    return self._write(request_id, item, data)
+                return self._read(item)
+            case SetValue():
+                return b"COMPLETE -\r\n"
+            case _:
+                return self._error("MALFORMED")
+
+    def _read(self, item: str) -> bytes:
+        rows = [
+            f"{commit.number}:{request_id}"
+            for commit in self._db.log
+            for request_id, written, _ in commit.writes
+            if written == item
+        ]
+        return self._done(tuple(rows[-1:]))
+
+    def _write(self, request_id: str, item: str, data: str) -> bytes:
+        if not self._db.is_primary or self._read_only:
+            return self._error(f"READONLY {self._db.name}")
+        write = (request_id, item, data)
+        if self._state is State.OPEN:
+            self._writes.append(write)
+        else:
+            self._db._commit((write,))
+        return self._done(())
+
+    def _done(self, rows: tuple[str, ...]) -> bytes:
+        self._db._signatures += 1
+        text = "".join(f"ROW {row}\r\n" for row in rows)
+        signature = f"{self._db.name}.{self._db._signatures}"
+        return f"{text}COMPLETE {signature}\r\n".encode("latin-1")
+
+    def _error(self, text: str) -> bytes:
+        if self._state is State.OPEN:
+            self._state = State.FAILED
+            self._writes.clear()
+        return f"ERROR {text}\r\n".encode("latin-1")
--- /dev/null
+++ b/tests/proxy_fleet.py
@@ -0,0 +1,261 @@
+"""Proxies as real processes, before stand-ins in the test's own loop."""
+
+import itertools
+import os
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+
+from lagoonstair.standins.statements import (
+    DutiesStandin,
+    Group,
+    StoreStandin,
+)
+
+HOST = "127.0.0.1"
+START_SECONDS = 20
+"""Until a process is ready, also beside load."""
+
+ANSWER_SECONDS = 10
+"""Longer than any statement may take; a caller without an answer fails."""
+
+
+PORTS = 8
+"""Ports of one instance, in a row."""
+
+# Below the range that the system gives to outgoing connections, which could
+# otherwise take a port between this look and the instance's start.
+_blocks = itertools.count(20_000 + os.getpid() % 1000 * PORTS, PORTS)
+
+
+def free_ports():
+    """The first of an instance's ports, all of them free."""
+    for port in _blocks:
+        sockets = [socket.socket() for _ in range(PORTS)]
+        try:
+            for offset, sock in enumerate(sockets):
+                sock.bind((HOST, port + offset))
+        except OSError:
+            continue
+        else:
+            return port
+        finally:
+            for sock in sockets:
+                sock.close()
+    raise AssertionError("unreachable")
+
+
+def config(version=1, **changes):
+    """A configuration with a route of each consistency, and one open one."""
+    kinds = {"p": "primary", "b": "bounded", "s": "read_your_writes"}
+    value = {
+        "version": version,
+        "routes": [
+            {
+                "name": f"route-{name}",
+                "database": name,
+                "service": "g",
+                "route_type": kind,
+                "timeout_ms": 1500,
+                "target_latency_ms": 200,
+                "priority": 1,
+                "max_staleness_ms": 1500,
+                "public": False,
+            }
+            for name, kind in kinds.items()
+        ],
+        "services": [{"name": "g", "max_conns": 30, "sync_replicas": 0}],
+        "limits": {"tx_idle_ms": 3000},
+        "tenants": [
+            {
+                "name": name,
+                "api_keys": [f"key-{name}"],
+                "rate_per_s": 1000,
+                "burst": 1000,
+            }
+            for name in ("w1", "w2")
+        ],
+    }
+    return {**value, **changes}
+
+
+class Caller:
+    """A session of a caller."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._buffer = b""
+
+    @classmethod
+    async def open(cls, port, database="p", key="key-w1"):
+        stream = await trio.open_tcp_stream(HOST, port)
+        caller = cls(stream)
+        await stream.send_all(f"START {database} {key}\r\n".encode())
+        caller.greeting = await caller.answer()
+        return caller
+
+    async def send(self, data):
+        await self._stream.send_all(data)
+
+    async def answer(self):
+        """The lines of one answer; empty ones when the session ended."""
+        lines = []
+        with trio.fail_after(ANSWER_SECONDS):
+            while not lines or not lines[-1].startswith("READY"):
+                line = await self._line()
+                if line is None:
+                    return lines
+                lines.append(line)
+        return lines
+
+    async def ask(self, request_id, text):
+        await self.send(f"QUERY {request_id} {text}\r\n".encode())
+        return await self.answer()
+
+    def close(self):
+        self._stream.socket.close()
+
+    async def _line(self):
+        while b"\n" not in self._buffer:
+            try:
+                chunk = await self._stream.receive_some(65536)
+            except trio.BrokenResourceError:
+                return None
+            if not chunk:
+                return None
+            self._buffer += chunk
+        line, _, self._buffer = self._buffer.partition(b"\n")
+        return line.decode().rstrip("\r")
+
+
+class ProxyFleet:
+    """The store, a group of three databases, and proxy processes."""
+
+    def __init__(self, tmp_path, nursery):
+        self._tmp_path = tmp_path
+        self._nursery = nursery
+        self.store = StoreStandin()
+        self.group = Group("g", self._tell)
+        self.duties = DutiesStandin({"g": self.group})
+        self.processes = {}
+        self.ports = {}
+        self._first = {}
+
+    async def start(self, instances, connections=30):
+        self.store_port = await self._nursery.start(self.store.serve, HOST)
+        self.duties_port = await self._nursery.start(self.duties.serve, HOST)
+        for name in ("d1", "d2", "d3"):
+            database = self.group.add(
+                name, slots=4, max_connections=connections
+            )
+            await self._nursery.start(database.serve, HOST)
+            self._tell(database)
+        for number in range(instances):
+            self.start_instance(f"i{number + 1}")
+        for name in [*self.processes]:
+            await self.wait_ready(name)
+        await self.until(lambda: self.store.row("lagoonstair", "group/g"))
+
+    def start_instance(self, name):
+        first = self._first.setdefault(name, free_ports())
+        self.ports[name] = first + 4
+        settings = {
+            "instance": name,
+            "failure_domain": "a",
+            "host": HOST,
+            "listen": {
+                "entry": f"{HOST}:{first + 4}",
+                "ready": f"{HOST}:{first + 5}",
+            },
+            "peer_ports": [first, first + 3],
+            "store": f"{HOST}:{self.store_port}",
+            "duties": f"{HOST}:{self.duties_port}",
+            "first_start": True,
+            "grace_s": 6,
+        }
+        path = self._tmp_path / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        log = open(self._tmp_path / f"{name}.log", "ab")  # noqa: SIM115
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "lagoonstair.proxy"],
+            env={**os.environ, "LAGOONSTAIR_SETTINGS": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    async def wait_ready(self, name):
+        port = self._first[name] + 5
+        with trio.fail_after(START_SECONDS):
+            while not await _is_ready(port):
+                await trio.lowlevel.checkpoint()
+
+    async def wait_ended(self, name):
+        with trio.fail_after(ANSWER_SECONDS):
+            while self.processes[name].poll() is None:
+                await trio.lowlevel.checkpoint()
+        return self.processes[name].returncode
+
+    async def until(self, condition, seconds=ANSWER_SECONDS):
+        with trio.fail_after(seconds):
+            while not condition():
+                await trio.lowlevel.checkpoint()
+
+    def log(self, name):
+        """The events that an instance has logged."""
+        text = (self._tmp_path / f"{name}.log").read_bytes()
+        return [
+            msgspec.json.decode(line)
+            for line in text.splitlines()
+            if line.startswith(b"{")
+        ]
+
+    async def caller(self, database="p", key="key-w1", instance="i1"):
+        return await Caller.open(self.ports[instance], database, key)
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+
+    def _tell(self, database):
+        self.store.put("servers", database.name, database.entry(HOST))
+
+
+async def _is_ready(port):
+    try:
+        stream = await trio.open_tcp_stream(HOST, port)
+    except OSError:
+        return False
+    async with stream:
+        await stream.send_all(
+            b"GET /-/readiness HTTP/1.1\r\nconnection: close\r\n\r\n"
+        )
+        try:
+            return b" 200 " in await stream.receive_some(4096)
+        except trio.BrokenResourceError:
+            return False
+
+
+@asynccontextmanager
+async def proxy_fleet(tmp_path, instances=1, cfg=None, connections=30):
+    """Runs a fleet; ends only the processes that it started."""
+    async with trio.open_nursery() as nursery:
+        fleet = ProxyFleet(tmp_path, nursery)
+        fleet.store.put("op", "config", cfg or config())
+        try:
+            await fleet.start(instances, connections)
+            yield fleet
+        finally:
+            fleet.stop()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_proxy_path.py
@@ -0,0 +1,246 @@
+"""The whole path on real processes, before stand-ins of the platform."""
+
+import signal
+
+import trio
+
+from lagoonstair.standins.statements._store import StoreFault
+from proxy_fleet import config, proxy_fleet
+
+
+MOST_CONNECTIONS = 6
+"""Too few for each of four instances to have a share of its own."""
+
+
+async def _primary_answers(caller, name):
+    answer = ["BUSY"]
+    while "COMPLETE" not in " ".join(answer):
+        answer = await caller.ask(name, f"WRITE 1a4 {name}")
+        assert "INDOUBT" not in " ".join(answer)
+    return answer
+
+
+async def test_statements_run_at_an_endpoint_and_keep_their_text(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        caller = await fleet.caller()
+        assert caller.greeting == ["READY I -"]
+        written = await caller.ask("q1", "WRITE 1a4 some data")
+        assert written[0].startswith("COMPLETE d1.")
+        assert (await caller.ask("q2", "READ 1a4"))[0] == "ROW 1:q1"
+        ran = fleet.group.primary.statements
+        assert ("q1", "WRITE 1a4 some data") in ran
+        assert ("q2", "READ 1a4") in ran
+
+
+async def test_a_transaction_is_pinned_and_commits_whole(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        caller, other = await fleet.caller(), await fleet.caller()
+        assert (await caller.ask("q1", "BEGIN"))[-1] == "READY T -"
+        await caller.ask("q2", "WRITE a 1")
+        assert (await other.ask("o1", "READ a"))[0].startswith("COMPLETE")
+        await caller.ask("q3", "WRITE b 2")
+        assert (await caller.ask("q4", "COMMIT"))[-1] == "READY I -"
+        assert fleet.group.primary.log[-1].writes == (
+            ("q2", "a", "1"),
+            ("q3", "b", "2"),
+        )
+
+
+async def test_a_caller_that_leaves_rolls_its_transaction_back(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        caller = await fleet.caller()
+        await caller.ask("q1", "BEGIN")
+        await caller.ask("q2", "WRITE a 1")
+        caller.close()
+        other = await fleet.caller()
+        assert (await other.ask("o1", "READ a"))[0].startswith("COMPLETE")
+        assert fleet.group.primary.log == []
+
+
+async def test_prepared_statements_and_values_belong_to_the_session(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        first, second = await fleet.caller(), await fleet.caller()
+        await first.ask("a1", "PREPARE s WRITE q2c")
+        await second.ask("b1", "PREPARE s READ q9")
+        await first.ask("a2", "SET zone high")
+        done = await first.ask("a3", "EXECUTE s x1 data")
+        assert done[0].startswith("COMPLETE d1.")
+        assert (await second.ask("b2", "EXECUTE s x1"))[0] == "ROW 1:a3"
+        await first.ask("a4", "DEALLOC s")
+        gone = await first.ask("a5", "EXECUTE s x1 data")
+        assert gone[0].startswith("ERROR NOSTMT")
+
+
+async def test_sessions_without_a_key_or_a_route_are_refused(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        unknown = await fleet.caller(key="key-nobody")
+        assert unknown.greeting[0].startswith("ERROR NOAUTH")
+        nowhere = await fleet.caller(database="nowhere")
+        assert nowhere.greeting[0].startswith("ERROR NODB")
+
+
+async def test_a_withdrawn_key_ends_an_open_session(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        caller = await fleet.caller()
+        await caller.ask("q1", "READ a")
+        cfg = config(version=2)
+        cfg["tenants"][0]["api_keys"] = []
+        fleet.store.put("op", "config", cfg)
+        assert await caller.answer() == []
+        again = await fleet.caller()
+        assert again.greeting[0].startswith("ERROR NOAUTH")
+
+
+async def test_an_older_configuration_is_not_taken(tmp_path):
+    async with proxy_fleet(tmp_path, cfg=config(version=5)) as fleet:
+        cfg = config(version=4, routes=[])
+        fleet.store.put("op", "config", cfg)
+        fleet.store.put("op", "config", b"not a configuration")
+        await fleet.until(
+            lambda: any(
+                line["event"] == "configuration unreadable"
+                for line in fleet.log("i1")
+            )
+        )
+        caller = await fleet.caller()
+        assert caller.greeting == ["READY I -"]
+
+
+async def test_a_crashed_primary_is_replaced_and_nothing_is_doubled(tmp_path):
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        caller = await fleet.caller()
+        await _primary_answers(caller, "q1")
+        await trio.sleep(fleet.group.lag * 2)
+        fleet.group.databases["d1"].crash()
+        answer = await caller.ask("q2", "WRITE 1a4 two")
+        while answer[0].split(" ")[1] in ("BUSY", "INDOUBT"):
+            answer = await caller.ask("q3", "WRITE 1a4 three")
+        assert answer[0].startswith("COMPLETE")
+        new = fleet.group.primary
+        assert new.name != "d1"
+        written = [w[0] for commit in new.log for w in commit.writes]
+        assert written.count("q3") == 1
+        assert written[0] == "q1"
+        fences = [call.fence for call in fleet.duties.calls]
+        assert fences == sorted(fences)
+
+
+async def test_a_primary_that_leaves_hands_over_without_a_loss(tmp_path):
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        caller = await fleet.caller()
+        for number in range(5):
+            await _primary_answers(caller, f"q{number}")
+        leaving = fleet.group.databases["d1"]
+        leaving.leaving = True
+        fleet.store.put("servers", "d1", leaving.entry("127.0.0.1"))
+        await fleet.until(lambda: fleet.group.primary.name != "d1")
+        await _primary_answers(caller, "last")
+        written = [w[0] for c in fleet.group.primary.log for w in c.writes]
+        assert written == ["q0", "q1", "q2", "q3", "q4", "last"]
+
+
+async def test_reads_go_on_while_the_store_is_away(tmp_path):
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        caller = await fleet.caller()
+        fleet.store.fault = StoreFault.SILENT
+        for number in range(20):
+            await trio.sleep(0.15)
+            answer = await caller.ask(f"q{number}", "READ a")
+            assert answer[0].startswith("COMPLETE"), answer
+
+
+async def test_dropped_history_is_read_anew(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        fleet.store.put("op", "config", config(version=2))
+        fleet.store.forget_history()
+        cfg = config(version=3)
+        cfg["tenants"].append(
+            {"name": "w3", "api_keys": ["key-w3"], "rate_per_s": 9, "burst": 9}
+        )
+        fleet.store.put("op", "config", cfg)
+        greeting = []
+        while greeting != ["READY I -"]:
+            greeting = (await fleet.caller(key="key-w3")).greeting
+        assert greeting == ["READY I -"]
+
+
+async def test_entries_that_can_not_be_read_name_no_endpoint(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        fleet.store.put("servers", "junk", b"\xff\xfe")
+        fleet.store.put("servers", "half", {"service": "g", "address": 7})
+        caller = await fleet.caller()
+        await _primary_answers(caller, "q1")
+
+
+async def test_a_lost_answer_to_a_write_is_in_doubt_and_not_repeated(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        caller = await fleet.caller()
+        await _primary_answers(caller, "q1")
+        fleet.group.primary.loses = 1
+        answer = await caller.ask("q2", "WRITE a 2")
+        assert answer[0].startswith("ERROR INDOUBT")
+        ran = [run[0] for run in fleet.group.primary.statements]
+        assert ran.count("q2") == 1
+
+
+async def test_a_lost_answer_to_a_read_is_asked_for_elsewhere(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        caller = await fleet.caller(database="b")
+        writer = await fleet.caller()
+        await _primary_answers(writer, "q1")
+        for database in fleet.group.databases.values():
+            database.loses = 1
+        answer = await caller.ask("q2", "READ a")
+        assert answer[0].startswith(("COMPLETE", "ERROR ABORTED")), answer
+        for database in fleet.group.databases.values():
+            database.loses = 0
+
+
+async def test_sigterm_answers_what_was_read_and_closes_idle_sessions(
+    tmp_path,
+):
+    async with proxy_fleet(tmp_path, instances=2) as fleet:
+        idle, busy = await fleet.caller(), await fleet.caller()
+        await busy.ask("q1", "BEGIN")
+        await busy.ask("q2", "WRITE a 1")
+        fleet.signal("i1", signal.SIGTERM)
+        assert await idle.answer() == []
+        done = await busy.ask("q3", "COMMIT")
+        assert done[0].startswith("COMPLETE")
+        assert await fleet.wait_ended("i1") == 0
+        events = [line["event"] for line in fleet.log("i1")]
+        assert events[0] == "starting"
+        assert events[-1] == "stopped"
+
+
+async def test_homes_run_the_statements_of_other_instances_callers(tmp_path):
+    cfg = config()
+    cfg["services"][0]["max_conns"] = MOST_CONNECTIONS
+    cfg["tenants"] += [
+        {"name": f"x{n}", "api_keys": [], "rate_per_s": 9, "burst": 9}
+        for n in range(30)
+    ]
+    async with proxy_fleet(tmp_path, instances=4, cfg=cfg) as fleet:
+        for name in fleet.processes:
+            caller = await fleet.caller(instance=name)
+            await _primary_answers(caller, f"q-{name}")
+        assert fleet.group.primary.most_open <= MOST_CONNECTIONS
+        written = [w[0] for c in fleet.group.primary.log for w in c.writes]
+        assert sorted(written) == [f"q-{name}" for name in fleet.processes]
+
+
+async def test_bad_input_is_refused_and_the_process_lives(tmp_path):
+    async with proxy_fleet(tmp_path) as fleet:
+        for junk in (b"\r\n", b"HELLO\r\n", b"QUERY\r\n", b"START\r\n"):
+            caller = await fleet.caller()
+            await caller.send(junk)
+            answer = await caller.answer()
+            assert answer, junk
+            assert answer[0].startswith("ERROR MALFORMED"), junk
+        caller = await fleet.caller()
+        answer = await caller.ask("q1", "DANCE now")
+        assert answer == [
+            "ERROR MALFORMED unknown statement",
+            "READY I -",
+        ]
+        assert fleet.processes["i1"].poll() is None
