--- a/tests/test_proxy_path.py
+++ b/tests/test_proxy_path.py
@@ -7,7 +7,6 @@
 from lagoonstair.standins.statements._store import StoreFault
 from proxy_fleet import config, proxy_fleet
 
-
 MOST_CONNECTIONS = 6
 """Too few for each of four instances to have a share of its own."""
 
