--- /dev/null
+++ b/tests/test_platform_lines.py
@@ -0,0 +1,149 @@
+"""The text protocol: round trips, cuts, malformed and oversized input."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonstair._types import Position
+from lagoonstair.platform import lines
+from lagoonstair.statements import (
+    Begin,
+    Code,
+    Commit,
+    Deallocate,
+    Done,
+    Execute,
+    Failure,
+    Prepare,
+    Read,
+    Rollback,
+    SetValue,
+    Shape,
+    State,
+    Write,
+)
+from soak import examples
+
+REPLY = b"ROW qh zk\r\nROW second\r\nCOMPLETE 7.1f3\r\nREADY T 3.1207\r\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "statement"),
+    [
+        ("READ 1a4", Read("READ 1a4")),
+        ("WRITE 1a4 two words", Write("WRITE 1a4 two words")),
+        ("BEGIN", Begin(read_only=False)),
+        ("BEGIN READ", Begin(read_only=True)),
+        ("COMMIT", Commit()),
+        ("ROLLBACK", Rollback()),
+        ("SET zone a b", SetValue("zone", "a b")),
+        ("PREPARE s1 WRITE q2c", Prepare("s1", Shape(True, "q2c"))),
+        ("PREPARE s1 READ q 2", Prepare("s1", Shape(False, "q 2"))),
+        ("EXECUTE s1 1a4", Execute("s1", "1a4")),
+        ("EXECUTE s1 1a4 x y", Execute("s1", "1a4 x y")),
+        ("DEALLOC s1", Deallocate("s1")),
+        ("", None),
+        ("READ", None),
+        ("READ a b", None),
+        ("WRITE a", None),
+        ("BEGIN WRITE", None),
+        ("PREPARE s1 DANCE q", None),
+        ("EXECUTE s1", None),
+        ("AFTER 3.1 READ a", None),
+        ("STATUS", None),
+        ("DEMOTE 4", None),
+    ],
+)
+def test_parse_statement(text, statement):
+    assert lines.parse_statement(text) == statement
+
+
+@pytest.mark.parametrize("cut", range(len(REPLY) + 1))
+def test_a_reply_that_is_cut_anywhere_is_read_once_it_is_whole(cut):
+    reader = lines.ReplyReader()
+    reader.feed(REPLY[:cut])
+    first = reader.next_reply()
+    assert (first is None) == (cut < len(REPLY))
+    reader.feed(REPLY[cut:])
+    reply = first or reader.next_reply()
+    assert reply.result == Done((b"ROW qh zk", b"ROW second"), "7.1f3")
+    assert reply.state is State.OPEN
+    assert reply.position == Position(3, 1207)
+
+
+def test_two_replies_in_one_read_are_told_apart():
+    reader = lines.ReplyReader()
+    reader.feed(REPLY + b"ERROR LAGGING i-7\r\nREADY E 3.1209\r\n")
+    assert isinstance(reader.next_reply().result, Done)
+    reply = reader.next_reply()
+    assert reply.result == Failure(Code.LAGGING, "i-7")
+    assert reply.state is State.FAILED
+    assert reader.next_reply() is None
+    assert not reader.began
+
+
+@pytest.mark.parametrize(
+    "junk",
+    [
+        b"HELLO\r\n",
+        b"\r\n",
+        b"READY\r\n",
+        b"READY X -\r\n",
+        b"READY I 3\r\n",
+        b"READY I a.b\r\n",
+    ],
+)
+def test_a_reply_that_is_none_is_refused(junk):
+    reader = lines.ReplyReader()
+    reader.feed(junk)
+    with pytest.raises(lines.BadLineError):
+        reader.next_reply()
+
+
+def test_a_line_over_the_limit_is_refused_before_it_is_whole():
+    splitter = lines.LineSplitter()
+    splitter.feed(b"x" * (lines.MAX_LINE_BYTES + 1))
+    with pytest.raises(lines.BadLineError) as caught:
+        splitter.next_line()
+    assert caught.value.code is Code.TOO_LARGE
+
+
+@given(st.lists(st.binary(max_size=40), max_size=8), st.integers(1, 7))
+@settings(max_examples=examples(100), deadline=None)
+def test_lines_come_out_as_they_went_in(texts, step):
+    texts = [text.replace(b"\n", b"").rstrip(b"\r") for text in texts]
+    stream = b"".join(text + b"\r\n" for text in texts)
+    splitter = lines.LineSplitter()
+    found = []
+    for start in range(0, len(stream), step):
+        splitter.feed(stream[start : start + step])
+        while (line := splitter.next_line()) is not None:
+            found.append(line)
+    assert found == texts
+
+
+@given(st.binary(max_size=60))
+@settings(max_examples=examples(300), deadline=None)
+def test_whatever_a_caller_sends_is_read_or_refused(line):
+    try:
+        message = lines.parse_caller_line(line)
+    except lines.BadLineError:
+        return
+    assert isinstance(message, lines.Start | lines.Query | lines.Release)
+
+
+def test_a_status_is_read():
+    rows = (b"ROW replica 3 3.1209 0 12 2 17",)
+    status = lines.parse_status(rows)
+    assert status == lines.EndpointStatus(False, 3, Position(3, 1209))
+    with pytest.raises(lines.BadLineError):
+        lines.parse_status((b"ROW king 3 3.1209",))
+    with pytest.raises(lines.BadLineError):
+        lines.parse_status(())
+
+
+def test_a_caller_can_not_smuggle_a_line_through_a_statement():
+    result = lines.encode_result(Failure(Code.BUSY, "why"), State.IDLE)
+    assert result == b"ERROR BUSY why\r\nREADY I -\r\n"
+    query = lines.encode_query("q1", lines.after(Position(3, 7), "READ a"))
+    assert query == b"QUERY q1 AFTER 3.7 READ a\r\n"
--- /dev/null
+++ b/tests/test_primacy_proofs.py
@@ -0,0 +1,201 @@
+"""No instance relies on a replaced primary, whoever is cut off from whom."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lagoonstair._types import Position
+from lagoonstair.primacy import (
+    CLOCK_MARGIN,
+    PROOF_SECONDS,
+    Cause,
+    GroupRecord,
+    Primacy,
+    PrimaryView,
+    cause_of,
+    choose_target,
+    turn_of,
+)
+from lagoonstair.primacy._cause import TURN_SECONDS
+from soak import examples
+
+VOTERS = ["i1", "i2", "i3"]
+OTHERS = ["x1"]
+NAMES = VOTERS + OTHERS
+GROUP = "g"
+
+
+class PrimacyMachine(RuleBasedStateMachine):
+    """Instances that talk, read the store, sleep and promote."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.stored = GroupRecord(epoch=1, primary="d1")
+        self.instances = {name: Primacy(name) for name in NAMES}
+        for primacy in self.instances.values():
+            primacy.set_voters(VOTERS, 1)
+            primacy.apply(GROUP, self.stored)
+        self.promotion = None
+        self.number = 1
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(name=st.sampled_from(NAMES))
+    def read_store(self, name):
+        primacy = self.instances[name]
+        primacy.apply(GROUP, self.stored)
+        primacy.note_store_read(self.now)
+
+    @rule(
+        asker=st.sampled_from(NAMES),
+        answerer=st.sampled_from(NAMES),
+        delay=st.sampled_from([0.0, 0.3]),
+    )
+    def ask(self, asker, answerer, delay):
+        if asker == answerer:
+            return
+        told = self.instances[answerer]
+        asked_at = self.now
+        self.now += delay
+        age = min(self.now - told.proved_at(self.now), 1e6)
+        self.instances[asker].note_word(
+            answerer,
+            asked_at,
+            members_version=1,
+            epochs={GROUP: told.epoch(GROUP)},
+            proof_age=age,
+        )
+
+    @rule(name=st.sampled_from(VOTERS))
+    def begin(self, name):
+        primacy = self.instances[name]
+        primacy.apply(GROUP, self.stored)
+        if self.promotion is not None or self.stored.promoting:
+            return
+        epoch = primacy.start(GROUP)
+        self.stored = GroupRecord(
+            epoch=epoch, primary=self.stored.primary, promoting=name
+        )
+        primacy.apply(GROUP, self.stored)
+        self.promotion = {"name": name, "epoch": epoch, "agreed": None}
+
+    @rule(known=st.sets(st.sampled_from(NAMES)))
+    def finish(self, known):
+        if self.promotion is None:
+            return
+        epoch = self.promotion["epoch"]
+        released = {
+            name
+            for name in known | {self.promotion["name"]}
+            if self.instances[name].epoch(GROUP) >= epoch
+        }
+        most = len(released & set(VOTERS)) * 2 > len(VOTERS)
+        if most and self.promotion["agreed"] is None:
+            self.promotion["agreed"] = self.now
+        agreed = self.promotion["agreed"]
+        waited = agreed is not None and (
+            self.now - agreed > PROOF_SECONDS * CLOCK_MARGIN
+        )
+        if released >= set(NAMES) or waited:
+            self.number += 1
+            self.stored = GroupRecord(
+                epoch=epoch + 1, primary=f"d{self.number}"
+            )
+            self.promotion = None
+
+    @invariant()
+    def nobody_uses_a_replaced_primary(self):
+        for name, primacy in self.instances.items():
+            used = primacy.primary(GROUP, self.now)
+            assert used in (None, self.stored.primary), name
+
+
+TestPrimacy = PrimacyMachine.TestCase
+TestPrimacy.settings = settings(
+    max_examples=examples(150), stateful_step_count=40, deadline=None
+)
+
+
+def _voter(words):
+    primacy = Primacy("i1")
+    primacy.set_voters(VOTERS, 1)
+    primacy.apply(GROUP, GroupRecord(epoch=1, primary="d1"))
+    for name, asked_at in words.items():
+        primacy.note_word(
+            name,
+            asked_at,
+            members_version=1,
+            epochs={GROUP: 1},
+            proof_age=1e6,
+        )
+    return primacy
+
+
+def test_words_of_a_majority_prove_the_primary():
+    assert _voter({"i2": 1.0}).primary(GROUP, 2.0) == "d1"
+    assert _voter({}).primary(GROUP, 2.0) is None
+    assert _voter({"x1": 1.0}).primary(GROUP, 2.0) is None
+    assert _voter({"i2": 1.0}).primary(GROUP, 3.0) is None
+
+
+def test_a_word_from_who_knows_newer_instances_proves_nothing():
+    primacy = _voter({"i2": 1.0, "i3": 1.0})
+    primacy.note_word(
+        "i2", 1.0, members_version=2, epochs={GROUP: 1}, proof_age=1e6
+    )
+    assert primacy.primary(GROUP, 1.5) is None
+
+
+def test_a_promotion_that_was_heard_of_stops_the_use_at_once():
+    primacy = _voter({"i2": 1.0, "i3": 1.0})
+    primacy.note_start(GROUP, 2)
+    assert primacy.primary(GROUP, 1.0) is None
+    primacy.apply(GROUP, GroupRecord(epoch=3, primary="d2"))
+    assert primacy.primary(GROUP, 1.0) == "d2"
+
+
+@pytest.mark.parametrize(
+    ("view", "cause"),
+    [
+        (PrimaryView(0.0, (0.0,), 0.0, False), None),
+        (PrimaryView(0.5, (0.5,), 0.0, False), None),
+        (PrimaryView(1.0, (0.5, 0.4), 0.0, False), Cause.FAILING),
+        (PrimaryView(1.0, (), 0.0, False), Cause.FAILING),
+        (PrimaryView(9.0, (0.5, 0.0), 0.0, False), None),
+        (PrimaryView(9.0, (0.5, -1.0), 0.0, False), None),
+        (PrimaryView(0.0, (0.0,), 0.0, True), Cause.LEAVING),
+        (PrimaryView(0.0, (0.0,), 2.0, False), None),
+        (PrimaryView(0.0, (0.0,), 3.0, False), Cause.GONE),
+    ],
+)
+def test_cause_of(view, cause):
+    assert cause_of(view) is cause
+
+
+def test_the_longest_log_takes_over():
+    received = {"d2": Position(3, 7), "d3": Position(3, 9)}
+    assert choose_target(received, except_for=()) == "d3"
+    assert choose_target(received, except_for=("d3",)) == "d2"
+    assert choose_target({}, except_for=()) is None
+
+
+def test_the_holder_of_the_duty_comes_first():
+    alive = ["i1", "i2", "i3"]
+    assert turn_of("i3", alive, "i3") == 0
+    assert turn_of("i1", alive, "i3") == TURN_SECONDS
+    assert turn_of("i1", alive, "gone") == 0
+
+
+def test_a_proof_that_is_passed_on_is_as_old_as_it_was():
+    primacy = Primacy("x1")
+    primacy.set_voters(VOTERS, 1)
+    primacy.apply(GROUP, GroupRecord(epoch=1, primary="d1"))
+    primacy.note_word(
+        "i1", 10.0, members_version=1, epochs={GROUP: 1}, proof_age=1.5
+    )
+    assert primacy.primary(GROUP, 10.4) == "d1"
+    assert primacy.primary(GROUP, 10.6) is None
