Leave room for connections after a power failure; hand over when all hear

(1) Endpoints keep the connections of instances without power for 3 s, and the new ones were refused as CONGESTED. (2) A planned handover waited 0.9 s, without a primary, for an instance that was gone. Excluded: rates (their refusals name themselves), slow starts (ready within 0.3 s), the store.

--- a/src/lagoonstair/primacy/_cause.py
+++ b/src/lagoonstair/primacy/_cause.py
@@ -40,22 +40,33 @@
             it does.
         others: The same, as others in touch said; below 0 when unknown.
         missing: Seconds for which its entry has been missing.
-        leaving: Whether it said that it shuts down.
+        leaving_for: Seconds since it said that it shuts down; 0 if it has
+            not.
+        all_heard: Whether every registered instance is in touch.
     """
 
     failing: float
     others: tuple[float, ...]
     missing: float
-    leaving: bool
+    leaving_for: float
+    all_heard: bool = True
 
 
-def cause_of(view: PrimaryView) -> Cause | None:
+def cause_of(view: PrimaryView, *, patience: float) -> Cause | None:
     """Why the primary is to be replaced, if it is.
 
     A primary that any instance reaches is not failing: those that are cut
-    off from it leave its work to the others.
+    off from it leave its work to the others. One that leaves goes on serving
+    for a while; as long as an instance is silent, a promotion would have to
+    wait for its proofs to run out, with no primary in use.
+
+    Args:
+        view: What is known of the primary.
+        patience: For how many seconds a leaving primary may be left in use
+            until all instances are in touch.
     """
-    if view.leaving:
+    leaves = view.leaving_for > 0
+    if leaves and (view.all_heard or view.leaving_for > patience):
         return Cause.LEAVING
     if view.missing >= GONE_SECONDS:
         return Cause.GONE
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -132,6 +132,7 @@
                 executor,
                 Duties(parse_address(settings.duties)),
                 self._metrics,
+                drain_seconds=settings.drain_ms / 1000,
             )
             nursery.start_soon(promoter.run)
             reaper = Reaper(self._fleet, self._registry, self._follower, gossip)
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -26,6 +26,13 @@
 PROBE_SECONDS = 0.15
 """After which an endpoint that refuses connections is tried again."""
 
+FULL_SECONDS = 0.5
+"""For how long no further connection is opened at an endpoint that has none
+left; it drops those of dead instances after 3 s."""
+
+TRIM_SECONDS = 1.0
+"""How long a connection beyond half the budget stays open without use."""
+
 SUSPECT_SECONDS = 1.0
 """For how long a failure is held against an endpoint that answers again."""
 
@@ -76,6 +83,8 @@
         self._outstanding: dict[int, float] = {}
         self._tickets = itertools.count()
         self._waiters: list[tuple[int, int, trio.Event]] = []
+        self._full_until = -math.inf
+        self._full_at = budget
         self._closed = False
 
     def load(self, workspace: str, now: float) -> Load:
@@ -107,11 +116,19 @@
             link = self._take_idle(workspace)
             if link is not None:
                 return link
-            if len(self._links) + self._opening >= self.budget:
+            if len(self._links) + self._opening >= self._limit():
                 self._close_one_idle()
-            if len(self._links) + self._opening < self.budget:
+            if len(self._links) + self._opening >= self._limit():
+                await self._wait(deadline, priority)
+                continue
+            try:
                 return await self._open(workspace, deadline)
-            await self._wait(deadline, priority)
+            except NoLinkError as exc:
+                if exc.failure.code is not Code.CONGESTED or not self._links:
+                    raise
+                # Others have the rest for now; go on with those held here.
+                self._full_at = len(self._links)
+                self._full_until = trio.current_time() + FULL_SECONDS
         raise NoLinkError(Failure(Code.BUSY, "the endpoint has left"))
 
     def give_back(self, link: Link) -> None:
@@ -205,6 +222,19 @@
         finally:
             self.probing = False
 
+    def trim(self, now: float) -> None:
+        """Closes connections that have been idle, down to half the budget.
+
+        After a power failure endpoints hold the connections of before for
+        seconds. Those that are kept must leave room for as many new ones.
+        """
+        kept = max(1, self.budget // 2)
+        while len(self._links) > kept and self._idle:
+            link = min(self._idle, key=lambda link: link.used_at)
+            if now - link.used_at < TRIM_SECONDS:
+                break
+            self.discard(link)
+
     def close(self) -> None:
         """Closes idle connections now and the others when they return."""
         self._closed = True
@@ -218,6 +248,12 @@
         for link in [*self._links]:
             self.discard(link)
 
+    def _limit(self) -> int:
+        """How many connections may be open now."""
+        if trio.current_time() < self._full_until:
+            return min(self.budget, self._full_at)
+        return self.budget
+
     def _take_idle(self, workspace: str) -> Link | None:
         for link in reversed(self._idle):
             if link.workspace != workspace:
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -26,6 +26,7 @@
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
 from lagoonstair.proxy._registry import DUTY_KEY, GROUP_PREFIX, Registry
+from lagoonstair.routing import Endpoint
 from lagoonstair.statements import Done
 
 TICK_SECONDS = 0.1
@@ -42,6 +43,10 @@
 STORE_SECONDS = 12.0
 """Without the store for so long, entries say nothing of primaries."""
 
+PATIENT_SHARE = 0.45
+"""The part of the time for which a leaving endpoint may get work that a
+handover may wait for silent instances; a promotion takes up to 4 s more."""
+
 DRAIN_SECONDS = 0.5
 """How long transactions on a leaving primary may go on."""
 
@@ -77,7 +82,11 @@
         executor: Executor,
         duties: Duties,
         metrics: Metrics,
+        *,
+        drain_seconds: float,
     ) -> None:
+        self._patience = drain_seconds * PATIENT_SHARE
+        self._leaving_since: dict[str, float] = {}
         self._fleet = fleet
         self._registry = registry
         self._follower = follower
@@ -124,6 +133,7 @@
             ):
                 nursery.start_soon(pool.probe, self._any_workspace())
         for pool in self._fleet.pools.values():
+            pool.trim(now)
             if pool.failing_since is not None and not pool.probing:
                 nursery.start_soon(pool.probe, self._any_workspace())
 
@@ -180,7 +190,7 @@
             return None
         if now - self._started_at < PROOF_SECONDS * CLOCK_MARGIN:
             return None
-        return cause_of(self._view(group, record))
+        return cause_of(self._view(group, record), patience=self._patience)
 
     def _view(self, group: str, record: GroupRecord | None) -> PrimaryView:
         now = trio.current_time()
@@ -196,9 +206,21 @@
             failing=0.0 if pool is None else max(0.0, pool.failing(now)),
             others=tuple(word.failing for word in said.values()),
             missing=missing,
-            leaving=endpoint is not None and endpoint.leaving,
+            leaving_for=self._leaving_for(group, endpoint),
+            all_heard=not any(
+                self._gossip.silent_for(member)
+                for member in self._registry.members
+            ),
         )
 
+    def _leaving_for(self, group: str, endpoint: Endpoint | None) -> float:
+        if endpoint is None or not endpoint.leaving:
+            self._leaving_since.pop(group, None)
+            return 0.0
+        now = trio.current_time()
+        since = self._leaving_since.setdefault(group, now - TICK_SECONDS)
+        return now - since
+
     def _said_primary(self, group: str) -> str | None:
         names = [
             endpoint.name
--- a/tests/test_primacy_proofs.py
+++ b/tests/test_primacy_proofs.py
@@ -161,19 +161,21 @@
 @pytest.mark.parametrize(
     ("view", "cause"),
     [
-        (PrimaryView(0.0, (0.0,), 0.0, False), None),
-        (PrimaryView(0.5, (0.5,), 0.0, False), None),
-        (PrimaryView(1.0, (0.5, 0.4), 0.0, False), Cause.FAILING),
-        (PrimaryView(1.0, (), 0.0, False), Cause.FAILING),
-        (PrimaryView(9.0, (0.5, 0.0), 0.0, False), None),
-        (PrimaryView(9.0, (0.5, -1.0), 0.0, False), None),
-        (PrimaryView(0.0, (0.0,), 0.0, True), Cause.LEAVING),
-        (PrimaryView(0.0, (0.0,), 2.0, False), None),
-        (PrimaryView(0.0, (0.0,), 3.0, False), Cause.GONE),
+        (PrimaryView(0.0, (0.0,), 0.0, 0.0), None),
+        (PrimaryView(0.5, (0.5,), 0.0, 0.0), None),
+        (PrimaryView(1.0, (0.5, 0.4), 0.0, 0.0), Cause.FAILING),
+        (PrimaryView(1.0, (), 0.0, 0.0), Cause.FAILING),
+        (PrimaryView(9.0, (0.5, 0.0), 0.0, 0.0), None),
+        (PrimaryView(9.0, (0.5, -1.0), 0.0, 0.0), None),
+        (PrimaryView(0.0, (0.0,), 0.0, 0.1), Cause.LEAVING),
+        (PrimaryView(0.0, (0.0,), 0.0, 0.1, False), None),
+        (PrimaryView(0.0, (0.0,), 0.0, 3.1, False), Cause.LEAVING),
+        (PrimaryView(0.0, (0.0,), 2.0, 0.0), None),
+        (PrimaryView(0.0, (0.0,), 3.0, 0.0), Cause.GONE),
     ],
 )
 def test_cause_of(view, cause):
-    assert cause_of(view) is cause
+    assert cause_of(view, patience=3.0) is cause
 
 
 def test_the_longest_log_takes_over():
--- /dev/null
+++ b/tests/test_proxy_pool.py
@@ -0,0 +1,131 @@
+"""Connections to one endpoint, before a stand-in in the test's own loop."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+import trio.testing
+
+from lagoonstair._types import Address
+from lagoonstair.proxy._pool import (
+    FULL_SECONDS,
+    TRIM_SECONDS,
+    EndpointPool,
+    NoLinkError,
+)
+from lagoonstair.routing import Endpoint
+from lagoonstair.standins.statements import Group
+from lagoonstair.statements import Code
+
+HOST = "127.0.0.1"
+
+
+@asynccontextmanager
+async def _pool(budget, *, accepts=30):
+    group = Group("g", lambda database: None)
+    database = group.add("d1", slots=4, max_connections=accepts)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(database.serve, HOST)
+        endpoint = Endpoint(
+            name="d1",
+            group="g",
+            address=Address(HOST, database.port),
+            failure_domain="a",
+            slots=4,
+            leaving=False,
+            says_primary=True,
+            started=1,
+        )
+        yield EndpointPool(endpoint, budget), database
+        nursery.cancel_scope.cancel()
+
+
+async def _take(pool, workspace="w", seconds=5):
+    return await pool.take(
+        workspace, deadline=trio.current_time() + seconds, priority=1
+    )
+
+
+async def test_a_connection_is_used_again_by_its_workspace():
+    async with _pool(2) as (pool, _):
+        link = await _take(pool)
+        pool.give_back(link)
+        assert await _take(pool) is link
+        assert pool.opened == 1
+
+
+async def test_an_idle_connection_of_another_workspace_makes_room():
+    async with _pool(1) as (pool, database):
+        pool.give_back(await _take(pool, "w1"))
+        link = await _take(pool, "w2")
+        assert link.workspace == "w2"
+        assert database.most_open <= 2
+
+
+async def test_a_closed_connection_is_not_lent():
+    async with _pool(2) as (pool, database):
+        link = await _take(pool)
+        pool.give_back(link)
+        database.crash()
+        database.down = False
+        while link.is_alive():
+            await trio.lowlevel.checkpoint()
+        assert await _take(pool) is not link
+
+
+async def test_who_waits_gets_the_next_connection_by_priority():
+    async with _pool(1) as (pool, _):
+        link = await _take(pool)
+        order = []
+
+        async def wait(name, priority):
+            got = await pool.take(
+                "w", deadline=trio.current_time() + 5, priority=priority
+            )
+            order.append(name)
+            pool.give_back(got)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait, "late", 2)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.start_soon(wait, "urgent", 1)
+            await trio.testing.wait_all_tasks_blocked()
+            pool.give_back(link)
+        assert order == ["urgent", "late"]
+
+
+async def test_load_pattern_power_failure_of_all_instances():
+    """New instances share what the connections of the dead ones leave."""
+    async with _pool(4, accepts=3) as (pool, database):
+        dead = [await trio.open_tcp_stream(HOST, database.port)]
+        await dead[0].send_all(b"START g w d1\r\n")
+        await dead[0].receive_some(100)
+        first, second = await _take(pool, "w1"), await _take(pool, "w2")
+        pool.give_back(first)
+        third = await _take(pool, "w3")
+        assert third.workspace == "w3"
+        pool.give_back(second)
+        assert (await _take(pool, "w4")).workspace == "w4"
+        await dead[0].aclose()
+
+
+async def test_an_endpoint_that_has_no_connection_left_says_so():
+    async with _pool(4, accepts=0) as (pool, _):
+        with pytest.raises(NoLinkError) as caught:
+            await _take(pool)
+        assert caught.value.failure.code is Code.CONGESTED
+
+
+async def test_idle_connections_are_kept_down_to_half_the_budget():
+    async with _pool(4) as (pool, _):
+        links = [await _take(pool, f"w{n}") for n in range(4)]
+        for link in links:
+            pool.give_back(link)
+        pool.trim(links[-1].used_at)
+        assert all(link.usable for link in links)
+        pool.trim(links[-1].used_at + TRIM_SECONDS)
+        assert [link.usable for link in links] == [False, False, True, True]
+
+
+def test_the_pause_is_shorter_than_what_it_waits_for():
+    assert FULL_SECONDS < 3
