Tell other instances only what has changed; call the store less

Excluded: the relayed sessions (the same before and after). An instance learns the tables from the voters at its start, two voters read the entries once a second, feeds wait 20 s, rows go as changes since a version, configurations are compressed, and asks for tokens are rarer and larger.

--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -87,7 +87,7 @@
 
     async def _serve(self, stop: trio.Event) -> None:
         settings = self._settings
-        await self._registry.register(settings)
+        rows = await self._registry.register(settings)
         founding = self._registry.founding
         assert founding is not None
         secret = bytes.fromhex(founding.secret)
@@ -120,9 +120,10 @@
             )
             self._fleet.on_config.append(self._apply_limits)
             server = PeerServer(settings.instance, secret, self._handlers)
+            self._follower.begin(rows)
             await nursery.start(server.serve, *settings.peer_address)
-            await nursery.start(self._follower.run)
             nursery.start_soon(gossip.run)
+            await nursery.start(self._follower.run)
             nursery.start_soon(quota.run)
             promoter = Promoter(
                 self._fleet,
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -17,7 +17,7 @@
 from lagoonstair.proxy._registry import TABLE, Registry
 from lagoonstair.proxy._tables import Tables
 
-FEED_WAIT_SECONDS = 10.0
+FEED_WAIT_SECONDS = 20.0
 """How long a call of the feed waits; each one is priced."""
 
 RETRY_SECONDS = 0.25
@@ -26,7 +26,7 @@
 MAX_RETRY_SECONDS = 1.0
 """An outage must be over for no longer than this before it is noticed."""
 
-ENDPOINTS_PERIOD_SECONDS = 0.7
+ENDPOINTS_PERIOD_SECONDS = 1.0
 """Least time between two calls for the endpoints' entries, which change with
 each heartbeat."""
 
@@ -35,9 +35,13 @@
 within two seconds after an outage of the store."""
 
 
-ENDPOINT_READERS = 3
+ENDPOINT_READERS = 2
 """Instances that follow the endpoints' entries; the others ask them."""
 
+LEARN_SECONDS = 1.5
+"""How long an instance that has just started waits for the others to tell it
+what the store holds."""
+
 SILENT_SECONDS = 2.0
 """An instance that has heard from no voter for so long asks the store."""
 
@@ -71,6 +75,7 @@
         self._metrics = metrics
         self._tables = tables
         self._lost = False
+        self._began = 0.0
         self._store_now = 0.0
         self._answered_at = 0.0
         self.reached_at = float("-inf")
@@ -78,7 +83,10 @@
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Follows all tables; reports once each was read."""
+        """Follows all tables; reports once each is known."""
+        with trio.move_on_after(LEARN_SECONDS):
+            while not (self._reads_store() or self._tables.is_whole):
+                await self._fleet.wait_change(IDLE_SECONDS)
         async with trio.open_nursery() as nursery:
             for table, apply, period in (
                 (TABLE, self._apply_own, 0.0),
@@ -98,6 +106,13 @@
             nursery.start_soon(self._expire_endpoints)
             task_status.started()
 
+    def begin(self, rows: Rows) -> None:
+        """Takes the own table over from the registration."""
+        self._began = trio.current_time()
+        self._note_answer(rows)
+        self._fleet.primacy.note_store_read(rows.asked_at)
+        self._tables.apply_registry()
+
     async def read_own(self) -> None:
         """Reads the system's own table now.
 
@@ -108,6 +123,11 @@
         self._note_answer(rows)
         self._apply_own(rows, True)
 
+    @property
+    def endpoints_age(self) -> float:
+        """Seconds since the endpoints' entries were read, here or elsewhere."""
+        return trio.current_time() - self._tables.endpoints_at
+
     @property
     def store_now(self) -> float:
         """The store's clock, as estimated (s)."""
@@ -124,7 +144,9 @@
     ) -> None:
         version = 0
         pause = RETRY_SECONDS
-        started = False
+        started = self._tables.is_whole
+        if started:
+            task_status.started()
         while True:
             if started and not needed():
                 await trio.sleep(IDLE_SECONDS)
@@ -184,8 +206,7 @@
         if whole:
             self._registry.load(rows.rows, rows.version)
         else:
-            for row in rows.rows:
-                self._registry.apply(row)
+            self._registry.follow(rows.rows)
         self._fleet.primacy.note_store_read(rows.asked_at)
         if whole or rows.rows:
             self._tables.apply_registry()
@@ -211,7 +232,10 @@
             return True
         now = trio.current_time()
         heard = self._tables.heard_at
-        return all(now - heard.get(name, 0) > SILENT_SECONDS for name in voters)
+        return all(
+            now - heard.get(name, self._began) > SILENT_SECONDS
+            for name in voters
+        )
 
     def _reads_endpoints(self) -> bool:
         voters = self._registry.voters()
--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -31,6 +31,10 @@
 SWEEP_SECONDS = 2.0
 """Between two rounds to the instances that are no voters."""
 
+NEAR_TURNS = 6
+"""How much more often a voter in the same failure domain is asked than one
+elsewhere: bytes between domains cost."""
+
 CALL_SECONDS = 0.4
 """After which a peer is taken not to answer in this round."""
 
@@ -151,8 +155,7 @@
             == self._fleet.failure_domain
             and not self._missed.get(name)
         ]
-        # The near ones twice as often: bytes between domains cost.
-        choice = [*near, *near, *voters]
+        choice = [*near * NEAR_TURNS, *voters]
         return [choice[next(self._turns) % len(choice)]] if choice else []
 
     def _rest(self) -> list[str]:
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -41,7 +41,7 @@
 one, the platform's, takes a second."""
 
 STORE_SECONDS = 12.0
-"""Without the store for so long, entries say nothing of primaries."""
+"""Entries that are older than this say nothing of primaries."""
 
 PATIENT_SHARE = 0.45
 """The part of the time for which a leaving endpoint may get work that a
@@ -175,7 +175,7 @@
         primacy = self._fleet.primacy
         if self._fleet.name not in primacy.voters:
             return None
-        if now - self._follower.reached_at > STORE_SECONDS:
+        if self._follower.endpoints_age > STORE_SECONDS:
             return None
         record = primacy.records.get(group)
         if record is None:
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -25,11 +25,14 @@
 
 SETTINGS = LimitSettings(
     freshness_bound=FRESHNESS_SECONDS,
-    ask_period=0.2,
+    loan_ttl=2.0,
+    ask_period=0.5,
     urgent_gap=0.015,
+    horizon=0.6,
     max_wait=0.04,
 )
-"""Asks cost bytes between failure domains, so they are rarer than usual. A
+"""Asks cost bytes between failure domains, so they are rarer than usual, and
+loans are larger and last longer for that. A
 request waits for two asks at most: beyond that a workspace sends more than
 its rate, and waiting would only make late what is admitted."""
 
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -91,7 +91,8 @@
         duty: Who may promote.
         groups: The groups' records.
         members_version: The newest version among the members' rows.
-        version: The store's version at the table's newest change.
+        version: The store's version up to which every change is known; a
+            row that this instance wrote may be newer.
     """
 
     def __init__(self, store: Store) -> None:
@@ -109,16 +110,22 @@
         """Takes the whole table as of a version."""
         rows = tuple(rows)
         present = {row.key for row in rows}
-        for key in [key for key in self._versions if key not in present]:
+        for key in [key for key in self._values if key not in present]:
             self.apply(StoredRow(key, None, version))
+        self.follow(rows)
+
+    def follow(self, rows: Iterable[StoredRow]) -> None:
+        """Takes all changes since the version known."""
         for row in rows:
             self.apply(row)
+            self.version = max(self.version, row.version)
 
-    def snapshot(self) -> tuple[StoredRow, ...]:
-        """All rows, for another instance."""
+    def since(self, version: int) -> tuple[StoredRow, ...]:
+        """What has changed since a version, for another instance."""
         return tuple(
-            StoredRow(key, value, self._versions[key])
-            for key, value in self._values.items()
+            StoredRow(key, self._values.get(key), changed)
+            for key, changed in self._versions.items()
+            if changed > version
         )
 
     def voters(self) -> tuple[str, ...]:
@@ -132,7 +139,6 @@
         """Takes a row that is newer than the one known."""
         if row.version <= self._versions.get(row.key, 0):
             return
-        self.version = max(self.version, row.version)
         self._versions[row.key] = row.version
         if row.value is None:
             self._values.pop(row.key, None)
@@ -141,7 +147,7 @@
         if row.key.startswith(MEMBER_PREFIX):
             self._apply_member(row)
         elif row.value is None:
-            self._versions.pop(row.key)
+            return
         elif row.key.startswith(GROUP_PREFIX):
             group = row.key.removeprefix(GROUP_PREFIX)
             self.groups[group] = _decode(row.value, GroupRecord)
@@ -152,7 +158,8 @@
 
     def condition(self, key: str) -> Precondition:
         """That a row is still the one known."""
-        return Precondition(TABLE, key, self._versions.get(key, 0))
+        present = key in self._values
+        return Precondition(TABLE, key, self._versions[key] if present else 0)
 
     async def write(self, values: dict[str, RowValue]) -> Committed | None:
         """Writes rows if all of them are still those known.
@@ -250,7 +257,6 @@
         self.members_version = max(self.members_version, row.version)
         if row.value is None:
             self.members.pop(name, None)
-            self._versions.pop(row.key, None)
         else:
             self.members[name] = _decode(row.value, Member)
 
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -32,15 +32,15 @@
     """What another instance lacks; empty parts where it lacks nothing.
 
     Attributes:
-        config: The configuration as the store holds it.
-        registry: All rows of the system's own table.
+        config: The configuration as the store holds it, compressed.
+        registry: What has changed in the system's own table.
         registry_version: The version of that table.
         endpoints: The endpoints' entries as the store holds them.
         endpoints_age: Seconds since the endpoints were read.
     """
 
     config: bytes | None
-    registry: tuple[tuple[str, bytes, int], ...]
+    registry: tuple[tuple[str, bytes | None, int], ...]
     registry_version: int
     endpoints: tuple[tuple[str, bytes], ...]
     endpoints_age: float
@@ -67,6 +67,11 @@
         self.heard_at: dict[str, float] = {}
         self.endpoints_at = float("-inf")
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether a configuration and endpoints are known."""
+        return self._fleet.config is not None and bool(self._fleet.endpoints)
+
     def knowledge(self) -> Knowledge:
         """What is known here."""
         config = self._fleet.config
@@ -79,13 +84,7 @@
     def update_for(self, known: Knowledge) -> Update:
         """What an instance lacks that knows this."""
         own = self.knowledge()
-        rows: tuple[tuple[str, bytes, int], ...] = ()
-        if own.registry_version > known.registry_version:
-            rows = tuple(
-                (row.key, row.value, row.version)
-                for row in self._registry.snapshot()
-                if row.value is not None
-            )
+        rows = self._registry.since(known.registry_version)
         entries: tuple[tuple[str, bytes], ...] = ()
         if own.endpoints != known.endpoints:
             entries = tuple(self._entries.items())
@@ -93,7 +92,7 @@
         age = min(trio.current_time() - self.endpoints_at, 1e6)
         return Update(
             self._config if newer else None,
-            rows,
+            tuple((row.key, row.value, row.version) for row in rows),
             own.registry_version,
             entries,
             round(age, 3),
@@ -103,10 +102,9 @@
         """Takes what another instance answered."""
         self.heard_at[name] = asked_at
         if update.config is not None:
-            self.take_config(update.config)
-        if update.registry and update.registry_version > self._registry.version:
-            rows = tuple(StoredRow(*row) for row in update.registry)
-            self._registry.load(rows, update.registry_version)
+            self.take_config(zlib.decompress(update.config))
+        if update.registry:
+            self._registry.follow(StoredRow(*row) for row in update.registry)
             self.apply_registry()
         read_at = asked_at - update.endpoints_age
         if read_at > self.endpoints_at:
@@ -148,7 +146,7 @@
             return
         if not self._fleet.set_config(config):
             return
-        self._config = value
+        self._config = zlib.compress(value)
         self._metrics.set("configuration_version", config.version)
         log_event(
             "configuration in force",
