Leave promotions to instances that reach the store

Excluded: the endpoints (the others reached them), the majority (present). A promoter now reads the store before it announces anything, and one that could not reach it leaves its turn to the others for 3 s.

--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -43,6 +43,10 @@
 STORE_SECONDS = 12.0
 """Entries that are older than this say nothing of primaries."""
 
+BARRED_SECONDS = 3.0
+"""How long an instance that could not reach the store leaves promotions to
+others; their turns come within two seconds."""
+
 PATIENT_SHARE = 0.45
 """The part of the time for which a leaving endpoint may get work that a
 handover may wait for silent instances; a promotion takes up to 4 s more."""
@@ -87,6 +91,7 @@
     ) -> None:
         self._patience = drain_seconds * PATIENT_SHARE
         self._leaving_since: dict[str, float] = {}
+        self._barred_until = 0.0
         self._fleet = fleet
         self._registry = registry
         self._follower = follower
@@ -173,7 +178,7 @@
     def _cause(self, group: str) -> Cause | None:
         now = trio.current_time()
         primacy = self._fleet.primacy
-        if self._fleet.name not in primacy.voters:
+        if self._fleet.name not in primacy.voters or now < self._barred_until:
             return None
         if self._follower.endpoints_age > STORE_SECONDS:
             return None
@@ -238,7 +243,7 @@
                 await self._replace(group, cause)
         except StoreError as exc:
             log_event("promotion put off", group=group, cause=str(exc))
-            await trio.sleep(TICK_SECONDS)
+            self._barred_until = trio.current_time() + BARRED_SECONDS
         finally:
             self._due.pop(group, None)
             self._gossip.relax(group)
@@ -256,6 +261,11 @@
             await self._follower.read_own()
 
     async def _replace(self, group: str, cause: Cause) -> None:
+        # An instance that is cut off from the store must not stop the others'
+        # use of the primary by announcing what it can't carry out.
+        await self._follower.read_own()
+        if self._cause(group) is not cause:
+            return
         primacy = self._fleet.primacy
         record = primacy.records[group]
         candidates = self._candidates(group, record, cause)
--- a/src/lagoonstair/standins/statements/_store.py
+++ b/src/lagoonstair/standins/statements/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import enum
+import functools
 import urllib.parse
 from typing import Any, NamedTuple
 
@@ -36,6 +37,7 @@
 
     Attributes:
         fault: How it misbehaves.
+        turned_away: Callers whose calls it refuses.
         calls: How many calls came.
     """
 
@@ -45,16 +47,19 @@
         self._kept_from = 0
         self._changed = trio.Event()
         self.fault = StoreFault.NONE
+        self.turned_away: set[str] = set()
         self.calls = 0
 
     async def serve(
         self,
         host: str,
+        caller: str,
         *,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Listens until cancelled; reports the port."""
-        await HttpServer(self._answer).serve(host, 0, task_status=task_status)
+        """Listens for one caller until cancelled; reports the port."""
+        answer = functools.partial(self._answer, caller)
+        await HttpServer(answer).serve(host, 0, task_status=task_status)
 
     def put(self, table: str, key: str, value: Any) -> None:
         """Writes a row as its owner would; ``bytes`` are taken as they are."""
@@ -87,9 +92,9 @@
         event, self._changed = self._changed, trio.Event()
         event.set()
 
-    async def _answer(self, req: HttpRequest) -> HttpResponse:
+    async def _answer(self, caller: str, req: HttpRequest) -> HttpResponse:
         self.calls += 1
-        if self.fault is StoreFault.BUSY:
+        if self.fault is StoreFault.BUSY or caller in self.turned_away:
             return HttpResponse(status=503, body=b"")
         if self.fault is StoreFault.SILENT:
             await trio.sleep_forever()
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -154,7 +154,6 @@
         self._first = {}
 
     async def start(self, instances, connections=30):
-        self.store_port = await self._nursery.start(self.store.serve, HOST)
         self.duties_port = await self._nursery.start(self.duties.serve, HOST)
         for name in ("d1", "d2", "d3"):
             database = self.group.add(
@@ -163,12 +162,13 @@
             await self._nursery.start(database.serve, HOST)
             self._tell(database)
         for number in range(instances):
-            self.start_instance(f"i{number + 1}")
+            await self.start_instance(f"i{number + 1}")
         for name in [*self.processes]:
             await self.wait_ready(name)
         await self.until(lambda: self.store.row("lagoonstair", "group/g"))
 
-    def start_instance(self, name):
+    async def start_instance(self, name):
+        store_port = await self._nursery.start(self.store.serve, HOST, name)
         first = self._first.setdefault(name, free_ports())
         self.ports[name] = first + 4
         settings = {
@@ -180,7 +180,7 @@
                 "ready": f"{HOST}:{first + 5}",
             },
             "peer_ports": [first, first + 3],
-            "store": f"{HOST}:{self.store_port}",
+            "store": f"{HOST}:{store_port}",
             "duties": f"{HOST}:{self.duties_port}",
             "first_start": True,
             "grace_s": 6,
--- a/tests/test_proxy_path.py
+++ b/tests/test_proxy_path.py
@@ -11,6 +11,10 @@
 """Too few for each of four instances to have a share of its own."""
 
 
+PROMOTED_SECONDS = 6
+"""Detection, the turns of two instances, and a margin for a busy machine."""
+
+
 async def _primary_answers(caller, name):
     answer = ["BUSY"]
     while "COMPLETE" not in " ".join(answer):
@@ -267,3 +271,19 @@
         assert {n for n in entries if fleet.processes[n].poll() is None} == (
             entries
         )
+
+
+async def test_who_is_cut_off_from_the_store_leaves_promotions_to_others(
+    tmp_path,
+):
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        caller = await fleet.caller(instance="i2")
+        await _primary_answers(caller, "q1")
+        await trio.sleep(fleet.group.lag * 2)
+        # The first in line for the duty is the one that is turned away.
+        fleet.store.turned_away.add("i1")
+        fleet.group.databases["d1"].crash()
+        with trio.fail_after(PROMOTED_SECONDS):
+            while fleet.group.primary.name == "d1":
+                await caller.ask("q2", "READ a")
+        assert fleet.duties.calls[0].holder != "i1"
