--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,10 @@
 export PYTHONPATH := src
 
 .PHONY: demo test check format lint types unit bench measure capacity soak
+.PHONY: soak-faults
+
+SEED ?= 1
+SEEDS ?= 50
 
 demo: $(STAMP)
 	$(BIN)/python -m lagoonstair.demo
@@ -41,5 +45,9 @@
 capacity: $(STAMP)
 	$(BIN)/python -m lagoonstair.capacity
 
+# Real processes under randomized faults: SEEDS seeds from SEED on.
+soak-faults: $(STAMP)
+	cd tests && PYTHONPATH=../src ../$(BIN)/python fault_soak.py $(SEED) $(SEEDS)
+
 soak: $(STAMP)
 	SOAK=20 $(BIN)/python -m pytest -k 'history or state or decisions'
--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -95,6 +95,7 @@
         down: Whether it neither accepts nor answers.
         loses: How many of the next answers are lost.
         most_open: How many connections were open at once.
+        late: Request ids that it committed after another one had led.
         statements: Request id and text of what it ran, in order.
     """
 
@@ -117,6 +118,7 @@
         self.leaving = False
         self.loses = 0
         self.most_open = 0
+        self.late: set[str] = set()
         self.statements: list[tuple[str, str]] = []
 
     @property
@@ -186,6 +188,8 @@
 
     def _commit(self, writes: tuple[tuple[str, str, str], ...]) -> None:
         commit = Commit(self.term, len(self.log) + 1, writes)
+        if self.term < self._group.term:
+            self.late |= {write[0] for write in writes}
         self.log.append(commit)
         due = trio.current_time() + self._group.lag
         for other in self._group.databases.values():
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -152,24 +152,39 @@
         self.processes = {}
         self.ports = {}
         self._first = {}
+        self._store_ports = {}
 
     async def start(self, instances, connections=30):
         self.duties_port = await self._nursery.start(self.duties.serve, HOST)
         for name in ("d1", "d2", "d3"):
-            database = self.group.add(
-                name, slots=4, max_connections=connections
-            )
-            await self._nursery.start(database.serve, HOST)
-            self._tell(database)
+            await self.add_database(name, connections)
         for number in range(instances):
             await self.start_instance(f"i{number + 1}")
         for name in [*self.processes]:
             await self.wait_ready(name)
         await self.until(lambda: self.store.row("lagoonstair", "group/g"))
 
+    async def add_database(self, name, connections):
+        database = self.group.add(name, slots=4, max_connections=connections)
+        await self._nursery.start(database.serve, HOST)
+        self._tell(database)
+        return database
+
+    async def store_port_of(self, name):
+        if name not in self._store_ports:
+            self._store_ports[name] = await self._nursery.start(
+                self.store.serve, HOST, name
+            )
+        return self._store_ports[name]
+
+    def entry_of(self, database):
+        return database.entry(HOST)
+
     async def start_instance(self, name):
-        store_port = await self._nursery.start(self.store.serve, HOST, name)
-        first = self._first.setdefault(name, free_ports())
+        store_port = await self.store_port_of(name)
+        if name not in self._first:
+            self._first[name] = free_ports()
+        first = self._first[name]
         self.ports[name] = first + 4
         settings = {
             "instance": name,
@@ -236,7 +251,7 @@
             process.wait()
 
     def _tell(self, database):
-        self.store.put("servers", database.name, database.entry(HOST))
+        self.store.put("servers", database.name, self.entry_of(database))
 
 
 async def _is_ready(port):
--- /dev/null
+++ b/tests/test_fault_soak.py
@@ -0,0 +1,75 @@
+"""A short run of the fault soak, and its checks on bad histories."""
+
+import pytest
+
+from fault_soak import Log, Told, faults_in, play
+
+CI_SEEDS = (1, 3)
+"""Seed 1 has instances killed and stopped, seed 3 primaries that leave."""
+
+REGRESSIONS = ()
+"""Seeds that failed once, each with a line on the cause."""
+
+SECONDS = 5.0
+"""Of faults in one seed; some ten faults."""
+
+
+@pytest.mark.parametrize("seed", (*CI_SEEDS, *REGRESSIONS))
+async def test_promises_hold_under_faults(seed, tmp_path):
+    faults, story, told = await play(seed, tmp_path, seconds=SECONDS)
+    assert faults == [], story
+    assert told > 0
+
+
+def _found(*told, ids=(), late=(), term=1):
+    logs = {"d1": Log(term, list(ids))}
+    return faults_in([list(told)], logs, set(late))
+
+
+@pytest.mark.parametrize(
+    ("told", "ids", "late", "found"),
+    [
+        (Told("write", ("a",), "x", "done"), ["a"], [], None),
+        (Told("write", ("a",), "x", "done"), [], [], None),
+        (Told("write", ("a",), "x", "INDOUBT"), ["a"], [], None),
+        (Told("write", ("a",), "x", "done"), ["a", "a"], [], "twice"),
+        (Told("write", ("a",), "x", "BUSY"), ["a"], [], "were kept"),
+        (Told("write", ("a",), "x", "ABORTED"), ["a"], [], "were kept"),
+        (Told("commit", ("a", "b"), "x", "BUSY"), ["b"], [], "were kept"),
+        (Told("commit", ("a", "b"), "x", "done"), ["b"], [], "only"),
+        (Told("write", ("a",), "x", "done", False), ["a"], [], "signature"),
+        (Told("write", ("a",), "x", "done"), ["a"], ["a"], "replaced"),
+        (Told("write", ("a",), "x", "INDOUBT"), ["a"], ["a"], None),
+    ],
+)
+def test_faults_in(told, ids, late, found):
+    faults = _found(told, ids=ids, late=late)
+    if found is None:
+        assert faults == []
+    else:
+        assert any(found in fault for fault in faults)
+
+
+def _read(seen, term=(1, 1)):
+    return Told("read", ("r",), "x", "done", True, seen, term)
+
+
+def test_a_read_that_lacks_the_sessions_own_write_is_found():
+    first = Told("write", ("a",), "x", "done")
+    second = Told("write", ("b",), "x", "done")
+    ids = ["a", "b"]
+    assert _found(first, second, _read("b"), ids=ids) == []
+    assert _found(first, second, _read("a"), ids=ids)
+    assert _found(first, second, _read(""), ids=ids)
+
+
+def test_a_write_in_doubt_may_be_read_or_not():
+    first = Told("write", ("a",), "x", "done")
+    unsure = Told("write", ("b",), "x", "INDOUBT")
+    assert _found(first, unsure, _read("a"), ids=["a"]) == []
+    assert _found(first, unsure, _read("b"), ids=["a", "b"]) == []
+
+
+def test_a_promotion_in_between_may_have_rolled_the_write_back():
+    first = Told("write", ("a",), "x", "done")
+    assert _found(first, _read("", (1, 2))) == []
