--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -14,7 +14,7 @@
 """Of faults in one seed; some ten faults."""
 
 
-@pytest.mark.parametrize("seed", (*CI_SEEDS, *REGRESSIONS))
+@pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
 async def test_promises_hold_under_faults(seed, tmp_path):
     faults, story, told = await play(seed, tmp_path, seconds=SECONDS)
     assert faults == [], story
