--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,200 @@
+"""The store's client and the decoding of rows, before the stand-in."""
+
+from contextlib import asynccontextmanager
+
+import msgspec
+import pytest
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.platform import discovery, operator, store
+from lagoonstair.platform.duties import Duties, PromoteAnswer
+from lagoonstair.platform.store import (
+    HistoryLostError,
+    Precondition,
+    PutRow,
+    Store,
+    StoreError,
+)
+from lagoonstair.routing import Consistency
+from lagoonstair.standins.statements import (
+    DutiesStandin,
+    Group,
+    StoreStandin,
+)
+from lagoonstair.standins.statements._store import StoreFault
+from proxy_fleet import config
+
+HOST = "127.0.0.1"
+ENTRY = {
+    "service": "g",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 2,
+    "state": "ready",
+    "db_role": "primary",
+    "seq_no": 4,
+}
+
+
+@asynccontextmanager
+async def _store():
+    standin = StoreStandin()
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(standin.serve, HOST, "i1")
+        yield Store(Address(HOST, port)), standin
+        nursery.cancel_scope.cancel()
+
+
+async def test_rows_are_written_under_a_condition():
+    async with _store() as (client, _):
+        new = [Precondition("t", "k", 0)]
+        done = await client.transact(
+            conditions=new, puts=[PutRow("t", "k", b"one")]
+        )
+        assert done is not None
+        assert await client.transact(conditions=new) is None
+        rows = await client.read_table("t")
+        assert [(row.key, row.value, row.version) for row in rows.rows] == [
+            ("k", b"one", done.version)
+        ]
+
+
+async def test_the_feed_tells_changes_and_removals():
+    async with _store() as (client, _):
+        first = await client.transact(puts=[PutRow("t", "k", b"one")])
+        await client.transact(removals=[("t", "k")])
+        rows = await client.follow("t", first.version, 5)
+        assert [(row.key, row.value) for row in rows.rows] == [("k", None)]
+
+
+async def test_the_feed_returns_without_a_change_in_time():
+    async with _store() as (client, _):
+        rows = await client.follow("t", 0, 0.05)
+        assert rows.rows == ()
+
+
+async def test_dropped_history_is_told():
+    async with _store() as (client, standin):
+        standin.put("t", "k", 1)
+        standin.put("t", "k", 2)
+        standin.forget_history()
+        with pytest.raises(HistoryLostError):
+            await client.follow("t", 1, 1)
+
+
+@pytest.mark.parametrize(
+    ("fault", "refused"),
+    [(StoreFault.BUSY, True), (StoreFault.LOSES_ANSWERS, False)],
+)
+async def test_a_failed_write_tells_whether_it_was_refused(
+    fault, refused, monkeypatch
+):
+    monkeypatch.setattr(store, "CALL_SECONDS", 0.2)
+    async with _store() as (client, standin):
+        standin.fault = fault
+        with pytest.raises(StoreError) as caught:
+            await client.transact(puts=[PutRow("t", "k", b"one")])
+        assert caught.value.refused == refused
+        standin.fault = StoreFault.NONE
+        rows = await client.read_table("t")
+        assert bool(rows.rows) != refused
+
+
+async def test_a_table_that_is_not_ours_is_not_written():
+    async with _store() as (client, _):
+        with pytest.raises(StoreError) as caught:
+            await client.transact(puts=[PutRow("op", "config", b"{}")])
+        assert caught.value.refused
+
+
+async def test_a_store_that_is_out_of_reach_is_told():
+    client = Store(Address(HOST, 1))
+    with pytest.raises(StoreError) as caught:
+        await client.read_table("t")
+    assert caught.value.refused
+
+
+async def test_a_promotion_carries_its_holder_and_fence():
+    group = Group("g", lambda database: None)
+    for name in ("d1", "d2"):
+        group.add(name, slots=1, max_connections=9)
+    standin = DutiesStandin({"g": group})
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(standin.serve, HOST)
+        duties = Duties(Address(HOST, port))
+        answer = await duties.promote("g", "d2", holder="i1", fence=7)
+        assert answer is PromoteAnswer.ACCEPTED
+        group.databases["d1"].down = True
+        answer = await duties.promote("g", "d1", holder="i1", fence=7)
+        assert answer is PromoteAnswer.NOT_RUNNING
+        assert standin.calls[0] == ("i1", 7, "g", "d2")
+        nursery.cancel_scope.cancel()
+    nowhere = Duties(Address(HOST, 1))
+    answer = await nowhere.promote("g", "d1", holder="i1", fence=7)
+    assert answer is PromoteAnswer.REFUSED
+
+
+def test_an_entry_is_decoded_into_the_projects_words():
+    endpoint = discovery.decode_endpoint("i-7", msgspec.json.encode(ENTRY))
+    assert endpoint.group == "g"
+    assert endpoint.address == Address("10.0.0.1", 80)
+    assert endpoint.says_primary
+    assert not endpoint.leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"address": 7},
+        {"address": "nowhere"},
+        {"state": "asleep"},
+        {"db_role": "king"},
+        {"slots": 0},
+        {"slots": "2"},
+        {"seq_no": []},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_endpoint(change):
+    value = msgspec.json.encode({**ENTRY, **change})
+    assert discovery.decode_endpoint("i-7", value) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b"7", b'{"service"'])
+def test_bytes_that_are_no_entry_name_no_endpoint(value):
+    assert discovery.decode_endpoint("i-7", value) is None
+
+
+def test_a_configuration_is_decoded_into_the_projects_words():
+    cfg = operator.decode_config(msgspec.json.encode(config(version=7)))
+    assert cfg.version == 7
+    assert cfg.routes["b"].consistency is Consistency.BOUNDED
+    assert cfg.routes["s"].max_staleness == 1.5
+    assert cfg.keys == {"key-w1": "w1", "key-w2": "w2"}
+    assert cfg.groups["g"].max_connections == 30
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"{}",
+        b'{"version": "7", "routes": [], "services": []}',
+        msgspec.json.encode(
+            config(
+                routes=[
+                    {
+                        "name": "r",
+                        "database": "d",
+                        "service": "g",
+                        "route_type": "strange",
+                    }
+                ]
+            )
+        ),
+    ],
+)
+def test_a_configuration_that_can_not_be_read_is_refused_whole(value):
+    with pytest.raises(operator.BadConfigError):
+        operator.decode_config(value)
--- /dev/null
+++ b/tests/test_proxy_parts.py
@@ -0,0 +1,210 @@
+"""Settings, logs, metrics, homes and tolerances of the proxy."""
+
+import json
+import os
+import pathlib
+import re
+from collections import Counter
+
+import pytest
+from loguru import logger
+
+from lagoonstair.limits import MICRO, LimitSettings, ShareHolder, WorkspaceLimit
+from lagoonstair.proxy._homes import SPARE_HOMES, Homes
+from lagoonstair.proxy._log import BURST_LINES, JsonSink
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._quota import Tolerance
+from lagoonstair.proxy._settings import (
+    SETTINGS_VARIABLE,
+    SettingsError,
+    load_settings,
+    parse_settings,
+)
+from lagoonstair.routing import Workspace
+
+TEMPLATE = pathlib.Path(__file__).parent.parent / "deploy" / "settings.json"
+SETTINGS = {
+    "instance": "i1",
+    "failure_domain": "a",
+    "host": "10.0.0.1",
+    "listen": {"entry": "10.0.0.1:1", "ready": "10.0.0.1:2"},
+    "peer_ports": [7560, 7575],
+    "store": "10.0.0.2:1",
+    "duties": "10.0.0.2:2",
+}
+
+
+def test_the_template_has_every_field_that_must_be_there():
+    text = re.sub(r"\{\{[^}]*\}\}", '"x"', TEMPLATE.read_text())
+    assert SETTINGS.keys() <= json.loads(text).keys()
+
+
+def test_settings_are_checked_and_unknown_fields_ignored():
+    value = {**SETTINGS, "new": 1}
+    settings = parse_settings(json.dumps(value).encode())
+    assert settings.peer_address == ("10.0.0.1", 7560)
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"instance": None}, "instance"),
+        ({"peer_ports": [1]}, "peer_ports"),
+        ({"listen": {"entry": 7}}, "listen.entry"),
+        ({"grace_s": "six"}, "grace_s"),
+    ],
+)
+def test_a_wrong_field_is_named(change, named):
+    text = json.dumps({**SETTINGS, **change}).encode()
+    with pytest.raises(SettingsError, match=re.escape(named)):
+        parse_settings(text)
+
+
+def test_missing_settings_are_told(monkeypatch, tmp_path):
+    monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
+    with pytest.raises(SettingsError, match=SETTINGS_VARIABLE):
+        load_settings()
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(tmp_path / "none.json"))
+    with pytest.raises(SettingsError, match="No such file"):
+        load_settings()
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(tmp_path))
+    with pytest.raises(SettingsError):
+        load_settings()
+
+
+@pytest.fixture
+def sink():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.set_blocking(reader, False)
+    handler = logger.add(JsonSink(writer), format="{message}")
+    yield reader
+    logger.remove(handler)
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_log_line_is_one_json_object(sink):
+    logger.bind(request="q1", waited=0.5).info("statement unanswered")
+    line = json.loads(os.read(sink, 65536))
+    assert line["event"] == "statement unanswered"
+    assert line["request"] == "q1"
+    assert line["waited"] == 0.5
+
+
+def test_lines_beyond_the_burst_are_dropped_and_counted(sink):
+    for _ in range(int(BURST_LINES) * 3):
+        logger.info("x")
+    lines = os.read(sink, 1 << 20).splitlines()
+    assert len(lines) < BURST_LINES * 2
+
+
+def test_nobody_who_reads_does_not_block(sink):
+    for _ in range(int(BURST_LINES)):
+        logger.info("x" * 1000)
+    text = os.read(sink, 1 << 20)
+    assert text.startswith(b"{")
+
+
+def test_metrics_are_rendered_as_text():
+    metrics = Metrics()
+    metrics.count("statements", outcome="done")
+    metrics.count("statements", outcome="done")
+    metrics.set("configuration_version", 7)
+    metrics.observe("statement", 0.02, kind="read")
+    metrics.observe("statement", 9.0, kind="read")
+    lines = metrics.render().splitlines()
+    assert 'lagoonstair_statements_total{outcome="done"} 2' in lines
+    assert "lagoonstair_configuration_version 7" in lines
+    name = "lagoonstair_statement_seconds"
+    assert f'{name}_bucket{{kind="read",le="0.025"}} 1' in lines
+    assert f'{name}_bucket{{kind="read",le="+Inf"}} 2' in lines
+    assert f'{name}_count{{kind="read"}} 2' in lines
+    assert f'{name}_sum{{kind="read"}} 9.02' in lines
+
+
+def _domains(count, zones=3):
+    return {f"i{n}": f"z{n % zones}" for n in range(count)}
+
+
+@pytest.mark.parametrize(
+    ("instances", "connections", "workspaces", "direct"),
+    [
+        (7, 30, 8, True),
+        (10, 30, 8, True),
+        (11, 30, 8, True),
+        (70, 232, 77, False),
+        (83, 82, 84, False),
+        (1, 2, 8, True),
+    ],
+)
+def test_homes_are_for_scarce_connections(
+    instances, connections, workspaces, direct
+):
+    homes = Homes(
+        _domains(instances), max_connections=connections, workspaces=workspaces
+    )
+    assert homes.is_direct == direct
+    assert homes.sharers * 2 <= max(connections, 2)
+
+
+def test_load_pattern_many_workspaces_over_few_connections():
+    homes = Homes(_domains(83), max_connections=82, workspaces=84)
+    line = [homes.line_of(f"w{n}") for n in range(84)]
+    assert all(len(names) == SPARE_HOMES for names in line)
+    assert all(homes.has_connections(n) for names in line for n in names)
+    load = Counter(names[0] for names in line)
+    # Each home holds 8 connections of an endpoint.
+    assert max(load.values()) <= 3 * 84 / homes.sharers
+
+
+def test_load_pattern_one_home_is_lost():
+    domains = _domains(83)
+    before = Homes(domains, max_connections=82, workspaces=84)
+    lost = before.line_of("w1")[0]
+    del domains[lost]
+    after = Homes(domains, max_connections=82, workspaces=84)
+    moved = [
+        f"w{n}"
+        for n in range(84)
+        if before.line_of(f"w{n}")[0] != after.line_of(f"w{n}")[0]
+    ]
+    assert "w1" in moved
+    # Its own workspaces move, and those of the instance that takes its place.
+    assert len(moved) <= 84 / 3
+
+
+WINDOW = Tolerance(window=5, excess=0.1, slack=20)
+
+
+def test_load_pattern_all_instances_restart_three_times_in_a_window():
+    limit = Workspace(name="w", rate=19, burst=19)
+    allowed = 19 * 5 + 19
+    tolerated = allowed * 0.1 + 20
+    each = WINDOW.allowance(limit, 7)
+    assert each * 7 * 3 <= tolerated * MICRO
+    assert each >= MICRO
+
+
+def test_a_resumed_share_counts_at_once_and_starts_low():
+    limit = WorkspaceLimit.from_config(
+        rate=70, burst=70, holders=tuple(f"i{n}" for n in range(7))
+    )
+    settings = LimitSettings()
+    resumed = ShareHolder("i1", settings)
+    resumed.configure(10.0, 1, limit, resumed=2 * MICRO)
+    assert resumed.available(10.0) == 2 * MICRO
+    assert resumed.available(10.1) == 3 * MICRO
+    new = ShareHolder("i1", settings)
+    new.configure(10.0, 1, limit)
+    assert new.available(10.0 + settings.share_delay) == 0
+    assert new.available(11.0 + settings.share_delay) == 10 * MICRO
+
+
+def test_a_resumed_share_never_exceeds_its_part_of_the_burst():
+    limit = WorkspaceLimit.from_config(
+        rate=7, burst=7, holders=tuple(f"i{n}" for n in range(7))
+    )
+    holder = ShareHolder("i1", LimitSettings())
+    holder.configure(10.0, 1, limit, resumed=50 * MICRO)
+    assert holder.available(10.0) == MICRO
