Add lagoonstair explain: from a failed request's id to its cause

Cause: the way from an id to its cause was a page of greps. The command merges the instances' logs, shows what they had come to believe and names the cause; three kinds of failed request are reproduced on real processes by tests. Statements' lines now name the group. Excluded: a log line before the answer, which would delay every answer.

--- a/src/lagoonstair/cli/_main.py
+++ b/src/lagoonstair/cli/_main.py
@@ -6,7 +6,14 @@
 
 import defopt
 
-from lagoonstair.cli import _config, _fleet, _items, _keys, _request
+from lagoonstair.cli import (
+    _config,
+    _explain,
+    _fleet,
+    _items,
+    _keys,
+    _request,
+)
 from lagoonstair.cli._command import caller_command
 from lagoonstair.cli._command import operator_command as command
 
@@ -48,6 +55,7 @@
     "apply": command(_items.apply),
     "config": {"check": _config.check, "show": command(_config.show)},
     "status": command(_fleet.status),
+    "explain": _explain.explain,
     "drain": command(_fleet.drain),
     "report": command(_fleet.report),
     "request": caller_command(_request.request),
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -362,6 +362,7 @@
             log_event(
                 "statement unanswered",
                 request=request_id,
+                group=route.group,
                 endpoint=pool.endpoint.name,
                 waited=round(trio.current_time() - began, 3),
                 cause=failure.message,
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -447,9 +447,11 @@
         ):
             return
         config = self._fleet.config
+        route = None if config is None else config.routes.get(conv.database)
         log_event(
             "statement answered",
             request=query.request_id,
+            group="" if route is None else route.group,
             kind=kind,
             outcome=code,
             cause=message,
