--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -1,7 +1,9 @@
 """Tells from the instances' logs why a request ended as it did."""
 
+import contextlib
 import itertools
 import json as json_codec
+import pathlib
 import sys
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple, TextIO
@@ -180,16 +182,16 @@
             any.
         json: Write JSON, for a program to read.
     """
-    try:
-        streams = [open(path, encoding="utf-8") for path in logs]
-    except OSError as exc:
-        print(f"{exc.filename}: {exc.strerror}", file=sys.stderr)
-        return Exit.USAGE
-    try:
+    with contextlib.ExitStack() as stack:
+        try:
+            streams: list[TextIO] = [
+                stack.enter_context(pathlib.Path(path).open(encoding="utf-8"))
+                for path in logs
+            ]
+        except OSError as exc:
+            print(f"{exc.filename}: {exc.strerror}", file=sys.stderr)
+            return Exit.USAGE
         found = explain_request(request, read_events(streams or [sys.stdin]))
-    finally:
-        for stream in streams:
-            stream.close()
     output = _output(found)
     print(json_codec.dumps(output.data) if json else output.text)
     return output.exit
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -13,6 +13,18 @@
     return [event for name in fleet.processes for event in fleet.log(name)]
 
 
+async def _explain(fleet, request):
+    """Explains a request once its line is written, just after its answer."""
+    await fleet.until(
+        lambda: any(
+            event.get("request") == request
+            and event["event"] == "statement answered"
+            for event in _events(fleet)
+        )
+    )
+    return explain_request(request, _events(fleet))
+
+
 async def _ask_until(caller, word, text, *, prefix):
     """Asks until an answer has a word; returns the request's id."""
     for number in range(10_000):
@@ -31,7 +43,7 @@
         cfg["tenants"][0].update(rate_per_s=2, burst=2)
         fleet.store.put("op", "config", cfg)
         request = await _ask_until(caller, "BUSY", "READ a", prefix="r")
-        found = explain_request(request, _events(fleet))
+        found = await _explain(fleet, request)
         assert "limit had been set to 2 a second" in found.cause
 
 
@@ -41,7 +53,7 @@
         await _ask_until(caller, "COMPLETE", "WRITE a 1", prefix="w")
         fleet.group.primary.loses = 1
         await caller.ask("lost", "WRITE a 2")
-        found = explain_request("lost", _events(fleet))
+        found = await _explain(fleet, "lost")
         assert [line["event"] for line in found.lines] == [
             "statement unanswered",
             "statement answered",
@@ -62,7 +74,7 @@
             answer = await caller.ask(request, "WRITE a 2")
             if "COMPLETE" in answer[0]:
                 break
-            causes.append(explain_request(request, _events(fleet)).cause)
+            causes.append((await _explain(fleet, request)).cause)
         assert any("was being replaced (failing)" in cause for cause in causes)
 
 
