Split the executor, the promoter and the front by their jobs

A proof is now renewed from the store at 1.4 to 1.7 s instead of 1.0 to 1.5 s, as one that a voter passes on is up to 1.35 s old.

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -20,6 +20,7 @@
     Reply,
     Result,
     Rollback,
+    Run,
     SetValue,
     Shape,
     State,
@@ -271,6 +272,16 @@
     return f"EXECUTE {name} {arguments}"
 
 
+def run_text(run: Run, name: str) -> str:
+    """The text of a read or write.
+
+    Args:
+        run: The statement.
+        name: The name of its prepared statement on the connection.
+    """
+    return run.text if run.shape is None else execute_text(name, run.arguments)
+
+
 def suspend_text(term: int) -> str:
     """The text that stops a replica from receiving."""
     return f"SUSPEND {term}"
--- /dev/null
+++ b/src/lagoonstair/proxy/_conversation.py
@@ -0,0 +1,61 @@
+"""One caller's connection."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from lagoonstair.platform import lines
+from lagoonstair.proxy._relay import RelayedSession
+from lagoonstair.proxy._targets import Caller
+from lagoonstair.proxy._transactions import Transaction
+from lagoonstair.statements import Failure, Session, State
+
+READ_BYTES = 64 * 1024
+
+REFUSE_SECONDS = 1.0
+"""How long a caller may take to receive why its session ends."""
+
+
+@dataclass(slots=True)
+class Conversation:
+    """One caller's connection.
+
+    Attributes:
+        database: The database name that it asked for.
+        key: Its key.
+        waiting: The scope to cancel while nothing of it is under way.
+        relayed: The session at the workspace's home, if that is elsewhere.
+    """
+
+    stream: trio.SocketStream
+    splitter: lines.LineSplitter
+    session: Session = field(default_factory=Session)
+    database: str = ""
+    key: str = ""
+    caller: Caller | None = None
+    tx: Transaction | None = None
+    waiting: trio.CancelScope | None = None
+    relayed: RelayedSession | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the session may be closed without harm."""
+        return self.session.state is State.IDLE and not self.splitter.pending
+
+    async def receive_line(self) -> bytes | None:
+        """The caller's next line; ``None`` when it has left."""
+        while (line := self.splitter.next_line()) is None:
+            chunk = await self.stream.receive_some(READ_BYTES)
+            if not chunk:
+                return None
+            self.splitter.feed(chunk)
+        return line
+
+    async def refuse(self, failure: Failure) -> None:
+        """Tells the caller why its session ends, if it still listens."""
+        with trio.move_on_after(REFUSE_SECONDS):
+            try:
+                await self.stream.send_all(lines.encode_failure(failure))
+            except trio.BrokenResourceError:
+                # It has left, which ends the session as well.
+                return
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -1,5 +1,6 @@
 """Puts the parts of an instance together and runs them."""
 
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -10,14 +11,17 @@
 from lagoonstair.peers import Registry as Handlers
 from lagoonstair.platform.discovery import parse_address
 from lagoonstair.platform.duties import Duties
-from lagoonstair.platform.store import Store
+from lagoonstair.platform.store import Store, StoreError
+from lagoonstair.primacy import PROOF_SECONDS
 from lagoonstair.proxy._executor import Executor
-from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._follower import Follower
 from lagoonstair.proxy._front import Front
 from lagoonstair.proxy._gossip import CONTACT_SECONDS, Gossip
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._orders import Orders
+from lagoonstair.proxy._prober import Prober
 from lagoonstair.proxy._promoter import Promoter
 from lagoonstair.proxy._quota import (
     FRESHNESS_SECONDS,
@@ -27,12 +31,15 @@
 )
 from lagoonstair.proxy._reaper import Reaper
 from lagoonstair.proxy._registry import Registry
+from lagoonstair.proxy._relay import Relays
 from lagoonstair.proxy._settings import (
     InstanceSettings,
     SettingsError,
     load_settings,
 )
 from lagoonstair.proxy._tables import Tables
+from lagoonstair.proxy._targets import Targets
+from lagoonstair.proxy._transactions import Transactions
 from lagoonstair.wire import HttpRequest, HttpResponse, HttpServer
 
 READY_PATH = "/-/readiness"
@@ -45,6 +52,11 @@
 """How long an instance that has just started waits to be fresh before it
 takes callers; the others may be out of reach."""
 
+OLD_PROOF = (0.7, 0.85)
+"""The part of its time after which a proof is renewed from the store; one
+that a voter passes on is up to 1.35 of 2 s old. Drawn anew each time, so that
+one instance reads it and the others learn it from there."""
+
 POLL_SECONDS = 0.05
 """Between two looks at what is still open while draining."""
 
@@ -110,7 +122,9 @@
             self._follower = Follower(
                 self._store, self._fleet, self._registry, tables, self._metrics
             )
-            executor = Executor(self._fleet, self._metrics)
+            targets = Targets(self._fleet, self._metrics)
+            executor = Executor(targets, self._metrics)
+            transactions = Transactions(self._fleet, targets)
             gossip = Gossip(
                 self._fleet,
                 self._registry,
@@ -125,12 +139,16 @@
             nursery.start_soon(gossip.run)
             await nursery.start(self._follower.run)
             nursery.start_soon(quota.run)
+            orders = Orders(self._fleet)
+            prober = Prober(self._fleet, gossip, orders)
+            nursery.start_soon(prober.run)
             promoter = Promoter(
                 self._fleet,
                 self._registry,
                 self._follower,
                 gossip,
-                executor,
+                transactions,
+                orders,
                 Duties(parse_address(settings.duties)),
                 self._metrics,
                 drain_seconds=settings.drain_ms / 1000,
@@ -142,10 +160,11 @@
             front = Front(
                 self._fleet,
                 executor,
+                transactions,
                 quota,
                 self._metrics,
                 settings.max_descriptors,
-                self._home_address,
+                Relays(self._fleet, self._metrics, self._home_address),
             )
             with trio.move_on_after(FRESH_SECONDS):
                 while not self._is_fresh():
@@ -243,15 +262,11 @@
 
     async def _keep_proved(self) -> None:
         """Reads the store when the others' words don't prove the primaries."""
-        from lagoonstair.platform.store import StoreError
-        from lagoonstair.primacy import PROOF_SECONDS
-        from lagoonstair.proxy._fleet import jittered
-
         while True:
             await trio.sleep(jittered(PROOF_SECONDS / 8))
             now = trio.current_time()
             age = now - self._fleet.primacy.proved_at(now)
-            if age < jittered(PROOF_SECONDS / 2):
+            if age < PROOF_SECONDS * random.uniform(*OLD_PROOF):
                 continue
             try:
                 await self._follower.read_own()
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -3,20 +3,21 @@
 import random
 import socket
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 
 import trio
 
 from lagoonstair._faults import describe_fault
-from lagoonstair._types import Address
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.platform import lines
-from lagoonstair.proxy._executor import Caller, Executor, Transaction
+from lagoonstair.proxy._conversation import Conversation
+from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._quota import Quota
-from lagoonstair.proxy._relay import HomeLostError, RelayedSession
+from lagoonstair.proxy._relay import Relays
+from lagoonstair.proxy._targets import Caller
+from lagoonstair.proxy._transactions import Transaction, Transactions
 from lagoonstair.routing import EntryConfig, Route
 from lagoonstair.statements import (
     Answer,
@@ -28,12 +29,9 @@
     OpenTransaction,
     Result,
     Run,
-    Session,
     State,
 )
 
-READ_BYTES = 64 * 1024
-
 START_SECONDS = 10.0
 """How long a caller may take to open its session."""
 
@@ -41,9 +39,6 @@
 """Unacknowledged bytes end a caller's connection after this time: longer than
 any cut of a link that callers outlive."""
 
-LOST_HOME_SECONDS = 2.0
-"""For how long a home that could not be reached is passed over."""
-
 SAMPLED = 1 / 64
 """The part of the answers without an error that is logged."""
 
@@ -58,28 +53,6 @@
 """Descriptors that the platform keeps for files."""
 
 
-@dataclass(slots=True)
-class _Conversation:
-    """One caller's connection.
-
-    Attributes:
-        database: The database name that it asked for.
-        key: Its key.
-        waiting: The scope to cancel while nothing of it is under way.
-        relayed: The session at the workspace's home, if that is elsewhere.
-    """
-
-    stream: trio.SocketStream
-    splitter: lines.LineSplitter
-    session: Session = field(default_factory=Session)
-    database: str = ""
-    key: str = ""
-    caller: Caller | None = None
-    tx: Transaction | None = None
-    waiting: trio.CancelScope | None = None
-    relayed: RelayedSession | None = None
-
-
 class Front:
     """Serves callers.
 
@@ -91,20 +64,21 @@
         self,
         fleet: Fleet,
         executor: Executor,
+        transactions: Transactions,
         quota: Quota,
         metrics: Metrics,
         max_descriptors: int,
-        home_address: Callable[[str], Address | None],
+        relays: Relays,
     ) -> None:
         self._fleet = fleet
         self._executor = executor
+        self._transactions = transactions
         self._quota = quota
         self._metrics = metrics
-        self._home_address = home_address
-        self._lost_homes: dict[str, float] = {}
+        self._relays = relays
         sockets = max_descriptors - RESERVED_DESCRIPTORS
         self._max_open = int(sockets * FULL_SHARE)
-        self._conversations: dict[int, _Conversation] = {}
+        self._conversations: dict[int, Conversation] = {}
         self.draining = False
         fleet.on_config.append(self._close_revoked)
 
@@ -113,19 +87,11 @@
         """How many callers are connected."""
         return len(self._conversations)
 
-    @property
-    def transactions(self) -> int:
-        """How many callers have a transaction open."""
-        return sum(
-            conv.session.state is not State.IDLE
-            for conv in self._conversations.values()
-        )
-
     def drain(self) -> None:
         """Closes idle sessions now and the others once they are idle."""
         self.draining = True
         for conv in [*self._conversations.values()]:
-            if conv.waiting is not None and self._may_close(conv):
+            if conv.waiting is not None and conv.is_idle:
                 conv.waiting.cancel()
             if conv.relayed is not None and conv.relayed.is_idle:
                 conv.relayed.cancel()
@@ -147,9 +113,9 @@
     async def _serve(
         self,
         stream: trio.SocketStream,
-        converse: Callable[[_Conversation], Awaitable[None]],
+        converse: Callable[[Conversation], Awaitable[None]],
     ) -> None:
-        conv = _Conversation(stream, lines.LineSplitter())
+        conv = Conversation(stream, lines.LineSplitter())
         self._conversations[id(conv)] = conv
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS
@@ -162,7 +128,7 @@
             self._metrics.count("callers_gone")
         except lines.BadLineError as exc:
             self._metrics.count("bad_lines", code=exc.code.value)
-            await self._refuse(conv, Failure(exc.code, str(exc)))
+            await conv.refuse(Failure(exc.code, str(exc)))
         except Exception as exc:
             # One session's fault must not end the others.
             log_event("session failed", fault=describe_fault(exc))
@@ -170,55 +136,29 @@
         finally:
             del self._conversations[id(conv)]
             if conv.tx is not None:
-                self._executor.abandon(conv.tx)
+                self._transactions.abandon(conv.tx)
             with trio.CancelScope(shield=True), trio.move_on_after(1):
                 await stream.aclose()
 
-    async def _converse_or_relay(self, conv: _Conversation) -> None:
+    async def _converse_or_relay(self, conv: Conversation) -> None:
         assert conv.caller is not None
-        homes = self._fleet.homes
-        if homes.is_direct:
-            await self._converse(conv)
-            return
-        now = trio.current_time()
-        line = homes.line_of(conv.caller.workspace)
-        lost = self._lost_homes
-        alive = [name for name in line if lost.get(name, now) <= now]
-        for name in alive or line:
+        start = lines.encode_caller_start(conv.database, conv.key)
+        for name in self._relays.line_of(conv.caller.workspace):
             if name == self._fleet.name:
                 await self._converse(conv)
                 return
-            if await self._relay(conv, name):
+            conv.relayed = await self._relays.open(name, conv.stream, start)
+            if conv.relayed is not None:
+                failure = await conv.relayed.run(conv.splitter.take_rest())
+                if failure is not None:
+                    self._relays.note_lost(name, failure.code.value)
+                    await conv.refuse(failure)
                 return
-        await self._refuse(conv, Failure(Code.BUSY, "no home is in reach"))
+        await conv.refuse(Failure(Code.BUSY, "no home is in reach"))
 
-    async def _relay(self, conv: _Conversation, name: str) -> bool:
-        """Relays a session to a home; false when that can't be reached."""
-        address = self._home_address(name)
-        if address is None:
-            return False
-        start = lines.encode_caller_start(conv.database, conv.key)
-        try:
-            conv.relayed = await RelayedSession.open(
-                conv.stream, address, start
-            )
-        except HomeLostError as exc:
-            self._lost_homes[name] = trio.current_time() + LOST_HOME_SECONDS
-            log_event("home lost", peer=name, cause=str(exc))
-            self._metrics.count("homes_lost")
-            return False
-        failure = await conv.relayed.run(conv.splitter.take_rest())
-        if failure is not None:
-            log_event(
-                "relayed session lost", peer=name, told=failure.code.value
-            )
-            self._lost_homes[name] = trio.current_time() + LOST_HOME_SECONDS
-            await self._refuse(conv, failure)
-        return True
-
-    async def _converse(self, conv: _Conversation) -> None:
+    async def _converse(self, conv: Conversation) -> None:
         await conv.stream.send_all(lines.encode_ready(State.IDLE))
-        while not (self.draining and self._may_close(conv)):
+        while not (self.draining and conv.is_idle):
             line = await self._next_line(conv)
             if line is None:
                 return
@@ -234,9 +174,9 @@
                     if not await self._answer(conv, message):
                         return
 
-    async def _open_session(self, conv: _Conversation) -> bool:
+    async def _open_session(self, conv: Conversation) -> bool:
         with trio.move_on_after(START_SECONDS):
-            line = await self._receive_line(conv)
+            line = await conv.receive_line()
             if line is None:
                 return False
             message = lines.parse_caller_line(line)
@@ -248,17 +188,17 @@
             conv.key = message.key
             if len(self._conversations) > self._max_open:
                 failure = Failure(Code.BUSY, "too many sessions")
-                await self._refuse(conv, failure)
+                await conv.refuse(failure)
                 return False
             granted = self._authorize(conv)
             if isinstance(granted, Failure):
                 self._metrics.count("starts_refused", code=granted.code.value)
-                await self._refuse(conv, granted)
+                await conv.refuse(granted)
                 return False
             return True
         return False
 
-    def _authorize(self, conv: _Conversation) -> Route | Failure:
+    def _authorize(self, conv: Conversation) -> Route | Failure:
         """Checks the key and the route by the configuration of now."""
         config = self._fleet.config
         if config is None:
@@ -277,7 +217,7 @@
             return Failure(Code.NO_AUTH, "the key has another workspace now")
         return route
 
-    async def _answer(self, conv: _Conversation, query: lines.Query) -> bool:
+    async def _answer(self, conv: Conversation, query: lines.Query) -> bool:
         """Answers a statement; false when the session must end."""
         began = trio.current_time()
         result = await self._perform(conv, query)
@@ -287,7 +227,7 @@
         ends = isinstance(result, Failure) and result.code in ENDING
         return not ends
 
-    async def _perform(self, conv: _Conversation, query: lines.Query) -> Result:
+    async def _perform(self, conv: Conversation, query: lines.Query) -> Result:
         session = conv.session
         step = session.step(query.statement)
         match step:
@@ -301,7 +241,7 @@
                 return await self._run(conv, query, step)
 
     async def _open_transaction(
-        self, conv: _Conversation, read_only: bool
+        self, conv: Conversation, read_only: bool
     ) -> Result:
         granted = await self._admit(conv)
         if isinstance(granted, Failure):
@@ -313,35 +253,35 @@
         return Done()
 
     async def _end_transaction(
-        self, conv: _Conversation, query: lines.Query, commits: bool
+        self, conv: Conversation, query: lines.Query, commits: bool
     ) -> Result:
         tx, conv.tx = conv.tx, None
         assert tx is not None
         assert conv.caller is not None
         try:
             if commits:
-                return await self._executor.commit(
+                return await self._transactions.commit(
                     conv.caller, tx, query.request_id
                 )
-            await self._executor.roll_back(tx)
+            await self._transactions.roll_back(tx)
             return Done()
         finally:
             conv.session.ended()
 
     async def _run(
-        self, conv: _Conversation, query: lines.Query, run: Run
+        self, conv: Conversation, query: lines.Query, run: Run
     ) -> Result:
         if run.alone:
             granted = await self._admit(conv)
             if isinstance(granted, Failure):
                 return granted
             assert conv.caller is not None
-            return await self._executor.run_alone(
+            return await self._executor.run(
                 conv.caller, granted, run, query.request_id
             )
         assert conv.tx is not None
         assert conv.caller is not None
-        result = await self._executor.run_inside(
+        result = await self._transactions.run(
             conv.caller, conv.tx, run, query.request_id
         )
         if isinstance(result, Failure):
@@ -349,7 +289,7 @@
             conv.session.failed()
         return result
 
-    async def _admit(self, conv: _Conversation) -> Route | Failure:
+    async def _admit(self, conv: Conversation) -> Route | Failure:
         """Checks the key, the route and the rate before an operation."""
         granted = self._authorize(conv)
         if isinstance(granted, Failure):
@@ -364,7 +304,7 @@
             return Failure(Code.BUSY, message)
         return granted
 
-    async def _next_line(self, conv: _Conversation) -> bytes | None:
+    async def _next_line(self, conv: Conversation) -> bytes | None:
         """The next line; ``None`` when the caller left or must leave."""
         line = conv.splitter.next_line()
         while line is None:
@@ -374,7 +314,7 @@
             with trio.move_on_after(seconds) as scope:
                 conv.waiting = scope
                 try:
-                    line = await self._receive_line(conv)
+                    line = await conv.receive_line()
                     if line is None:
                         return None
                 finally:
@@ -383,49 +323,27 @@
                 return None
         return line
 
-    def _end_idle(self, conv: _Conversation) -> bool:
+    def _end_idle(self, conv: Conversation) -> bool:
         """Ends an idle transaction; false when the session is to end."""
         if conv.tx is None:
             return False
-        self._executor.abandon(conv.tx)
+        self._transactions.abandon(conv.tx)
         conv.tx = None
         conv.session.failed()
         self._metrics.count("idle_transactions_ended")
         return not self.draining
 
-    async def _receive_line(self, conv: _Conversation) -> bytes | None:
-        while (line := conv.splitter.next_line()) is None:
-            chunk = await conv.stream.receive_some(READ_BYTES)
-            if not chunk:
-                return None
-            conv.splitter.feed(chunk)
-        return line
-
-    async def _refuse(self, conv: _Conversation, failure: Failure) -> None:
-        """Tells a caller why its session ends."""
-        with trio.move_on_after(1):
-            try:
-                await conv.stream.send_all(lines.encode_failure(failure))
-            except trio.BrokenResourceError:
-                # The caller has gone.
-                self._metrics.count("callers_gone")
-
-    def _may_close(self, conv: _Conversation) -> bool:
-        return conv.session.state is State.IDLE and not conv.splitter.pending
-
     def _close_revoked(self) -> None:
         """Closes idle sessions whose key or route is gone."""
         for conv in [*self._conversations.values()]:
             if conv.caller is None or conv.waiting is None:
                 continue
-            if self._may_close(conv) and isinstance(
-                self._authorize(conv), Failure
-            ):
+            if conv.is_idle and isinstance(self._authorize(conv), Failure):
                 conv.waiting.cancel()
 
     def _tell(
         self,
-        conv: _Conversation,
+        conv: Conversation,
         query: lines.Query,
         result: Result,
         seconds: float,
--- /dev/null
+++ b/src/lagoonstair/proxy/_prober.py
@@ -0,0 +1,54 @@
+"""Tries endpoints that are silent, or that others can't reach."""
+
+import trio
+
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._gossip import Gossip
+from lagoonstair.proxy._orders import Orders
+
+TICK_SECONDS = 0.1
+"""How often endpoints are looked at."""
+
+SILENT_SECONDS = 0.32
+"""After which a statement without an answer makes its endpoint suspect; the
+longest ones take some 0.2 s."""
+
+ASKED_SECONDS = 1.0
+"""How long another instance's suspicion is followed."""
+
+
+class Prober:
+    """Opens connections to see whether endpoints are in reach."""
+
+    def __init__(self, fleet: Fleet, gossip: Gossip, orders: Orders) -> None:
+        self._fleet = fleet
+        self._gossip = gossip
+        self._orders = orders
+
+    async def run(self) -> None:
+        """Looks at all endpoints until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(TICK_SECONDS)
+                now = trio.current_time()
+                suspects = self._suspected_primaries(now)
+                for name, pool in [*self._fleet.pools.items()]:
+                    pool.trim(now)
+                    suspect = pool.failing_since is not None or name in suspects
+                    if suspect and not pool.probing:
+                        workspace = self._orders.any_workspace()
+                        nursery.start_soon(pool.probe, workspace)
+
+    def _suspected_primaries(self, now: float) -> set[str]:
+        suspects = set()
+        for group, record in self._fleet.primacy.records.items():
+            pool = self._fleet.pools.get(record.primary)
+            if pool is None:
+                continue
+            asked_at = self._gossip.suspected.get(group, float("-inf"))
+            asked = now - asked_at < ASKED_SECONDS
+            if pool.silent_for(now) > SILENT_SECONDS or (
+                asked and pool.failing(now) != 0
+            ):
+                suspects.add(record.primary)
+        return suspects
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -2,8 +2,6 @@
 
 import trio
 
-from lagoonstair._types import Position
-from lagoonstair.platform import lines
 from lagoonstair.platform.duties import Duties, PromoteAnswer
 from lagoonstair.platform.store import StoreError
 from lagoonstair.primacy import (
@@ -17,17 +15,16 @@
     choose_target,
     turn_of,
 )
-from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._follower import Follower
 from lagoonstair.proxy._gossip import Gossip
-from lagoonstair.proxy._link import Link, LinkError
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._orders import Orders
 from lagoonstair.proxy._pool import EndpointPool
 from lagoonstair.proxy._registry import DUTY_KEY, GROUP_PREFIX, Registry
+from lagoonstair.proxy._transactions import Transactions
 from lagoonstair.routing import Endpoint
-from lagoonstair.statements import Done
 
 TICK_SECONDS = 0.1
 """How often causes are looked for."""
@@ -54,17 +51,8 @@
 DRAIN_SECONDS = 0.5
 """How long transactions on a leaving primary may go on."""
 
-CATCH_UP_SECONDS = 1.0
-"""How long a replica may take to receive what a leaving primary has."""
-
-STATUS_SECONDS = 0.5
-"""How long a status may take; it waits for a slot."""
-
-LEAD_SECONDS = 3.0
-"""How long the promoted endpoint may take to lead; 0.6 to 1 s is usual."""
-
 POLL_SECONDS = 0.04
-"""Between two looks at an endpoint that is about to lead."""
+"""Between two looks at what the others have released."""
 
 FENCE_SECONDS = 1.5
 """A call to the platform must begin this soon after its fencing token was
@@ -83,7 +71,8 @@
         registry: Registry,
         follower: Follower,
         gossip: Gossip,
-        executor: Executor,
+        transactions: Transactions,
+        orders: Orders,
         duties: Duties,
         metrics: Metrics,
         *,
@@ -96,7 +85,8 @@
         self._registry = registry
         self._follower = follower
         self._gossip = gossip
-        self._executor = executor
+        self._transactions = transactions
+        self._orders = orders
         self._duties = duties
         self._metrics = metrics
         self._due: dict[str, tuple[Cause, float]] = {}
@@ -109,8 +99,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(TICK_SECONDS)
-                self._release_primaries(nursery)
-                self._probe(nursery)
+                self._release_primaries()
                 for group in self._groups():
                     if group in self._running:
                         continue
@@ -123,26 +112,7 @@
             endpoint.group for endpoint in self._fleet.endpoints.values()
         } | self._fleet.primacy.records.keys()
 
-    def _probe(self, nursery: trio.Nursery) -> None:
-        """Tries primaries that are silent, or that others can't reach."""
-        now = trio.current_time()
-        for group, record in self._fleet.primacy.records.items():
-            pool = self._fleet.pools.get(record.primary)
-            if pool is None or pool.probing:
-                continue
-            asked = now - self._gossip.suspected.get(group, -1e9) < 1.0
-            if (
-                pool.failing_since is not None
-                or pool.silent_for(now) > POLL_SECONDS * 8
-                or (asked and pool.failing(now) != 0)
-            ):
-                nursery.start_soon(pool.probe, self._any_workspace())
-        for pool in self._fleet.pools.values():
-            pool.trim(now)
-            if pool.failing_since is not None and not pool.probing:
-                nursery.start_soon(pool.probe, self._any_workspace())
-
-    def _release_primaries(self, nursery: trio.Nursery) -> None:
+    def _release_primaries(self) -> None:
         """Ends work on primaries whose replacement has begun."""
         now = trio.current_time()
         primacy = self._fleet.primacy
@@ -158,7 +128,7 @@
             if stale and self._fleet.uses.get(group):
                 failing = self._view(group, record).failing > 0
                 if failing or now - seen[1] > DRAIN_SECONDS:
-                    self._executor.cut_group(group)
+                    self._transactions.cut_group(group)
 
     def _is_due(self, group: str) -> bool:
         cause = self._cause(group)
@@ -367,7 +337,10 @@
     ) -> None:
         written_at = trio.current_time()
         candidates = self._candidates(group, record, cause)
-        received = await self._positions(group, record, candidates, cause)
+        # A primary that failed may answer late; what it has is not waited for.
+        leaves = cause in (Cause.LEAVING, Cause.GONE)
+        old = self._fleet.pools.get(record.primary) if leaves else None
+        received = await self._orders.positions(group, candidates, old=old)
         target = choose_target(received, except_for=())
         if target is None:
             log_event("promotion without a target", group=group)
@@ -395,72 +368,11 @@
         if answer in (PromoteAnswer.REFUSED, PromoteAnswer.NOT_RUNNING):
             await trio.sleep(TICK_SECONDS)
             return
-        term = await self._wait_leads(target)
+        term = await self._orders.wait_leads(target)
         if term is None:
             return
         await self._record(group, record, target, term)
-        await self._demote(record.primary, target, term)
-
-    async def _positions(
-        self,
-        group: str,
-        record: GroupRecord,
-        candidates: list[EndpointPool],
-        cause: Cause,
-    ) -> dict[str, Position]:
-        """The ends of the candidates' logs, once they have what they can."""
-        until = trio.current_time() + CATCH_UP_SECONDS
-        wanted = None
-        old = self._fleet.pools.get(record.primary)
-        if cause in (Cause.LEAVING, Cause.GONE) and old is not None:
-            status = await self._status(old)
-            wanted = None if status is None else status.received
-        config = self._fleet.config
-        settings = None if config is None else config.groups.get(group)
-        if settings is not None and settings.synchronous_replicas:
-            await self._suspend(candidates)
-        while True:
-            received: dict[str, Position] = {}
-            async with trio.open_nursery() as nursery:
-                for pool in candidates:
-                    nursery.start_soon(self._add_position, pool, received)
-            best = max(received.values(), default=None)
-            if wanted is None or (best is not None and best >= wanted):
-                return received
-            if trio.current_time() > until:
-                return received
-            await trio.sleep(POLL_SECONDS)
-
-    async def _add_position(
-        self, pool: EndpointPool, received: dict[str, Position]
-    ) -> None:
-        status = await self._status(pool)
-        if status is not None:
-            received[pool.endpoint.name] = status.received
-
-    async def _suspend(self, candidates: list[EndpointPool]) -> None:
-        """Keeps replicas from receiving until one of them leads.
-
-        The old primary, if it lives, can then acknowledge nothing that the
-        new one lacks.
-        """
-        statuses = [await self._status(pool) for pool in candidates]
-        term = max((s.term for s in statuses if s is not None), default=0) + 1
-        for pool in candidates:
-            await self._command(pool, lines.suspend_text(term))
-
-    async def _wait_leads(self, target: str) -> int | None:
-        until = trio.current_time() + LEAD_SECONDS
-        while trio.current_time() < until:
-            pool = self._fleet.pools.get(target)
-            if pool is None:
-                return None
-            status = await self._status(pool)
-            if status is not None and status.is_primary:
-                return status.term
-            await trio.sleep(POLL_SECONDS)
-        log_event("promotion without effect", target=target)
-        return None
+        await self._orders.demote(record.primary, target, term)
 
     async def _record(
         self, group: str, begun: GroupRecord, target: str, term: int
@@ -481,51 +393,3 @@
             except StoreError as exc:
                 log_event("promotion not recorded", cause=str(exc))
                 await trio.sleep(TICK_SECONDS * 3)
-
-    async def _demote(self, old: str, target: str, term: int) -> None:
-        pool = self._fleet.pools.get(old)
-        if pool is None or old == target or pool.failing_since is not None:
-            return
-        await self._command(pool, lines.demote_text(term))
-
-    async def _status(self, pool: EndpointPool) -> lines.EndpointStatus | None:
-        rows = await self._command(pool, lines.STATUS)
-        if rows is None:
-            return None
-        try:
-            return lines.parse_status(rows)
-        except lines.BadLineError as exc:
-            log_event(
-                "status unreadable", endpoint=pool.endpoint.name, cause=str(exc)
-            )
-            return None
-
-    async def _command(
-        self, pool: EndpointPool, text: str
-    ) -> tuple[bytes, ...] | None:
-        """Runs a command on a connection of its own."""
-        began = trio.current_time()
-        with trio.move_on_after(STATUS_SECONDS):
-            link = None
-            try:
-                link = await Link.open(pool.endpoint, self._any_workspace())
-                reply = await link.command(text)
-                pool.note_reach()
-                if isinstance(reply.result, Done):
-                    return reply.result.rows
-                return None
-            except LinkError as exc:
-                if exc.refusal is None:
-                    pool.note_failure(began)
-                return None
-            finally:
-                if link is not None:
-                    link.close()
-        pool.note_failure(began)
-        return None
-
-    def _any_workspace(self) -> str:
-        """In whose name the instance itself connects: endpoints ask for one."""
-        config = self._fleet.config
-        names = () if config is None else config.workspaces
-        return next(iter(names), self._fleet.name)
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -1,11 +1,15 @@
 """Passes a caller's session on to the home of its workspace."""
 
 import socket
+from collections.abc import Callable, Sequence
 
 import trio
 
 from lagoonstair._types import Address
 from lagoonstair.platform import lines
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._log import log_event
+from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.statements import Code, Commit, Failure, Read, State
 
 READ_BYTES = 64 * 1024
@@ -13,6 +17,9 @@
 OPEN_SECONDS = 0.4
 """How long a home may take to open a session; then the next one is tried."""
 
+LOST_HOME_SECONDS = 2.0
+"""For how long a home that could not be reached is passed over."""
+
 SILENCE_MS = 1500
 """Unacknowledged bytes end a connection to a home after this time."""
 
@@ -156,3 +163,55 @@
             # Nothing of a read or of an open transaction is kept.
             return Failure(Code.ABORTED, lost)
         return Failure(Code.IN_DOUBT, lost)
+
+
+class Relays:
+    """Finds the homes of workspaces and opens sessions there."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        metrics: Metrics,
+        address_of: Callable[[str], Address | None],
+    ) -> None:
+        """Starts with all homes in reach.
+
+        Args:
+            fleet: What is known of the instances.
+            metrics: Counts homes that were lost.
+            address_of: Where an instance takes relayed sessions.
+        """
+        self._fleet = fleet
+        self._metrics = metrics
+        self._address_of = address_of
+        self._lost_until: dict[str, float] = {}
+
+    def line_of(self, workspace: str) -> Sequence[str]:
+        """The instances to try for a workspace, in order."""
+        if self._fleet.homes.is_direct:
+            return [self._fleet.name]
+        now = trio.current_time()
+        line = self._fleet.homes.line_of(workspace)
+        alive = [
+            name for name in line if self._lost_until.get(name, now) <= now
+        ]
+        return alive or line
+
+    async def open(
+        self, name: str, caller: trio.SocketStream, start: bytes
+    ) -> RelayedSession | None:
+        """Opens a session at a home; ``None`` when that can't be reached."""
+        address = self._address_of(name)
+        if address is None:
+            return None
+        try:
+            return await RelayedSession.open(caller, address, start)
+        except HomeLostError as exc:
+            self.note_lost(name, str(exc))
+            return None
+
+    def note_lost(self, name: str, cause: str) -> None:
+        """Notes that a home did not open or go on with a session."""
+        self._lost_until[name] = trio.current_time() + LOST_HOME_SECONDS
+        log_event("home lost", peer=name, cause=cause)
+        self._metrics.count("homes_lost")
--- /dev/null
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -0,0 +1,290 @@
+"""Transactions: each is pinned to a connection until it ends."""
+
+from dataclasses import dataclass
+
+import trio
+
+from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.platform import lines
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._link import Link, LinkError
+from lagoonstair.proxy._pool import EndpointPool, NoLinkError
+from lagoonstair.proxy._targets import (
+    MAX_ATTEMPTS,
+    NO_PRIMARY,
+    PRIMARY_WAIT_SECONDS,
+    RETRY_SECONDS,
+    Caller,
+    Target,
+    Targets,
+)
+from lagoonstair.routing import Route
+from lagoonstair.statements import (
+    NOT_RUN,
+    Code,
+    Done,
+    Failure,
+    Result,
+    Run,
+    Sent,
+    State,
+    Work,
+    outcome_of,
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class Transaction:
+    """An open transaction; without a link until its first statement.
+
+    Attributes:
+        route: Where it goes.
+        read_only: Whether a replica may run it.
+        began: When it began, in seconds.
+        link: The connection that it is pinned to.
+        pool: The endpoint of the connection.
+        epoch: The epoch of the primary that it runs on; 0 on a replica.
+        wrote: Whether a write succeeded.
+    """
+
+    route: Route
+    read_only: bool
+    began: float
+    link: Link | None = None
+    pool: EndpointPool | None = None
+    epoch: int = 0
+    wrote: bool = False
+
+
+class Transactions:
+    """Runs the transactions of all callers of one instance."""
+
+    def __init__(self, fleet: Fleet, targets: Targets) -> None:
+        self._fleet = fleet
+        self._targets = targets
+        self._open: dict[int, Transaction] = {}
+
+    async def run(
+        self,
+        caller: Caller,
+        tx: Transaction,
+        run: Run,
+        request_id: str,
+    ) -> Result:
+        """Runs a statement of a transaction; a failure has rolled it back."""
+        deadline = trio.current_time() + tx.route.timeout
+        if tx.link is None:
+            failure = await self._pin(caller, tx, deadline)
+            if failure is not None:
+                return failure
+        assert tx.link is not None
+        if not self._may_go_on(tx):
+            self.abandon(tx)
+            return Failure(Code.ABORTED, "the primary is being replaced")
+        sent = Sent.NO
+        failure = Failure(Code.ABORTED, "no slot was free in time")
+        try:
+            with trio.move_on_at(deadline):
+                name = await tx.link.match_session(
+                    caller.session.values, run.shape
+                )
+                sent = Sent.UNANSWERED
+                failure = Failure(Code.ABORTED, "no answer in time")
+                text = lines.run_text(run, name)
+                result = await self._exchange(
+                    caller, tx, request_id, text, deadline
+                )
+                if isinstance(result, Done):
+                    tx.wrote |= run.writes
+                    return result
+                sent = Sent.ANSWERED
+                failure = result
+        except LinkError as exc:
+            failure = Failure(Code.ABORTED, str(exc))
+        except LagoonstairError as exc:
+            sent = Sent.NO
+            failure = Failure(Code.BUSY, exc.message)
+        self.abandon(tx)
+        return outcome_of(Work.IN_TRANSACTION, sent, failure)
+
+    async def commit(
+        self, caller: Caller, tx: Transaction, request_id: str
+    ) -> Result:
+        """Commits a transaction and lets its connection go."""
+        deadline = trio.current_time() + tx.route.timeout
+        if tx.link is None:
+            failure = await self._pin(caller, tx, deadline)
+            if failure is not None:
+                return failure
+        if not self._may_go_on(tx):
+            self.abandon(tx)
+            return Failure(Code.ABORTED, "the primary is being replaced")
+        sent = Sent.UNANSWERED
+        failure = Failure(Code.IN_DOUBT, "no answer in time")
+        work = Work.COMMIT if tx.wrote else Work.READ
+        try:
+            with trio.move_on_at(deadline):
+                result = await self._exchange(
+                    caller, tx, request_id, "COMMIT", deadline
+                )
+                if isinstance(result, Done):
+                    self._close(tx)
+                    return result
+                sent = Sent.ANSWERED
+                failure = result
+        except LinkError as exc:
+            failure = Failure(Code.IN_DOUBT, str(exc))
+        except LagoonstairError as exc:
+            sent = Sent.NO
+            failure = Failure(Code.ABORTED, exc.message)
+        self.abandon(tx)
+        return outcome_of(work, sent, failure)
+
+    async def roll_back(self, tx: Transaction) -> None:
+        """Rolls a transaction back and lets its connection go."""
+        link = tx.link
+        if link is not None and link.usable and link.state is not State.IDLE:
+            with trio.move_on_after(tx.route.timeout):
+                try:
+                    await link.command(lines.ROLLBACK)
+                except LinkError:
+                    # Closing the connection rolls back as well.
+                    link.close()
+        self._close(tx)
+
+    def abandon(self, tx: Transaction) -> None:
+        """Closes a transaction's connection, which rolls it back."""
+        if tx.link is not None:
+            tx.link.close()
+        self._close(tx)
+
+    def cut_group(self, group: str) -> None:
+        """Abandons all that runs on the primary of a group."""
+        for tx in [*self._open.values()]:
+            if tx.route.group == group and tx.epoch:
+                self.abandon(tx)
+        record = self._fleet.primacy.records.get(group)
+        pool = None if record is None else self._fleet.pools.get(record.primary)
+        if pool is not None:
+            pool.cut()
+
+    async def _pin(
+        self, caller: Caller, tx: Transaction, deadline: float
+    ) -> Failure | None:
+        """Opens the transaction at an endpoint."""
+        failure = Failure(Code.BUSY, NO_PRIMARY)
+        tried: set[str] = set()
+        for _ in range(MAX_ATTEMPTS):
+            target = await self._targets.choose(
+                caller,
+                tx.route,
+                not tx.read_only,
+                tx.began,
+                deadline,
+                tried,
+            )
+            if isinstance(target, Failure):
+                return target
+            tried.add(target.pool.endpoint.name)
+            refusal = await self._pin_to(caller, tx, target, deadline)
+            if refusal is None:
+                return None
+            failure = refusal
+            if trio.current_time() >= deadline - PRIMARY_WAIT_SECONDS:
+                break
+            if target.is_primary:
+                tried.clear()
+                await trio.sleep(RETRY_SECONDS)
+        if failure.code in NOT_RUN:
+            return failure
+        return Failure(Code.ABORTED, failure.message)
+
+    async def _pin_to(
+        self,
+        caller: Caller,
+        tx: Transaction,
+        target: Target,
+        deadline: float,
+    ) -> Failure | None:
+        pool = target.pool
+        route = tx.route
+        try:
+            link = await pool.take(
+                caller.workspace, deadline=deadline, priority=route.priority
+            )
+        except NoLinkError as exc:
+            return exc.failure
+        began = trio.current_time()
+        failure = Failure(Code.BUSY, "no answer in time")
+        try:
+            with trio.move_on_at(deadline):
+                if not self._targets.is_still(target):
+                    pool.give_back(link)
+                    return Failure(Code.BUSY, NO_PRIMARY)
+                begin = lines.begin_text(read_only=tx.read_only)
+                reply = await link.command(lines.after(target.after, begin))
+                if isinstance(reply.result, Done):
+                    tx.link = link
+                    tx.pool = pool
+                    if target.is_primary:
+                        tx.epoch = self._fleet.primacy.epoch(route.group)
+                        self._targets.enter(route.group)
+                    self._open[id(tx)] = tx
+                    return None
+                self._targets.note_refusal(pool, reply.result)
+                failure = reply.result
+        except LinkError as exc:
+            pool.note_failure(began)
+            failure = Failure(Code.BUSY, str(exc))
+        if link.usable and link.state is State.IDLE:
+            pool.give_back(link)
+        else:
+            pool.discard(link)
+        return failure
+
+    async def _exchange(
+        self,
+        caller: Caller,
+        tx: Transaction,
+        request_id: str,
+        text: str,
+        deadline: float,
+    ) -> Result:
+        assert tx.link is not None
+        assert tx.pool is not None
+        async with tx.pool.statement(caller.workspace, deadline):
+            began = trio.current_time()
+            try:
+                reply = await tx.link.run(request_id, text)
+            except LinkError:
+                tx.pool.note_failure(began)
+                raise
+            wrote = tx.wrote and text == "COMMIT"
+            self._targets.note_answer(
+                caller, tx.route, tx.pool, tx.link, began, wrote
+            )
+            return reply.result
+
+    def _close(self, tx: Transaction) -> None:
+        if self._open.pop(id(tx), None) is None:
+            return
+        assert tx.link is not None
+        assert tx.pool is not None
+        if tx.epoch:
+            self._targets.leave(tx.route.group)
+        if tx.link.usable and tx.link.state is State.IDLE:
+            tx.pool.give_back(tx.link)
+        else:
+            tx.pool.discard(tx.link)
+
+    def _may_go_on(self, tx: Transaction) -> bool:
+        """Whether the primary of a transaction may still be used."""
+        if tx.link is None or not tx.link.usable:
+            return False
+        if not tx.epoch:
+            return True
+        assert tx.pool is not None
+        return (
+            self._targets.is_primary(tx.pool)
+            and self._fleet.primacy.epoch(tx.route.group) == tx.epoch
+        )
