--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.platform import lines
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._link import Link, LinkError
@@ -32,6 +32,8 @@
     outcome_of,
 )
 
+REPLACED = "the primary is being replaced"
+
 
 @dataclass(slots=True, kw_only=True)
 class Transaction:
@@ -80,7 +82,7 @@
         assert tx.link is not None
         if not self._may_go_on(tx):
             self.abandon(tx)
-            return Failure(Code.ABORTED, "the primary is being replaced")
+            return Failure(Code.ABORTED, REPLACED)
         sent = Sent.NO
         failure = Failure(Code.ABORTED, "no slot was free in time")
         try:
@@ -118,7 +120,7 @@
                 return failure
         if not self._may_go_on(tx):
             self.abandon(tx)
-            return Failure(Code.ABORTED, "the primary is being replaced")
+            return Failure(Code.ABORTED, REPLACED)
         sent = Sent.UNANSWERED
         failure = Failure(Code.IN_DOUBT, "no answer in time")
         work = Work.COMMIT if tx.wrote else Work.READ
@@ -253,6 +255,9 @@
         assert tx.link is not None
         assert tx.pool is not None
         async with tx.pool.statement(caller.workspace, deadline):
+            # The wait for a slot may have outlasted the primary's proof.
+            if not self._may_go_on(tx):
+                raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED)
             began = trio.current_time()
             try:
                 reply = await tx.link.run(request_id, text)
