Keep a write in mind for its session when its proof ran out

Looking for the same in the product found a real gap: a write that was answered after the primary's proof had run out was not kept in mind, so the session's next read could go to a replica that lacked it.

--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -127,11 +127,14 @@
     ) -> None:
         """Takes over what an answer tells of the endpoint."""
         pool.note_answer(link, trio.current_time() - began)
-        if link.position is None or not self.is_primary(pool):
+        if link.position is None:
             return
-        self._fleet.note_position(route.group, began, link.position)
         if wrote:
+            # Also when the primary's proof has run out meanwhile: the write
+            # was acknowledged, so the session's reads must see it.
             caller.written = (route.group, link.position)
+        if self.is_primary(pool):
+            self._fleet.note_position(route.group, began, link.position)
 
     def note_refusal(self, pool: EndpointPool, failure: Failure) -> None:
         """Counts what an endpoint refused."""
