Hold a test instance's ports against other runs; drop a derived count

A run now keeps one port of each block bound. The test of it fails without that socket. Fleet.members could be derived from its domains and is gone.

--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -42,13 +42,14 @@
         failure_domain: Where it runs.
         config: The newest configuration; ``None`` before the first.
         endpoints: The endpoints by name, with those that just went missing.
+        missing_since: Since when an endpoint's entry has been missing.
         primacy: Which primaries may be used.
         pools: Connections by endpoint.
-        members: How many instances are registered.
         homes: Which instances run the workspaces' statements.
         domains: The failure domain of each instance.
         uses: Statements and transactions that run on a group's primary,
             by group.
+        on_config: Called when the configuration or the instances change.
     """
 
     def __init__(
@@ -66,7 +67,6 @@
         self.missing_since: dict[str, float] = {}
         self.primacy = Primacy(name)
         self.pools: dict[str, EndpointPool] = {}
-        self.members = 1
         self.homes = Homes(
             {name: failure_domain},
             max_connections=DEFAULT_CONNECTIONS,
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -119,18 +119,16 @@
         self._fleet.primacy.set_voters(
             self._registry.voters(), self._registry.members_version
         )
-        members = max(1, len(self._registry.members))
         domains = {
             name: member.failure_domain
             for name, member in self._registry.members.items()
         }
         if domains != self._fleet.domains:
-            self._fleet.members = members
             self._fleet.domains = domains
             self._fleet.resize()
             log_event(
                 "instances changed",
-                members=members,
+                members=len(domains),
                 is_direct=self._fleet.homes.is_direct,
                 sharers=self._fleet.homes.sharers,
             )
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -34,8 +34,15 @@
 _blocks = itertools.count(20_000 + os.getpid() % 1000 * PORTS, PORTS)
 
 
-def free_ports():
-    """The first of an instance's ports, all of them free."""
+def free_ports(taken):
+    """The first of an instance's ports, all of them free.
+
+    The last port of the block stays bound by this process, so that another
+    run of the tests does not take the block before the instance has bound it.
+
+    Args:
+        taken: Keeps the sockets that hold blocks, until the run ends.
+    """
     for port in _blocks:
         sockets = [socket.socket() for _ in range(PORTS)]
         try:
@@ -44,6 +51,7 @@
         except OSError:
             continue
         else:
+            taken.append(sockets.pop())
             return port
         finally:
             for sock in sockets:
@@ -153,6 +161,7 @@
         self.ports = {}
         self._first = {}
         self._store_ports = {}
+        self._taken = []
 
     async def start(self, instances, connections=30):
         self.duties_port = await self._nursery.start(self.duties.serve, HOST)
@@ -183,7 +192,7 @@
     async def start_instance(self, name):
         store_port = await self.store_port_of(name)
         if name not in self._first:
-            self._first[name] = free_ports()
+            self._first[name] = free_ports(self._taken)
         first = self._first[name]
         self.ports[name] = first + 4
         settings = {
@@ -249,6 +258,8 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        for sock in self._taken:
+            sock.close()
 
     def _tell(self, database):
         self.store.put("servers", database.name, self.entry_of(database))
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -1,5 +1,6 @@
 """Settings, logs, metrics, homes and tolerances of the proxy."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -9,6 +10,7 @@
 import pytest
 from loguru import logger
 
+import proxy_fleet
 from lagoonstair.limits import MICRO, LimitSettings, ShareHolder, WorkspaceLimit
 from lagoonstair.proxy._homes import SPARE_HOMES, Homes
 from lagoonstair.proxy._log import BURST_LINES, JsonSink
@@ -21,6 +23,7 @@
     parse_settings,
 )
 from lagoonstair.routing import Workspace
+from proxy_fleet import PORTS, free_ports
 
 TEMPLATE = pathlib.Path(__file__).parent.parent / "deploy" / "settings.json"
 SETTINGS = {
@@ -208,3 +211,17 @@
     holder = ShareHolder("i1", LimitSettings())
     holder.configure(10.0, 1, limit, resumed=50 * MICRO)
     assert holder.available(10.0) == MICRO
+
+
+def test_two_runs_of_the_tests_take_different_ports():
+    first, second = [], []
+    try:
+        port = free_ports(first)
+        # Another run may come to look at the same block.
+        blocks = itertools.count(port, PORTS)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(proxy_fleet, "_blocks", blocks)
+            assert free_ports(second) != port
+    finally:
+        for sock in [*first, *second]:
+            sock.close()
