--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
+RUNTIME := $(VENV)/.runtime
 STAMP := $(VENV)/.installed
 export PYTHONPATH := src
 
@@ -10,15 +11,19 @@
 SEED ?= 1
 SEEDS ?= 50
 
-demo: $(STAMP)
+demo: $(RUNTIME)
 	$(BIN)/python -m lagoonstair.demo
 
 test: $(STAMP) check
 
 check: lint types unit
 
-$(STAMP): pyproject.toml constraints.txt
+$(RUNTIME): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable .
+	touch $(RUNTIME)
+
+$(STAMP): $(RUNTIME)
 	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
 	touch $(STAMP)
 
