Try primaries that nobody asks anything

Cause: a dead primary of a group without traffic was noticed only by the next request, which then waited for detection and promotion.

Change: one voter, drawn by the group, opens a connection to a primary that has reported its position to no instance for two seconds.

Test failing before: test_a_primary_that_nobody_asks_is_replaced_when_it_crashes.

--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -1,5 +1,6 @@
 """What an instance knows of groups, endpoints and other instances."""
 
+import math
 import random
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
@@ -198,6 +199,12 @@
         history = self._histories.get(group)
         return None if history is None else history.covering(since)
 
+    def reported_at(self, group: str) -> float:
+        """When the present primary last reported its position to anybody."""
+        history = self._histories.get(group)
+        latest = None if history is None else history.latest()
+        return -math.inf if latest is None else latest.asked_at
+
     def release(self, group: str) -> None:
         """Notes that no earlier primary of the group is used any more."""
         self._released[group] = self.primacy.epoch(group)
--- a/src/lagoonstair/proxy/_prober.py
+++ b/src/lagoonstair/proxy/_prober.py
@@ -3,7 +3,7 @@
 import trio
 
 from lagoonstair.proxy._fleet import Fleet
-from lagoonstair.proxy._gossip import Gossip
+from lagoonstair.proxy._gossip import HEARD_SECONDS, Gossip
 from lagoonstair.proxy._orders import Orders
 
 TICK_SECONDS = 0.1
@@ -17,6 +17,11 @@
 """How long another instance's suspicion is followed."""
 
 
+QUIET_SECONDS = 2.0
+"""After which a primary that nobody has asked anything is tried by one
+instance: else the next caller of a quiet group would find it dead."""
+
+
 class Prober:
     """Opens connections to see whether endpoints are in reach."""
 
@@ -32,6 +37,7 @@
                 await trio.sleep(TICK_SECONDS)
                 now = trio.current_time()
                 suspects = self._suspected_primaries(now)
+                suspects |= self._quiet_primaries(now)
                 for name, pool in [*self._fleet.pools.items()]:
                     pool.trim(now)
                     suspect = pool.failing_since is not None or name in suspects
@@ -52,3 +58,21 @@
             ):
                 suspects.add(record.primary)
         return suspects
+
+    def _quiet_primaries(self, now: float) -> set[str]:
+        """Primaries without traffic that this instance is to try."""
+        primacy = self._fleet.primacy
+        if self._fleet.name not in primacy.voters:
+            return set()
+        alive = sorted(primacy.heard(now, HEARD_SECONDS) | {self._fleet.name})
+        quiet = set()
+        for number, (group, record) in enumerate(
+            sorted(primacy.records.items())
+        ):
+            pool = self._fleet.pools.get(record.primary)
+            if pool is None or alive[number % len(alive)] != self._fleet.name:
+                continue
+            tried_at = max(pool.answered_at, self._fleet.reported_at(group))
+            if now - tried_at > QUIET_SECONDS:
+                quiet.add(record.primary)
+        return quiet
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -17,7 +17,7 @@
 )
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._follower import Follower
-from lagoonstair.proxy._gossip import Gossip
+from lagoonstair.proxy._gossip import HEARD_SECONDS, Gossip
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._orders import Orders
@@ -29,10 +29,6 @@
 TICK_SECONDS = 0.1
 """How often causes are looked for."""
 
-HEARD_SECONDS = 1.3
-"""An instance that answered a question of this age counts as alive; two of
-three rounds may be lost."""
-
 STALLED_SECONDS = 4.0
 """A promotion that has not ended by then is taken over; the longest part of
 one, the platform's, takes a second."""
