Take positions from the opening of connections

Cause: after a crash of all instances no position of a primary is known, so every read goes to the primary until a first statement has run there.

Change: the answer to an opening tells the position as well; it is taken when the endpoint is the proved primary then. One place notes positions now (the pool tells the fleet), not the statements' callers.

Found on the way: a connection kept its last position when an answer told none, so an old position could be taken as that of a later moment, which is a stale read. The protocol allows such answers; none was seen.

Tests failing before: test_load_pattern_reads_right_after_a_start, test_a_position_is_not_younger_than_the_answer_that_told_it.

--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -99,7 +99,9 @@
             if pool is not None:
                 pool.close()
             budget = self._budget(endpoint)
-            self.pools[endpoint.name] = EndpointPool(endpoint, budget)
+            self.pools[endpoint.name] = EndpointPool(
+                endpoint, budget, self._note_report
+            )
         else:
             pool.endpoint = endpoint
         log_event(
@@ -241,6 +243,16 @@
             position = Position(statement.term, statement.offset)
             self.note_position(statement.group, seen_at, position)
 
+    def _note_report(self, pool: EndpointPool, asked_at: float) -> None:
+        """Takes what an endpoint reported, if it is the proved primary.
+
+        The answer to the opening of a connection reports it too, so that
+        reads move to the replicas before the first statement has run.
+        """
+        group = pool.endpoint.group
+        if pool.position is not None and self.primary(group) is pool:
+            self.note_position(group, asked_at, pool.position)
+
     def _statement(self, group: str) -> Statement:
         now = trio.current_time()
         primacy = self.primacy
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -41,7 +41,8 @@
         endpoint: The endpoint.
         workspace: On whose behalf it was opened.
         state: Whether a transaction is open on it.
-        position: The end of the endpoint's log, as it last told.
+        position: The end of the endpoint's log, if its last answer told it;
+            an older one would seem to hold what came since.
         usable: False once a statement was cut off or an odd answer came.
         used_at: When it last answered, in seconds.
     """
@@ -174,7 +175,7 @@
         self.usable = True
         self.used_at = trio.current_time()
         self.state = replies[-1].state
-        self.position = replies[-1].position or self.position
+        self.position = replies[-1].position
         return replies
 
     async def _receive(self) -> Reply:
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import trio
@@ -63,7 +63,21 @@
         probing: Whether a try of the endpoint is under way.
     """
 
-    def __init__(self, endpoint: Endpoint, budget: int) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        budget: int,
+        on_position: Callable[["EndpointPool", float], None] | None = None,
+    ) -> None:
+        """Starts without a connection.
+
+        Args:
+            endpoint: The endpoint.
+            budget: How many connections this instance may have.
+            on_position: Called with the pool and the time of the question
+                when the endpoint has reported its position.
+        """
+        self._on_position = on_position
         self.endpoint = endpoint
         self.budget = budget
         self.slots = SlotScheduler(
@@ -174,8 +188,7 @@
         """Notes that the endpoint answered after some time."""
         self._latency += LATENCY_WEIGHT * (seconds - self._latency)
         self.note_reach()
-        if link.position is not None:
-            self.position = link.position
+        self._note_position(link, trio.current_time() - seconds)
 
     def note_reach(self) -> None:
         """Notes that the endpoint is in reach."""
@@ -218,6 +231,7 @@
         else:
             self.opened += 1
             self.note_reach()
+            self._note_position(link, began)
             self._adopt(link)
         finally:
             self.probing = False
@@ -248,6 +262,13 @@
         for link in [*self._links]:
             self.discard(link)
 
+    def _note_position(self, link: Link, asked_at: float) -> None:
+        if link.position is None:
+            return
+        self.position = link.position
+        if self._on_position is not None:
+            self._on_position(self, asked_at)
+
     def _limit(self) -> int:
         """How many connections may be open now."""
         if trio.current_time() < self._full_until:
@@ -299,6 +320,7 @@
             self._wake_one()
         self.opened += 1
         self.note_reach()
+        self._note_position(link, began)
         self._links.add(link)
         return link
 
--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -133,8 +133,6 @@
             # Also when the primary's proof has run out meanwhile: the write
             # was acknowledged, so the session's reads must see it.
             caller.written = (route.group, link.position)
-        if self.is_primary(pool):
-            self._fleet.note_position(route.group, began, link.position)
 
     def note_refusal(self, pool: EndpointPool, failure: Failure) -> None:
         """Counts what an endpoint refused."""
