Wait for a busy endpoint instead of refusing

Cause: after a crash of all instances their callers return at once, and an endpoint's queue (24) is full for half a second. A statement was tried four times within 30 ms and refused; in a transaction every such refusal closed its connection, and opening the next takes a slot for 12 ms.

Change: a statement that an endpoint refused as busy is tried again after pauses of 20 to 160 ms, drawn, as long as its route's time lasts; one within a transaction of which nothing has run yet begins it anew. After an answered failure a transaction is rolled back and its connection kept.

Excluded: more tries without pauses (in the model they end just as early).

Found on the way, by the new tests: abandoning a transaction that has ended closed a connection that might have been lent to another, and COMMIT of an ended one would have been sent on it. Its session never did either; both are refused now.

--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -1,5 +1,8 @@
 """Statements outside transactions: retried where that is safe."""
 
+import random
+from collections.abc import Iterator
+
 import trio
 
 from lagoonstair.exceptions import LagoonstairError
@@ -8,6 +11,11 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import NoLinkError
+from lagoonstair.proxy._retries import (
+    MAX_BUSY_SECONDS,
+    busy_pauses,
+    pause_before,
+)
 from lagoonstair.proxy._targets import (
     MAX_ATTEMPTS,
     NO_PRIMARY,
@@ -28,9 +36,20 @@
     Sent,
     State,
     Work,
+    is_busy,
     outcome_of,
 )
 
+BUSY = f"the endpoint is busy; retry_after_ms={int(MAX_BUSY_SECONDS * 1000)}"
+
+
+async def _rest(pauses: Iterator[float], deadline: float) -> bool:
+    """Waits before a busy endpoint is asked again; false without time."""
+    pause = pause_before(pauses, now=trio.current_time(), deadline=deadline)
+    if pause is not None:
+        await trio.sleep(pause)
+    return pause is not None
+
 
 class Executor:
     """Runs single statements of all callers of one instance."""
@@ -49,11 +68,18 @@
         tried: set[str] = set()
         failure = Failure(Code.BUSY, NO_PRIMARY)
         sent = Sent.NO
-        for _ in range(MAX_ATTEMPTS):
+        pauses = busy_pauses(random.random)
+        attempts = 0
+        while attempts < MAX_ATTEMPTS:
             target = await self._targets.choose(
                 caller, route, run.writes, arrived, deadline, tried
             )
             if isinstance(target, Failure):
+                if tried and is_busy(sent, failure):
+                    # All that may run it are busy, which passes.
+                    tried.clear()
+                    if await _rest(pauses, deadline):
+                        continue
                 failure = target if sent is Sent.NO else failure
                 break
             tried.add(target.pool.endpoint.name)
@@ -68,6 +94,16 @@
                 return result
             failure = result
             self._metrics.count("attempts_failed", code=failure.code.value)
+            if is_busy(sent, failure):
+                failure = Failure(Code.BUSY, BUSY)
+                if not last and route.consistency is not Consistency.PRIMARY:
+                    continue
+                # There is one endpoint for it, or all have been asked.
+                tried.clear()
+                if await _rest(pauses, deadline):
+                    continue
+                break
+            attempts += 1
             if sent is Sent.UNANSWERED and run.writes:
                 break
             ran = sent is Sent.ANSWERED and failure.code not in NOT_RUN
--- /dev/null
+++ b/src/lagoonstair/proxy/_retries.py
@@ -0,0 +1,40 @@
+"""How long to wait before a busy endpoint is asked again; pure."""
+
+import itertools
+from collections.abc import Callable, Iterator
+
+BUSY_SECONDS = 0.02
+"""The first pause: about what a statement takes, so that a slot has become
+free meanwhile."""
+
+MAX_BUSY_SECONDS = 0.16
+"""The longest pause; a full queue of an endpoint is worked off in about this
+time."""
+
+
+def busy_pauses(draw: Callable[[], float]) -> Iterator[float]:
+    """Pauses between two tries of a busy endpoint, in seconds.
+
+    Each is up to twice as long as the one before, and drawn, so that the
+    statements that were refused together do not return together.
+
+    Args:
+        draw: A random number from 0 to 1.
+    """
+    for doublings in itertools.count():
+        longest = min(MAX_BUSY_SECONDS, BUSY_SECONDS * 2**doublings)
+        yield longest * (1 + draw()) / 2
+
+
+def pause_before(
+    pauses: Iterator[float], *, now: float, deadline: float
+) -> float | None:
+    """The next pause, if there is time for it.
+
+    Args:
+        pauses: Those that are left.
+        now: The time, in seconds.
+        deadline: When the statement must have been answered.
+    """
+    pause = next(pauses)
+    return pause if now + pause < deadline else None
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -1,5 +1,6 @@
 """Transactions: each is pinned to a connection until it ends."""
 
+import random
 from dataclasses import dataclass
 
 import trio
@@ -9,6 +10,7 @@
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._link import Link, LinkError
 from lagoonstair.proxy._pool import EndpointPool, NoLinkError
+from lagoonstair.proxy._retries import busy_pauses, pause_before
 from lagoonstair.proxy._targets import (
     MAX_ATTEMPTS,
     NO_PRIMARY,
@@ -29,11 +31,16 @@
     Sent,
     State,
     Work,
+    is_busy,
     outcome_of,
 )
 
 REPLACED = "the primary is being replaced"
 
+ROLLBACK_SECONDS = 0.3
+"""How long a rollback may take; it needs no slot. Closing the connection does
+the same, but the next one to be opened needs one."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Transaction:
@@ -47,6 +54,8 @@
         pool: The endpoint of the connection.
         epoch: The epoch of the primary that it runs on; 0 on a replica.
         wrote: Whether a write succeeded.
+        ran: Whether any statement succeeded; until then another connection
+            will do.
     """
 
     route: Route
@@ -56,6 +65,7 @@
     pool: EndpointPool | None = None
     epoch: int = 0
     wrote: bool = False
+    ran: bool = False
 
 
 class Transactions:
@@ -75,14 +85,35 @@
     ) -> Result:
         """Runs a statement of a transaction; a failure has rolled it back."""
         deadline = trio.current_time() + tx.route.timeout
-        if tx.link is None:
-            failure = await self._pin(caller, tx, deadline)
-            if failure is not None:
-                return failure
+        pauses = busy_pauses(random.random)
+        while True:
+            sent, result = await self._run_once(
+                caller, tx, run, request_id, deadline
+            )
+            if isinstance(result, Done):
+                return result
+            if tx.ran or not is_busy(sent, result):
+                return outcome_of(Work.IN_TRANSACTION, sent, result)
+            # Nothing of it has run, so it may begin anew when slots are free.
+            now = trio.current_time()
+            pause = pause_before(pauses, now=now, deadline=deadline)
+            if pause is None:
+                return result
+            tx.link, tx.pool, tx.epoch = None, None, 0
+            await trio.sleep(pause)
+
+    async def _run_once(
+        self,
+        caller: Caller,
+        tx: Transaction,
+        run: Run,
+        request_id: str,
+        deadline: float,
+    ) -> tuple[Sent, Result]:
+        failure = await self._ready(caller, tx, deadline)
+        if failure is not None:
+            return Sent.NO, failure
         assert tx.link is not None
-        if not self._may_go_on(tx):
-            self.abandon(tx)
-            return Failure(Code.ABORTED, REPLACED)
         sent = Sent.NO
         failure = Failure(Code.ABORTED, "no slot was free in time")
         try:
@@ -96,31 +127,31 @@
                 result = await self._exchange(
                     caller, tx, request_id, text, deadline
                 )
+                sent = Sent.ANSWERED
                 if isinstance(result, Done):
                     tx.wrote |= run.writes
-                    return result
-                sent = Sent.ANSWERED
+                    tx.ran = True
+                    return sent, result
                 failure = result
         except LinkError as exc:
             failure = Failure(Code.ABORTED, str(exc))
         except LagoonstairError as exc:
             sent = Sent.NO
             failure = Failure(Code.BUSY, exc.message)
-        self.abandon(tx)
-        return outcome_of(Work.IN_TRANSACTION, sent, failure)
+        if sent is Sent.ANSWERED:
+            await self.roll_back(tx)
+        else:
+            self.abandon(tx)
+        return sent, failure
 
     async def commit(
         self, caller: Caller, tx: Transaction, request_id: str
     ) -> Result:
         """Commits a transaction and lets its connection go."""
         deadline = trio.current_time() + tx.route.timeout
-        if tx.link is None:
-            failure = await self._pin(caller, tx, deadline)
-            if failure is not None:
-                return failure
-        if not self._may_go_on(tx):
-            self.abandon(tx)
-            return Failure(Code.ABORTED, REPLACED)
+        refusal = await self._ready(caller, tx, deadline)
+        if refusal is not None:
+            return refusal
         sent = Sent.UNANSWERED
         failure = Failure(Code.IN_DOUBT, "no answer in time")
         work = Work.COMMIT if tx.wrote else Work.READ
@@ -146,7 +177,7 @@
         """Rolls a transaction back and lets its connection go."""
         link = tx.link
         if link is not None and link.usable and link.state is not State.IDLE:
-            with trio.move_on_after(tx.route.timeout):
+            with trio.move_on_after(ROLLBACK_SECONDS):
                 try:
                     await link.command(lines.ROLLBACK)
                 except LinkError:
@@ -156,7 +187,8 @@
 
     def abandon(self, tx: Transaction) -> None:
         """Closes a transaction's connection, which rolls it back."""
-        if tx.link is not None:
+        # The connection of one that has ended may be another's by now.
+        if tx.link is not None and id(tx) in self._open:
             tx.link.close()
         self._close(tx)
 
@@ -170,6 +202,17 @@
         if pool is not None:
             pool.cut()
 
+    async def _ready(
+        self, caller: Caller, tx: Transaction, deadline: float
+    ) -> Failure | None:
+        """Sees to it that a transaction has a connection that may be used."""
+        if tx.link is None:
+            return await self._pin(caller, tx, deadline)
+        if self._may_go_on(tx):
+            return None
+        self.abandon(tx)
+        return Failure(Code.ABORTED, REPLACED)
+
     async def _pin(
         self, caller: Caller, tx: Transaction, deadline: float
     ) -> Failure | None:
@@ -283,8 +326,8 @@
             tx.pool.discard(tx.link)
 
     def _may_go_on(self, tx: Transaction) -> bool:
-        """Whether the primary of a transaction may still be used."""
-        if tx.link is None or not tx.link.usable:
+        """Whether a transaction is open and its primary may still be used."""
+        if tx.link is None or not tx.link.usable or id(tx) not in self._open:
             return False
         if not tx.epoch:
             return True
--- a/src/lagoonstair/statements/__init__.py
+++ b/src/lagoonstair/statements/__init__.py
@@ -20,7 +20,7 @@
     Statement,
     Write,
 )
-from lagoonstair.statements._outcomes import Sent, Work, outcome_of
+from lagoonstair.statements._outcomes import Sent, Work, is_busy, outcome_of
 from lagoonstair.statements._session import (
     Answer,
     EndTransaction,
@@ -57,5 +57,6 @@
     "Step",
     "Work",
     "Write",
+    "is_busy",
     "outcome_of",
 ]
--- a/src/lagoonstair/statements/_outcomes.py
+++ b/src/lagoonstair/statements/_outcomes.py
@@ -26,6 +26,11 @@
     ANSWERED = "answered"
 
 
+def is_busy(sent: Sent, failure: Failure) -> bool:
+    """Whether an endpoint refused a statement because it has too many."""
+    return sent is Sent.ANSWERED and failure.code is Code.BUSY
+
+
 def outcome_of(work: Work, sent: Sent, failure: Failure) -> Failure:
     """The answer to a statement that failed.
 
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -12,6 +12,11 @@
 import msgspec
 import trio
 
+from lagoonstair._types import Address
+from lagoonstair.primacy import GroupRecord
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.routing import Consistency, Endpoint, Route
 from lagoonstair.standins.statements import (
     DutiesStandin,
     Group,
@@ -292,3 +297,41 @@
         finally:
             fleet.stop()
             nursery.cancel_scope.cancel()
+
+
+ROUTE = Route(
+    name="r",
+    group="g",
+    consistency=Consistency.PRIMARY,
+    timeout=5.0,
+    target_latency=0.2,
+    priority=1,
+    max_staleness=0.0,
+    open_to_all=False,
+)
+
+
+@asynccontextmanager
+async def one_endpoint():
+    """A fleet of one instance and one database, which is the primary."""
+    group = Group("g", lambda database: None)
+    database = group.add("d1", slots=1, max_connections=9)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(database.serve, HOST)
+        fleet = Fleet("i1", "a", Metrics())
+        fleet.set_endpoint(
+            Endpoint(
+                name="d1",
+                group="g",
+                address=Address(HOST, database.port),
+                failure_domain="a",
+                slots=1,
+                leaving=False,
+                says_primary=True,
+                started=1,
+            )
+        )
+        fleet.primacy.set_voters(["i1"], 1)
+        fleet.set_record("g", GroupRecord(epoch=1, primary="d1"))
+        yield fleet, database
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_proxy_busy.py
@@ -0,0 +1,93 @@
+"""Statements that find their endpoint busy, before a stand-in."""
+
+import dataclasses
+
+import trio
+
+from lagoonstair.proxy._executor import Executor
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._targets import Caller, Targets
+from lagoonstair.proxy._transactions import Transaction, Transactions
+from lagoonstair.routing import Consistency
+from lagoonstair.statements import Code, Done, Run, Session
+from proxy_fleet import ROUTE, one_endpoint
+
+READ = Run(False, "READ a", alone=True)
+WRITE = Run(True, "WRITE a 1", alone=True)
+REFUSALS = 7
+"""More than the tries that other failures get."""
+
+
+def _caller():
+    return Caller(workspace="w", session=Session())
+
+
+async def _run(fleet, run, **changes):
+    executor = Executor(Targets(fleet, Metrics()), Metrics())
+    route = dataclasses.replace(ROUTE, **changes)
+    return await executor.run(_caller(), route, run, "q1")
+
+
+async def test_a_statement_waits_while_its_endpoint_is_busy():
+    async with one_endpoint() as (fleet, database):
+        for consistency in Consistency:
+            database.refuses = REFUSALS
+            done = await _run(fleet, READ, consistency=consistency)
+            assert isinstance(done, Done)
+        database.refuses = REFUSALS
+        assert isinstance(await _run(fleet, WRITE), Done)
+        assert len(database.log) == 1
+
+
+async def test_a_statement_is_refused_when_its_time_is_over():
+    async with one_endpoint() as (fleet, database):
+        database.refuses = 10_000
+        with trio.fail_after(5):
+            refused = await _run(fleet, WRITE, timeout=0.3)
+        assert refused.code is Code.BUSY
+        assert "retry_after_ms=" in refused.message
+        assert database.log == []
+
+
+async def test_a_transaction_begins_anew_until_a_statement_of_it_has_run():
+    async with one_endpoint() as (fleet, database):
+        transactions = Transactions(fleet, Targets(fleet, Metrics()))
+        tx = Transaction(route=ROUTE, read_only=False, began=0.0)
+        caller = _caller()
+        database.refuses = REFUSALS
+        write = dataclasses.replace(WRITE, alone=False)
+        assert isinstance(await transactions.run(caller, tx, write, "1"), Done)
+        assert isinstance(await transactions.commit(caller, tx, "2"), Done)
+        assert [commit.writes[0][0] for commit in database.log] == ["1"]
+        assert database.most_open == 1
+
+
+async def test_a_transaction_that_has_run_something_never_begins_anew():
+    async with one_endpoint() as (fleet, database):
+        transactions = Transactions(fleet, Targets(fleet, Metrics()))
+        tx = Transaction(route=ROUTE, read_only=False, began=0.0)
+        caller = _caller()
+        write = dataclasses.replace(WRITE, alone=False)
+        assert isinstance(await transactions.run(caller, tx, write, "1"), Done)
+        database.refuses = 1
+        refused = await transactions.run(caller, tx, write, "2")
+        assert refused.code is Code.BUSY
+        assert (await transactions.commit(caller, tx, "3")).code is Code.ABORTED
+        assert database.log == []
+        # The connection was rolled back, not closed.
+        assert await fleet.pools["d1"].take("w", deadline=1e12, priority=1)
+        assert database.most_open == 1
+        assert fleet.pools["d1"].opened == 1
+
+
+async def test_a_transaction_cut_off_between_its_statements_is_not_reopened():
+    async with one_endpoint() as (fleet, database):
+        transactions = Transactions(fleet, Targets(fleet, Metrics()))
+        tx = Transaction(route=ROUTE, read_only=False, began=0.0)
+        caller = _caller()
+        write = dataclasses.replace(WRITE, alone=False)
+        assert isinstance(await transactions.run(caller, tx, write, "1"), Done)
+        transactions.cut_group("g")
+        refused = await transactions.run(caller, tx, write, "2")
+        assert refused.code is Code.ABORTED
+        assert database.log == []
--- a/tests/test_proxy_transactions.py
+++ b/tests/test_proxy_transactions.py
@@ -1,65 +1,22 @@
 """What becomes of work whose primary is replaced meanwhile."""
 
-from contextlib import asynccontextmanager
-
 import pytest
 import trio
 import trio.testing
 
-from lagoonstair._types import Address, Position
-from lagoonstair.primacy import GroupRecord
-from lagoonstair.proxy._fleet import Fleet
+from lagoonstair._types import Position
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._targets import Caller, Targets
 from lagoonstair.proxy._transactions import Transaction, Transactions
-from lagoonstair.routing import Consistency, Endpoint, Route
-from lagoonstair.standins.statements import Group
 from lagoonstair.statements import Code, Done, Run, Session
-
-HOST = "127.0.0.1"
-ROUTE = Route(
-    name="r",
-    group="g",
-    consistency=Consistency.PRIMARY,
-    timeout=5.0,
-    target_latency=0.2,
-    priority=1,
-    max_staleness=0.0,
-    open_to_all=False,
-)
-
-
-@asynccontextmanager
-async def _fleet():
-    """A fleet of one instance and one database, which is the primary."""
-    group = Group("g", lambda database: None)
-    database = group.add("d1", slots=1, max_connections=9)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(database.serve, HOST)
-        fleet = Fleet("i1", "a", Metrics())
-        fleet.set_endpoint(
-            Endpoint(
-                name="d1",
-                group="g",
-                address=Address(HOST, database.port),
-                failure_domain="a",
-                slots=1,
-                leaving=False,
-                says_primary=True,
-                started=1,
-            )
-        )
-        fleet.primacy.set_voters(["i1"], 1)
-        fleet.set_record("g", GroupRecord(epoch=1, primary="d1"))
-        yield fleet, database
-        nursery.cancel_scope.cancel()
+from proxy_fleet import ROUTE, one_endpoint
 
 
 @pytest.mark.parametrize("replaced", [False, True])
 async def test_a_commit_that_waited_is_not_sent_to_a_replaced_primary(
     replaced,
 ):
-    async with _fleet() as (fleet, database):
+    async with one_endpoint() as (fleet, database):
         transactions = Transactions(fleet, Targets(fleet, Metrics()))
         caller = Caller(workspace="w", session=Session())
         tx = Transaction(
@@ -91,7 +48,7 @@
 
 
 async def test_a_write_whose_proof_ran_out_is_still_owed_to_its_session():
-    async with _fleet() as (fleet, _):
+    async with one_endpoint() as (fleet, _):
         targets = Targets(fleet, Metrics())
         pool = fleet.pools["d1"]
         caller = Caller(workspace="w", session=Session())
