Have returning callers wait for their home

Cause: when all instances restart, the fast machines take callers 0.3 s before the slow ones, most of the homes, run.

Change: a caller waits up to 1.2 s for the first home in line that opens its session (it gives up after 2 s itself); a home whose machine refused the connection is tried again after 0.25 s. A home is told as lost once, not with each session.

Also: 77 lines `limit changed` an instance at its start were 5,400 lines in the first half second after a crash; one line tells them now, and a refusal over the rate names the rate itself, which `explain` uses.

Harness: the log's reader took a half written last line (seen once as a decoding error in test_cli_explain, traced by the text of the failure).

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -150,7 +150,8 @@
             "the instance's share was spent, and it could not borrow: another "
             "instance did not answer"
         )
-    return "the workspace's rate was reached across all instances"
+    rate = float(last.get("rate", 0.0))
+    return f"the workspace's rate of {rate:g} a second was reached"
 
 
 def _cause_of_primary(last: Event, beliefs: tuple[Event, ...]) -> str:
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -143,22 +143,22 @@
     async def _converse_or_relay(self, conv: Conversation) -> None:
         assert conv.caller is not None
         start = lines.encode_caller_start(conv.database, conv.key)
-        for name in self._relays.line_of(conv.caller.workspace):
-            if name == self._fleet.name:
-                await self._converse(conv)
-                return
-            conv.relayed = await self._relays.open(name, conv.stream, start)
-            if conv.relayed is not None:
-                failure = await self._relays.run(
-                    conv.relayed,
-                    name,
-                    conv.database,
-                    conv.splitter.take_rest(),
-                )
-                if failure is not None:
-                    await conv.give_up(failure, conv.relayed.state)
-                return
-        await conv.refuse(Failure(Code.BUSY, "no home is in reach"))
+        found = await self._relays.find(
+            conv.caller.workspace, conv.stream, start
+        )
+        if found is None:
+            self._metrics.count("starts_refused", code="no_home")
+            await conv.refuse(Failure(Code.BUSY, "no home is in reach"))
+            return
+        name, conv.relayed = found
+        if conv.relayed is None:
+            await self._converse(conv)
+            return
+        failure = await self._relays.run(
+            conv.relayed, name, conv.database, conv.splitter.take_rest()
+        )
+        if failure is not None:
+            await conv.give_up(failure, conv.relayed.state)
 
     async def _converse(self, conv: Conversation) -> None:
         await conv.stream.send_all(lines.encode_ready(State.IDLE))
@@ -370,6 +370,11 @@
             return
         config = self._fleet.config
         route = None if config is None else config.routes.get(conv.database)
+        workspace = (
+            None
+            if config is None
+            else config.workspaces.get(conv.caller.workspace)
+        )
         log_event(
             "statement answered",
             request=query.request_id,
@@ -382,6 +387,7 @@
             seconds=round(seconds, 4),
             state=conv.session.state.value,
             config_version=0 if config is None else config.version,
+            rate=0.0 if workspace is None else workspace.rate,
         )
 
 
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -105,27 +105,19 @@
                 the shares.
             resumed: Whether this instance held its shares before it started.
         """
-        limits = {}
-        for workspace in config.workspaces.values():
-            limit = WorkspaceLimit.from_config(
+        limits = {
+            workspace.name: WorkspaceLimit.from_config(
                 rate=workspace.rate,
                 burst=workspace.burst,
                 holders=homes.line_of(workspace.name),
                 max_holders=MAX_HOLDERS,
             )
-            limits[workspace.name] = limit
-            if limit != self._limits.get(workspace.name):
-                log_event(
-                    "limit changed",
-                    workspace=workspace.name,
-                    rate=workspace.rate,
-                    burst=workspace.burst,
-                    holders=len(limit.holders),
-                    resumed=resumed,
-                )
+            for workspace in config.workspaces.values()
+        }
         if limits == self._limits:
             return
         self._version += 1
+        self._tell(config, limits, resumed=resumed)
         new = limits.keys() - self._limits.keys()
         self._limits = limits
         kept = {
@@ -138,6 +130,39 @@
             self._version, limits, resumed=kept if resumed else None
         )
 
+    def _tell(
+        self,
+        config: EntryConfig,
+        limits: dict[str, WorkspaceLimit],
+        *,
+        resumed: bool,
+    ) -> None:
+        """Logs what changes: one line in all, and one for each new rate."""
+        changed = [
+            name
+            for name, limit in limits.items()
+            if limit != self._limits.get(name)
+        ]
+        log_event(
+            "limits changed",
+            config_version=config.version,
+            workspaces=len(limits),
+            changed=len(changed),
+            resumed=resumed,
+        )
+        for name in changed if self._limits else ():
+            known = self._limits.get(name)
+            limit = limits[name]
+            if known is not None and known.rate == limit.rate:
+                continue
+            log_event(
+                "limit changed",
+                workspace=name,
+                rate=config.workspaces[name].rate,
+                burst=config.workspaces[name].burst,
+                holders=len(limit.holders),
+            )
+
     async def admit(self, workspace: str) -> None:
         """Returns once an operation may run.
 
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -20,6 +20,17 @@
 LOST_HOME_SECONDS = 2.0
 """For how long a home that could not be reached is passed over."""
 
+AWAY_HOME_SECONDS = 0.25
+"""The same for a home whose process does not run; it starts again within
+half a second."""
+
+HOMELESS_SECONDS = 1.2
+"""How long a caller waits for the first home that can be reached, after a
+crash of all; it gives a session up that is not open after 2 s."""
+
+HOMELESS_PAUSE_SECONDS = 0.05
+"""Between two rounds through the homes meanwhile."""
+
 SILENCE_MS = 1500
 """Unacknowledged bytes end a connection to a home after this time."""
 
@@ -40,7 +51,15 @@
 
 
 class HomeLostError(Exception):
-    """The home can't be reached, or did not open the session."""
+    """The home can't be reached, or did not open the session.
+
+    Attributes:
+        is_away: Whether its machine said that no process listens.
+    """
+
+    def __init__(self, message: str, *, is_away: bool = False) -> None:
+        super().__init__(message)
+        self.is_away = is_away
 
 
 class RelayedSession:
@@ -88,9 +107,12 @@
                 await home.send_all(start + b"\r\n")
                 first = await home.receive_some(READ_BYTES)
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
+            # Without a connection and without a delay, it was refused.
+            is_away = home is None and not isinstance(exc, trio.TooSlowError)
             if home is not None:
                 home.socket.close()
-            raise HomeLostError(f"{address}: {exc or 'timed out'}") from exc
+            cause = f"{address}: {exc or 'timed out'}"
+            raise HomeLostError(cause, is_away=is_away) from exc
         if not first:
             home.socket.close()
             raise HomeLostError(f"{address}: closed at once")
@@ -233,7 +255,36 @@
         ]
         return alive or line
 
-    async def open(
+    async def find(
+        self, workspace: str, caller: trio.SocketStream, start: bytes
+    ) -> tuple[str, RelayedSession | None] | None:
+        """Opens a session at the first home in line that can be reached.
+
+        When all instances restart, the first ones are up before the homes
+        are, and a refused caller has soon used up its tries. So it waits.
+
+        Args:
+            workspace: The caller's workspace.
+            caller: Its connection.
+            start: Its first line.
+
+        Returns:
+            The home, and the session there unless the home is this instance;
+            ``None`` when no home could be reached in time.
+        """
+        until = trio.current_time() + HOMELESS_SECONDS
+        while True:
+            for name in self.line_of(workspace):
+                if name == self._fleet.name:
+                    return name, None
+                session = await self._open(name, caller, start)
+                if session is not None:
+                    return name, session
+            if trio.current_time() + HOMELESS_PAUSE_SECONDS > until:
+                return None
+            await trio.sleep(HOMELESS_PAUSE_SECONDS)
+
+    async def _open(
         self, name: str, caller: trio.SocketStream, start: bytes
     ) -> RelayedSession | None:
         """Opens a session at a home; ``None`` when that can't be reached."""
@@ -243,7 +294,8 @@
         try:
             return await RelayedSession.open(caller, address, start)
         except HomeLostError as exc:
-            self.note_lost(name, str(exc))
+            seconds = AWAY_HOME_SECONDS if exc.is_away else LOST_HOME_SECONDS
+            self.note_lost(name, str(exc), seconds)
             return None
 
     async def run(
@@ -289,10 +341,20 @@
                         self._checked.add(name)
                         nursery.start_soon(self._check, name)
 
-    def note_lost(self, name: str, cause: str) -> None:
-        """Notes that a home did not open or go on with a session."""
-        self._lost_until[name] = trio.current_time() + LOST_HOME_SECONDS
-        log_event("home lost", peer=name, cause=cause)
+    def note_lost(
+        self, name: str, cause: str, seconds: float = LOST_HOME_SECONDS
+    ) -> None:
+        """Notes that a home did not open or go on with a session.
+
+        Args:
+            name: The home.
+            cause: What happened.
+            seconds: For how long it is passed over.
+        """
+        now = trio.current_time()
+        if self._lost_until.get(name, now) <= now:
+            log_event("home lost", peer=name, cause=cause)
+        self._lost_until[name] = now + seconds
         self._metrics.count("homes_lost")
 
     async def _check(self, name: str) -> None:
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -246,8 +246,13 @@
                 await trio.lowlevel.checkpoint()
 
     def log(self, name):
-        """The events that an instance has logged."""
+        """The events that an instance has logged.
+
+        A line that is being written can be seen in parts; it is left for the
+        next look.
+        """
         text = (self._tmp_path / f"{name}.log").read_bytes()
+        text = text[: text.rfind(b"\n") + 1]
         return [
             msgspec.json.decode(line)
             for line in text.splitlines()
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -3,7 +3,14 @@
 import trio
 import trio.testing
 
-from lagoonstair.proxy._relay import RelayedSession
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._relay import (
+    AWAY_HOME_SECONDS,
+    HOMELESS_PAUSE_SECONDS,
+    HomeLostError,
+    RelayedSession,
+    Relays,
+)
 from lagoonstair.statements import Code, State
 
 GREETING = b"READY I -\r\n"
@@ -127,3 +134,69 @@
             assert ends.session.waits_for(began + 1) >= 1
             ends.session.cancel()
     assert ends.failure.code is Code.ABORTED
+
+
+class _Homes:
+    """Homes that come up one after the other, and who is asked meanwhile."""
+
+    is_direct = False
+
+    def __init__(self, line):
+        self._line = line
+
+    def line_of(self, workspace):
+        return self._line
+
+
+class _Fleet:
+    name = "entry"
+    config = None
+
+    def __init__(self, line):
+        self.homes = _Homes(line)
+
+
+def _relays(monkeypatch, up, line=("h1", "h2")):
+    """Relays whose homes open a session from a time on, by name."""
+
+    async def open_session(caller, address, start):
+        if trio.current_time() < up.get(address, 0.0):
+            raise HomeLostError("refused", is_away=True)
+        return address
+
+    async def reaches(name):
+        return True
+
+    monkeypatch.setattr(RelayedSession, "open", open_session)
+    return Relays(_Fleet(line), Metrics(), lambda name: name, reaches)
+
+
+async def test_load_pattern_callers_return_before_their_homes(
+    monkeypatch, autojump_clock
+):
+    """All instances restart; the entry is up some time before the homes."""
+    began = trio.current_time()
+    relays = _relays(monkeypatch, {"h1": began + 0.5, "h2": began + 0.8})
+    assert await relays.find("w", None, b"") == ("h1", "h1")
+    # A home that did not run is tried again soon.
+    waited = trio.current_time() - began
+    assert waited <= 0.5 + AWAY_HOME_SECONDS + HOMELESS_PAUSE_SECONDS
+
+
+async def test_a_caller_without_a_home_is_refused_while_it_still_waits(
+    monkeypatch, autojump_clock
+):
+    never = trio.current_time() + 1e6
+    relays = _relays(monkeypatch, {"h1": never, "h2": never})
+    began = trio.current_time()
+    assert await relays.find("w", None, b"") is None
+    assert trio.current_time() - began < 2.0
+
+
+async def test_the_next_home_in_line_is_taken_at_once(
+    monkeypatch, autojump_clock
+):
+    began = trio.current_time()
+    relays = _relays(monkeypatch, {"h1": began + 0.5})
+    assert await relays.find("w", None, b"") == ("h2", "h2")
+    assert trio.current_time() == began
