Give homes to the strongest instances, by what they can do

Change: the platform's settings tell the processor's share and speed, an instance's row tells the others, and homes are the strongest instances, of all failure domains in turn; a home's workspaces (weighted rendezvous hashing) and connections go by its capacity.

Excluded: more homes (fewer connections each, more openings).

Tests: test_load_pattern_few_strong_instances_among_many_weak_ones, test_load_pattern_all_strong_instances_are_lost.

--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -8,7 +8,7 @@
 
 from lagoonstair._types import Position
 from lagoonstair.primacy import GroupRecord, Primacy, Statement
-from lagoonstair.proxy._homes import Homes
+from lagoonstair.proxy._homes import Homes, Place
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
@@ -47,7 +47,7 @@
         primacy: Which primaries may be used.
         pools: Connections by endpoint.
         homes: Which instances run the workspaces' statements.
-        domains: The failure domain of each instance.
+        places: Where each instance runs, and what it can do.
         uses: Statements and transactions that run on a group's primary,
             by group.
         on_config: Called when the configuration or the instances change.
@@ -69,12 +69,12 @@
         self.primacy = Primacy(name)
         self.pools: dict[str, EndpointPool] = {}
         self.homes = Homes(
-            {name: failure_domain},
+            {name: Place(failure_domain)},
             max_connections=DEFAULT_CONNECTIONS,
             workspaces=1,
         )
         self.uses: dict[str, int] = {}
-        self.domains: dict[str, str] = {}
+        self.places: dict[str, Place] = {}
         self.on_config: list[Callable[[], None]] = []
 
     def set_config(self, config: EntryConfig) -> bool:
@@ -144,13 +144,13 @@
 
     def resize(self) -> None:
         """Shares the endpoints' connections among the instances anew."""
-        if self.config is not None and self.domains:
+        if self.config is not None and self.places:
             least = min(
                 (g.max_connections for g in self.config.groups.values()),
                 default=DEFAULT_CONNECTIONS,
             )
             self.homes = Homes(
-                self.domains,
+                self.places,
                 max_connections=least,
                 workspaces=len(self.config.workspaces),
             )
@@ -282,7 +282,8 @@
         group = self.config.groups.get(endpoint.group)
         if group is None:
             return MIN_BUDGET
-        return max(MIN_BUDGET, group.max_connections // self.homes.sharers)
+        share = self.homes.share_of(self.name)
+        return max(MIN_BUDGET, int(group.max_connections * share))
 
 
 def _is_other(known: Endpoint, new: Endpoint) -> bool:
--- a/src/lagoonstair/proxy/_homes.py
+++ b/src/lagoonstair/proxy/_homes.py
@@ -1,6 +1,10 @@
 """Which instance runs a workspace's statements; pure."""
 
+import math
 from collections.abc import Mapping
+from typing import NamedTuple
+
+import xxhash
 
 from lagoonstair.membership import Ranked, rank
 
@@ -24,22 +28,38 @@
 that three quarters of it are left when one fails."""
 
 
+MAX_HASH = 2**64 - 1
+
+
+class Place(NamedTuple):
+    """Where an instance runs, and what it can do.
+
+    Attributes:
+        failure_domain: Where it runs.
+        capacity: Its processor time a second, in seconds of a usual one.
+    """
+
+    failure_domain: str
+    capacity: float = 1.0
+
+
 class Homes:
     """The homes of all workspaces, for one set of instances.
 
     A few connections for each of many instances can't be shared among the
     workspaces without opening one for nearly every statement. So a part of
-    the instances hold the connections, and each workspace has its place among
-    them. The other instances relay their callers there.
+    the instances, the strongest ones, hold the connections, and each workspace
+    has its place among them: the more an instance can do, the more workspaces
+    and connections it gets. The other instances relay their callers there.
 
     Attributes:
         is_direct: Whether every instance runs its own callers' statements.
-        sharers: How many instances share an endpoint's connections.
+        names: The instances that share the endpoints' connections.
     """
 
     def __init__(
         self,
-        domains: Mapping[str, str],
+        places: Mapping[str, Place],
         *,
         max_connections: int,
         workspaces: int,
@@ -47,34 +67,67 @@
         """Places the homes.
 
         Args:
-            domains: The failure domain of each instance, by name.
+            places: All instances, by name.
             max_connections: What the endpoint with the least accepts.
             workspaces: How many workspaces there are.
         """
-        self._ranked = [Ranked(*item) for item in domains.items()]
         self._lines: dict[str, tuple[str, ...]] = {}
-        count = len(domains)
+        self._places = dict(places)
+        count = len(places)
         each = max_connections // max(1, count)
         self.is_direct = (
             each >= DIRECT_CONNECTIONS
             and workspaces <= each * DIRECT_WORKSPACES
         )
-        self.sharers = max(1, count)
+        self.names = frozenset(places)
         if not self.is_direct:
             wanted = max(MIN_HOMES, max_connections // HOME_CONNECTIONS)
-            self.sharers = min(count, wanted)
-            chosen = set(rank("homes", self._ranked, self.sharers))
-            self._ranked = [one for one in self._ranked if one.name in chosen]
+            self.names = frozenset(self._strongest(min(count, wanted)))
+        self._ranked = [
+            Ranked(name, place.failure_domain)
+            for name, place in places.items()
+            if name in self.names
+        ]
+        self._capacity = sum(places[name].capacity for name in self.names)
 
     def line_of(self, workspace: str) -> tuple[str, ...]:
         """The instances in line for a workspace, the first being its home."""
         line = self._lines.get(workspace)
         if line is None:
-            count = None if self.is_direct else SPARE_HOMES
-            line = rank(f"workspace:{workspace}", self._ranked, count)
+            line = self._draw_line(workspace)
             self._lines[workspace] = line
         return line
 
-    def has_connections(self, name: str) -> bool:
-        """Whether an instance is among those that share the connections."""
-        return any(one.name == name for one in self._ranked)
+    def share_of(self, name: str) -> float:
+        """The part of an endpoint's connections that an instance may have."""
+        if name not in self.names:
+            return 0.0
+        if self.is_direct:
+            # Callers come to all instances alike.
+            return 1 / len(self.names)
+        return self._places[name].capacity / self._capacity
+
+    def _strongest(self, count: int) -> tuple[str, ...]:
+        """The instances that can do most, from all failure domains in turn."""
+        everybody = [
+            Ranked(name, place.failure_domain)
+            for name, place in self._places.items()
+        ]
+        order = rank("homes", everybody)
+        return tuple(
+            sorted(order, key=lambda name: -self._places[name].capacity)[:count]
+        )
+
+    def _draw_line(self, workspace: str) -> tuple[str, ...]:
+        duty = f"workspace:{workspace}"
+        if self.is_direct:
+            return rank(duty, self._ranked)
+        home = min(self.names, key=lambda name: self._distance(duty, name))
+        others = [one for one in self._ranked if one.name != home]
+        return (home, *rank(duty, others, SPARE_HOMES - 1))
+
+    def _distance(self, duty: str, name: str) -> float:
+        """Weighted rendezvous hashing; the least distance has the duty."""
+        drawn = xxhash.xxh64_intdigest(f"{duty}:{name}".encode())
+        unit = (drawn + 1) / (MAX_HASH + 2)
+        return -math.log(unit) / self._places[name].capacity
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -62,6 +62,7 @@
         port: Where others call it.
         failure_domain: Where it runs.
         since: When it registered, by the store's clock (s).
+        capacity: What it can do in a second, in seconds of a usual processor.
         suspected: When it was last suspected to be gone; 0 if it is not.
     """
 
@@ -69,6 +70,7 @@
     port: int
     failure_domain: str
     since: float
+    capacity: float = 1.0
     suspected: float = 0.0
 
     @property
@@ -242,13 +244,19 @@
         if self.founding is None:
             secret = secrets.token_hex(SECRET_BYTES)
             missing[FOUNDING_KEY] = Founding(secret=secret, at=now)
+        key = MEMBER_PREFIX + settings.instance
         known = self.members.get(settings.instance)
         if known is None or known.address != settings.peer_address:
-            missing[MEMBER_PREFIX + settings.instance] = Member(
+            missing[key] = Member(
                 host=settings.host,
                 port=settings.peer_ports[0],
                 failure_domain=settings.failure_domain,
                 since=now,
+                capacity=settings.capacity,
+            )
+        elif known.capacity != settings.capacity:
+            missing[key] = msgspec.structs.replace(
+                known, capacity=settings.capacity
             )
         return missing
 
--- a/src/lagoonstair/proxy/_settings.py
+++ b/src/lagoonstair/proxy/_settings.py
@@ -36,6 +36,8 @@
         duties: The address of the calls that one instance at a time makes.
         first_start: Whether the whole system starts for the first time.
         memory_mb: Memory that the process may use.
+        processor_share: The part of a processor that the process may use.
+        processor_speed: How fast that processor is; the usual ones are 1.
         max_descriptors: File descriptors that it may use.
         heartbeat_ms: How often endpoints write their entries.
         drain_ms: How long a leaving endpoint may still get work.
@@ -55,6 +57,8 @@
     duties: str
     first_start: bool = False
     memory_mb: float = 300
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
     max_descriptors: int = 1024
     heartbeat_ms: float = 1200
     drain_ms: float = 7000
@@ -64,6 +68,11 @@
     quota_excess: float = 0
     quota_slack: float = 0
 
+    @property
+    def capacity(self) -> float:
+        """What the process can do in a second, in seconds of a usual one."""
+        return self.processor_share * self.processor_speed
+
     @property
     def peer_address(self) -> Address:
         """Where other instances call this one."""
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -8,6 +8,7 @@
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import StoredRow
 from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._homes import Place
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._registry import Registry
@@ -119,18 +120,18 @@
         self._fleet.primacy.set_voters(
             self._registry.voters(), self._registry.members_version
         )
-        domains = {
-            name: member.failure_domain
+        places = {
+            name: Place(member.failure_domain, member.capacity)
             for name, member in self._registry.members.items()
         }
-        if domains != self._fleet.domains:
-            self._fleet.domains = domains
+        if places != self._fleet.places:
+            self._fleet.places = places
             self._fleet.resize()
             log_event(
                 "instances changed",
-                members=len(domains),
+                members=len(places),
                 is_direct=self._fleet.homes.is_direct,
-                sharers=self._fleet.homes.sharers,
+                homes=len(self._fleet.homes.names),
             )
         for notify in self._fleet.on_config:
             notify()
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -12,7 +12,7 @@
 
 import proxy_fleet
 from lagoonstair.limits import MICRO, LimitSettings, ShareHolder, WorkspaceLimit
-from lagoonstair.proxy._homes import SPARE_HOMES, Homes
+from lagoonstair.proxy._homes import SPARE_HOMES, Homes, Place
 from lagoonstair.proxy._log import BURST_LINES, JsonSink
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._quota import Tolerance
@@ -126,8 +126,15 @@
     assert f'{name}_sum{{kind="read"}} 9.02' in lines
 
 
-def _domains(count, zones=3):
-    return {f"i{n}": f"z{n % zones}" for n in range(count)}
+STRONG, WEAK = 2.15, 0.52
+"""Capacities of the two kinds of instances of a mixed fleet."""
+
+
+def _places(count, zones=3, strong=0):
+    return {
+        f"i{n}": Place(f"z{n % zones}", STRONG if n < strong else WEAK)
+        for n in range(count)
+    }
 
 
 @pytest.mark.parametrize(
@@ -145,28 +152,61 @@
     instances, connections, workspaces, direct
 ):
     homes = Homes(
-        _domains(instances), max_connections=connections, workspaces=workspaces
+        _places(instances), max_connections=connections, workspaces=workspaces
     )
     assert homes.is_direct == direct
-    assert homes.sharers * 2 <= max(connections, 2)
+    assert len(homes.names) * 2 <= max(connections, 2)
+    shares = [homes.share_of(name) for name in homes.names]
+    assert sum(shares) == pytest.approx(1)
 
 
 def test_load_pattern_many_workspaces_over_few_connections():
-    homes = Homes(_domains(83), max_connections=82, workspaces=84)
+    homes = Homes(_places(83), max_connections=82, workspaces=84)
     line = [homes.line_of(f"w{n}") for n in range(84)]
     assert all(len(names) == SPARE_HOMES for names in line)
-    assert all(homes.has_connections(n) for names in line for n in names)
+    assert all(homes.share_of(n) for names in line for n in names)
     load = Counter(names[0] for names in line)
     # Each home holds 8 connections of an endpoint.
-    assert max(load.values()) <= 3 * 84 / homes.sharers
+    assert max(load.values()) <= 3 * 84 / len(homes.names)
+
+
+def test_load_pattern_few_strong_instances_among_many_weak_ones():
+    """One hot workspace more must not be a weak instance's whole time."""
+    places = _places(83, strong=6)
+    homes = Homes(places, max_connections=82, workspaces=84)
+    load = Counter(homes.line_of(f"w{n}")[0] for n in range(84))
+    strong = {name for name in homes.names if places[name].capacity == STRONG}
+    assert len(strong) == 6
+    # Without regard to capacity it would be 6 of 10 homes with 60%.
+    assert sum(load[name] for name in strong) >= 0.8 * 84
+    busiest = max(load[name] / places[name].capacity for name in homes.names)
+    alike = Homes(_places(83), max_connections=82, workspaces=84)
+    crowded = Counter(alike.line_of(f"w{n}")[0] for n in range(84))
+    assert busiest <= 0.6 * max(crowded.values()) / WEAK
+    # Connections go with the workspaces.
+    shares = {homes.share_of(name) for name in strong}
+    assert min(shares) > 3 * max(
+        homes.share_of(name) for name in homes.names - strong
+    )
+    assert {homes.share_of(name) for name in places.keys() - homes.names} == {0}
+
+
+def test_load_pattern_all_strong_instances_are_lost():
+    places = _places(83, strong=6)
+    before = Homes(places, max_connections=82, workspaces=84)
+    left = {n: p for n, p in places.items() if p.capacity == WEAK}
+    after = Homes(left, max_connections=82, workspaces=84)
+    assert len(after.names) == len(before.names)
+    load = Counter(after.line_of(f"w{n}")[0] for n in range(84))
+    assert max(load.values()) <= 3 * 84 / len(after.names)
 
 
 def test_load_pattern_one_home_is_lost():
-    domains = _domains(83)
-    before = Homes(domains, max_connections=82, workspaces=84)
+    places = _places(83)
+    before = Homes(places, max_connections=82, workspaces=84)
     lost = before.line_of("w1")[0]
-    del domains[lost]
-    after = Homes(domains, max_connections=82, workspaces=84)
+    del places[lost]
+    after = Homes(places, max_connections=82, workspaces=84)
     moved = [
         f"w{n}"
         for n in range(84)
--- a/tests/test_proxy_path.py
+++ b/tests/test_proxy_path.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from lagoonstair.proxy._homes import Homes
+from lagoonstair.proxy._homes import Homes, Place
 from lagoonstair.proxy._prober import QUIET_SECONDS
 from lagoonstair.standins.statements._store import StoreFault
 from proxy_fleet import config, proxy_fleet
@@ -248,7 +248,7 @@
 
 def _home_of(workspace, fleet, cfg):
     homes = Homes(
-        dict.fromkeys(fleet.processes, "a"),
+        dict.fromkeys(fleet.processes, Place("a")),
         max_connections=MOST_CONNECTIONS,
         workspaces=len(cfg["tenants"]),
     )
