Leave weak instances out of the homes where strong ones suffice

Cause: after a crash of all, homes on weak machines are up 0.3 s later than those on strong ones, and too slow for returning callers.

Change: if there are six instances or more with half of the strongest one's capacity, only they are homes.

--- a/src/lagoonstair/proxy/_homes.py
+++ b/src/lagoonstair/proxy/_homes.py
@@ -23,6 +23,13 @@
 MIN_HOMES = 2
 """So that one may fail."""
 
+STRONG_PART = 0.5
+"""An instance that can do this part of what the strongest can is strong."""
+
+MIN_STRONG = 6
+"""So many strong instances are enough for homes: when one fails, the others
+have a fifth more to do."""
+
 SPARE_HOMES = 4
 """Instances in line for a workspace. All of them hold shares of its rate, so
 that three quarters of it are left when one fails."""
@@ -108,14 +115,26 @@
         return self._places[name].capacity / self._capacity
 
     def _strongest(self, count: int) -> tuple[str, ...]:
-        """The instances that can do most, from all failure domains in turn."""
-        everybody = [
+        """The instances that can do most, from all failure domains in turn.
+
+        Weak ones are left out if there are enough strong ones: they are the
+        last to be up after a crash of all, and slow when many callers return.
+        """
+        places = self._places
+        most = max((place.capacity for place in places.values()), default=0.0)
+        strong = [
             Ranked(name, place.failure_domain)
-            for name, place in self._places.items()
+            for name, place in places.items()
+            if place.capacity >= most * STRONG_PART
+        ]
+        if len(strong) >= MIN_STRONG:
+            return rank("homes", strong, count)
+        everybody = [
+            Ranked(name, place.failure_domain) for name, place in places.items()
         ]
         order = rank("homes", everybody)
         return tuple(
-            sorted(order, key=lambda name: -self._places[name].capacity)[:count]
+            sorted(order, key=lambda name: -places[name].capacity)[:count]
         )
 
     def _draw_line(self, workspace: str) -> tuple[str, ...]:
