Ping a peer only when its answer is late

Cause: each call between instances sent a ping beside it, so that asks, grants and gossip cost twice the frames.

Test failing before: test_only_calls_that_wait_long_bring_a_ping.

--- a/src/lagoonstair/peers/_client.py
+++ b/src/lagoonstair/peers/_client.py
@@ -105,7 +105,10 @@
             silent = 0
             while self._pending:
                 received = self._received
-                self._outbox.put(self._encoder.encode(PING))
+                if silent:
+                    # Most calls are answered before the first check, and a
+                    # ping with each would double what instances exchange.
+                    self._outbox.put(self._encoder.encode(PING))
                 await trio.sleep(KEEPALIVE_SECONDS)
                 silent = silent + 1 if self._received == received else 0
                 if silent >= MAX_SILENT_CHECKS:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -26,9 +26,11 @@
     number: int
 
 
-async def _start(nursery, handler, *, secret=SECRET):
+async def _start(nursery, handler, *, secret=SECRET, on_ping=None):
     registry = Registry()
     registry.add(Ask, handler)
+    if on_ping is not None:
+        registry.add(Ping, on_ping)
     server = PeerServer("b", secret, registry)
     port = await nursery.start(server.serve, "127.0.0.1", 0)
     return server, Address("127.0.0.1", port)
@@ -117,6 +119,25 @@
         await client.call(address, Ask(1), Told)
 
 
+async def test_only_calls_that_wait_long_bring_a_ping(nursery):
+    pinged = trio.Event()
+
+    async def note_ping(message, ctx):
+        pinged.set()
+
+    async def answer(message, ctx):
+        if message.number < 0:
+            await pinged.wait()
+        return Told(message.number)
+
+    _, address = await _start(nursery, answer, on_ping=note_ping)
+    client = PeerClient("a", SECRET, nursery)
+    for number in range(20):
+        await client.call(address, Ask(number), Told)
+    assert not pinged.is_set()
+    assert await client.call(address, Ask(-1), Told) == Told(-1)
+
+
 async def test_slow_answer_of_a_live_peer_is_awaited(nursery):
     answered_pings = trio.Event()
 
