Give each workspace a home in each failure domain

Cause: a workspace had one home, and three of four callers were relayed across failure domains, to endpoints across again; one home spent the whole rate and held a quarter of its shares.

Change: callers go to the first home in line in their own domain.

Tests failing before: test_load_pattern_callers_of_all_failure_domains, test_a_failure_domain_without_a_home_uses_the_first_in_line.

--- a/src/lagoonstair/proxy/_homes.py
+++ b/src/lagoonstair/proxy/_homes.py
@@ -31,8 +31,9 @@
 have a fifth more to do."""
 
 SPARE_HOMES = 4
-"""Instances in line for a workspace. All of them hold shares of its rate, so
-that three quarters of it are left when one fails."""
+"""Instances in line for a workspace at least, one of each failure domain
+first. All of them hold shares of its rate, so that three quarters of it are
+left when one fails."""
 
 
 MAX_HASH = 2**64 - 1
@@ -105,6 +106,27 @@
             self._lines[workspace] = line
         return line
 
+    def line_from(self, workspace: str, name: str) -> tuple[str, ...]:
+        """The instances in line for callers of an instance.
+
+        Those in its own failure domain come first. So a workspace has a home
+        in each domain that has one: what callers and replicas say stays there,
+        and each home spends its own share of the rate.
+
+        Args:
+            workspace: The workspace.
+            name: The instance that its callers are connected to.
+        """
+        line = self.line_of(workspace)
+        if self.is_direct or name not in self._places:
+            return line
+        domain = self._places[name].failure_domain
+        return tuple(
+            sorted(
+                line, key=lambda one: self._places[one].failure_domain != domain
+            )
+        )
+
     def share_of(self, name: str) -> float:
         """The part of an endpoint's connections that an instance may have."""
         if name not in self.names:
@@ -141,9 +163,17 @@
         duty = f"workspace:{workspace}"
         if self.is_direct:
             return rank(duty, self._ranked)
-        home = min(self.names, key=lambda name: self._distance(duty, name))
-        others = [one for one in self._ranked if one.name != home]
-        return (home, *rank(duty, others, SPARE_HOMES - 1))
+        domains: dict[str, list[tuple[float, str]]] = {}
+        for one in self._ranked:
+            scored = (self._distance(duty, one.name), one.name)
+            domains.setdefault(one.failure_domain, []).append(scored)
+        rows = sorted(
+            (row, *scored)
+            for names in domains.values()
+            for row, scored in enumerate(sorted(names))
+        )
+        count = max(SPARE_HOMES, len(domains))
+        return tuple(name for _, _, name in rows[:count])
 
     def _distance(self, duty: str, name: str) -> float:
         """Weighted rendezvous hashing; the least distance has the duty."""
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -10,7 +10,18 @@
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.statements import Code, Commit, Failure, Read, State
+from lagoonstair.statements import (
+    Begin,
+    Code,
+    Commit,
+    Deallocate,
+    Failure,
+    Prepare,
+    Read,
+    Rollback,
+    SetValue,
+    State,
+)
 
 READ_BYTES = 64 * 1024
 
@@ -50,6 +61,12 @@
 """Seconds that a statement may take once its route is gone."""
 
 
+LOST = "the instance that ran the session was lost"
+
+KEEPS_NOTHING = Read | Begin | Rollback | SetValue | Prepare | Deallocate
+"""Statements of which nothing lasts beyond their session."""
+
+
 class HomeLostError(Exception):
     """The home can't be reached, or did not open the session.
 
@@ -131,6 +148,15 @@
         """Seconds for which the caller has waited for an answer; 0 if not."""
         return now - self.asked_at if self.outstanding else 0.0
 
+    def asked(self) -> lines.Query | None:
+        """The last statement that the home has not answered."""
+        last = self.outstanding.rstrip(b"\r\n").rpartition(b"\n")[2]
+        try:
+            message = lines.parse_caller_line(last)
+        except lines.BadLineError:
+            return None
+        return message if isinstance(message, lines.Query) else None
+
     async def run(self, rest: bytes) -> Failure | None:
         """Relays until either side closes.
 
@@ -200,22 +226,14 @@
 
     def _verdict(self) -> Failure:
         """What is known of the statement that the home did not answer."""
-        last = self.outstanding.rstrip(b"\r\n").rpartition(b"\n")[2]
-        statement = None
-        try:
-            message = lines.parse_caller_line(last)
-            if isinstance(message, lines.Query):
-                statement = message.statement
-        except lines.BadLineError:
-            statement = None
-        lost = "the instance that ran the session was lost"
-        inside = self.state is State.OPEN and statement is not None
-        if isinstance(statement, Read) or (
+        query = self.asked()
+        statement = None if query is None else query.statement
+        inside = self.state is not State.IDLE and query is not None
+        if isinstance(statement, KEEPS_NOTHING) or (
             inside and not isinstance(statement, Commit)
         ):
-            # Nothing of a read or of an open transaction is kept.
-            return Failure(Code.ABORTED, lost)
-        return Failure(Code.IN_DOUBT, lost)
+            return Failure(Code.ABORTED, LOST)
+        return Failure(Code.IN_DOUBT, LOST)
 
 
 class Relays:
@@ -249,7 +267,7 @@
         if self._fleet.homes.is_direct:
             return [self._fleet.name]
         now = trio.current_time()
-        line = self._fleet.homes.line_of(workspace)
+        line = self._fleet.homes.line_from(workspace, self._fleet.name)
         alive = [
             name for name in line if self._lost_until.get(name, now) <= now
         ]
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -193,6 +193,32 @@
     assert min(shares[name] for name in mighty) > 3 * max(weak, default=0)
 
 
+@pytest.mark.parametrize("zones", [3, 6])
+def test_load_pattern_callers_of_all_failure_domains(zones):
+    """What callers and replicas say need not leave their failure domain."""
+    places = _places(83, zones=zones, strong=4 * zones)
+    homes = Homes(places, max_connections=82, workspaces=84)
+    for number in range(84):
+        workspace = f"w{number}"
+        line = homes.line_of(workspace)
+        for name, place in places.items():
+            mine = homes.line_from(workspace, name)
+            assert sorted(mine) == sorted(line)
+            assert places[mine[0]].failure_domain == place.failure_domain
+    load = Counter(
+        homes.line_from(f"w{n}", name)[0] for n in range(84) for name in places
+    )
+    assert max(load.values()) <= 3 * 84 * 83 / len(homes.names)
+
+
+def test_a_failure_domain_without_a_home_uses_the_first_in_line():
+    places = _places(83, zones=3, strong=MIN_STRONG)
+    places["far"] = Place("z9", WEAK)
+    homes = Homes(places, max_connections=82, workspaces=84)
+    assert homes.line_from("w1", "far") == homes.line_of("w1")
+    assert homes.line_from("w1", "unknown") == homes.line_of("w1")
+
+
 def test_load_pattern_all_strong_instances_are_lost():
     places = _places(83, strong=MIN_STRONG)
     before = Homes(places, max_connections=82, workspaces=84)
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -144,7 +144,7 @@
     def __init__(self, line):
         self._line = line
 
-    def line_of(self, workspace):
+    def line_from(self, workspace, name):
         return self._line
 
 
