Log and explain statements whose home was lost

Cause: when a home was lost the entry told its caller so, but wrote no line with the statement's id, and the home could write none any more.

Change: the entry logs it like every other failure, with the home; `explain` names the home and how it was lost.

Test: test_a_frozen_home_keeps_no_relayed_caller_waiting explains its request.

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -33,12 +33,15 @@
     "store regained": "",
     "instance lost": "",
     "instance regained": "",
+    "home lost": "",
     "ready": "",
     "draining": "",
 }
 """Events that a request may depend on, with the field that ties them to it."""
 
-LOCAL = frozenset({"store lost", "store regained", "ready", "draining"})
+LOCAL = frozenset(
+    {"store lost", "store regained", "home lost", "ready", "draining"}
+)
 """Events that count only on the instance that answered."""
 
 Event = dict[str, Any]
@@ -116,6 +119,8 @@
         return "the instance had no proof that it knew the others' shares"
     if "no primary can be used" in said or "being replaced" in said:
         return _cause_of_primary(last, beliefs)
+    if "home" in last:
+        return _cause_of_home(last, beliefs)
     if outcome == "in_doubt":
         where = unanswered[-1]["endpoint"] if unanswered else "the endpoint"
         lost = _latest(beliefs, "promotion begins")
@@ -154,6 +159,17 @@
     return f"the workspace's rate of {rate:g} a second was reached"
 
 
+def _cause_of_home(last: Event, beliefs: tuple[Event, ...]) -> str:
+    home = last["home"]
+    lost = _latest(beliefs, "home lost")
+    how = f" ({lost['cause']})" if lost and lost.get("peer") == home else ""
+    waited = float(last.get("seconds", 0.0))
+    return (
+        f"the session ran on {home}, which was lost{how} {waited:.1f} s after "
+        "the statement was passed on"
+    )
+
+
 def _cause_of_primary(last: Event, beliefs: tuple[Event, ...]) -> str:
     begun = _latest(beliefs, "promotion begins")
     if begun is not None:
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -15,7 +15,7 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._quota import Quota
-from lagoonstair.proxy._relay import Relays
+from lagoonstair.proxy._relay import RelayedSession, Relays
 from lagoonstair.proxy._targets import Caller
 from lagoonstair.proxy._transactions import Transaction, Transactions
 from lagoonstair.routing import EntryConfig, Route
@@ -158,6 +158,7 @@
             conv.relayed, name, conv.database, conv.splitter.take_rest()
         )
         if failure is not None:
+            self._tell_lost(conv, conv.relayed, name, failure)
             await conv.give_up(failure, conv.relayed.state)
 
     async def _converse(self, conv: Conversation) -> None:
@@ -345,6 +346,30 @@
             if conv.is_idle and isinstance(self._authorize(conv), Failure):
                 conv.waiting.cancel()
 
+    def _tell_lost(
+        self,
+        conv: Conversation,
+        relayed: RelayedSession,
+        home: str,
+        failure: Failure,
+    ) -> None:
+        """Logs a statement whose home was lost; only this instance can."""
+        query = relayed.asked()
+        assert conv.caller is not None
+        self._metrics.count("statements", outcome=failure.code.value)
+        log_event(
+            "statement answered",
+            request="" if query is None else query.request_id,
+            kind=type(None if query is None else query.statement).__name__,
+            outcome=failure.code.value,
+            cause=failure.message,
+            home=home,
+            database=conv.database,
+            workspace=conv.caller.workspace,
+            seconds=round(relayed.waits_for(trio.current_time()), 4),
+            state=relayed.state.value,
+        )
+
     def _tell(
         self,
         conv: Conversation,
--- a/tests/test_proxy_path.py
+++ b/tests/test_proxy_path.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from lagoonstair.cli._explain import explain_request
 from lagoonstair.proxy._homes import Homes, Place
 from lagoonstair.proxy._prober import QUIET_SECONDS
 from lagoonstair.standins.statements._store import StoreFault
@@ -268,6 +269,8 @@
             assert answer[0].startswith("ERROR ABORTED")
             assert answer[1].startswith("READY I")
             assert await idle.answer() == []
+        found = explain_request("q2", fleet.log(entry))
+        assert f"ran on {home}, which was lost (silent)" in found.cause
         again = await fleet.caller(instance=entry)
         assert again.greeting[0].startswith("READY")
 
