Close sessions whose key went while a statement ran

Cause: idle sessions are looked at when a configuration comes; one that was just being answered was passed over and stayed open until its next statement, which was refused.

Change: the key is checked again before a session waits.

Also: every refusal by this instance says when to come back, the queue's for a slot too; one function words them (test_proxy_busy saw one without, beside load).

Test failing before: test_a_key_withdrawn_during_a_statement_ends_the_session.

--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -15,6 +15,7 @@
     MAX_BUSY_SECONDS,
     busy_pauses,
     pause_before,
+    refusal_of,
 )
 from lagoonstair.proxy._targets import (
     MAX_ATTEMPTS,
@@ -162,7 +163,7 @@
             pool.note_failure(began)
             failure = Failure(Code.BUSY, str(exc))
         except LagoonstairError as exc:
-            failure = Failure(Code.BUSY, exc.message)
+            failure = refusal_of(exc)
         finally:
             if link.usable and link.state is State.IDLE:
                 pool.give_back(link)
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -16,6 +16,7 @@
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._quota import Quota
 from lagoonstair.proxy._relay import RelayedSession, Relays
+from lagoonstair.proxy._retries import refusal_of
 from lagoonstair.proxy._targets import Caller
 from lagoonstair.proxy._transactions import Transaction, Transactions
 from lagoonstair.routing import EntryConfig, Route
@@ -303,16 +304,17 @@
         try:
             await self._quota.admit(conv.caller.workspace)
         except LagoonstairError as exc:
-            later = int((exc.retry_after or 1.0) * 1000)
-            message = f"{exc.message}; retry_after_ms={later}"
             self._metrics.count("over_rate")
-            return Failure(Code.BUSY, message)
+            return refusal_of(exc)
         return granted
 
     async def _next_line(self, conv: Conversation) -> bytes | None:
         """The next line; ``None`` when the caller left or must leave."""
         line = conv.splitter.next_line()
         while line is None:
+            # The key may have been withdrawn while a statement ran.
+            if conv.is_idle and isinstance(self._authorize(conv), Failure):
+                return None
             seconds = float("inf")
             if conv.tx is not None and self._fleet.config is not None:
                 seconds = self._fleet.config.transaction_idle
--- a/src/lagoonstair/proxy/_retries.py
+++ b/src/lagoonstair/proxy/_retries.py
@@ -1,8 +1,11 @@
-"""How long to wait before a busy endpoint is asked again; pure."""
+"""When a refused statement is tried again, here or by its caller; pure."""
 
 import itertools
 from collections.abc import Callable, Iterator
 
+from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.statements import Code, Failure
+
 BUSY_SECONDS = 0.02
 """The first pause: about what a statement takes, so that a slot has become
 free meanwhile."""
@@ -12,6 +15,10 @@
 time."""
 
 
+REFUSED_SECONDS = 1.0
+"""When a refused caller is told to come back if nothing tells a better time."""
+
+
 def busy_pauses(draw: Callable[[], float]) -> Iterator[float]:
     """Pauses between two tries of a busy endpoint, in seconds.
 
@@ -26,6 +33,13 @@
         yield longest * (1 + draw()) / 2
 
 
+def refusal_of(exc: LagoonstairError) -> Failure:
+    """What a caller is told that this instance refuses; nothing has run."""
+    seconds = exc.retry_after or REFUSED_SECONDS
+    later = f"retry_after_ms={int(seconds * 1000)}"
+    return Failure(Code.BUSY, f"{exc.message}; {later}")
+
+
 def pause_before(
     pauses: Iterator[float], *, now: float, deadline: float
 ) -> float | None:
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -10,7 +10,7 @@
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._link import Link, LinkError
 from lagoonstair.proxy._pool import EndpointPool, NoLinkError
-from lagoonstair.proxy._retries import busy_pauses, pause_before
+from lagoonstair.proxy._retries import busy_pauses, pause_before, refusal_of
 from lagoonstair.proxy._targets import (
     MAX_ATTEMPTS,
     NO_PRIMARY,
@@ -137,7 +137,7 @@
             failure = Failure(Code.ABORTED, str(exc))
         except LagoonstairError as exc:
             sent = Sent.NO
-            failure = Failure(Code.BUSY, exc.message)
+            failure = refusal_of(exc)
         if sent is Sent.ANSWERED:
             await self.roll_back(tx)
         else:
--- /dev/null
+++ b/tests/test_proxy_front.py
@@ -0,0 +1,68 @@
+"""A caller's session, between a socket pair, with a slow executor."""
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from lagoonstair.platform import operator
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._front import Front
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.statements import Done
+from proxy_fleet import config
+
+SECONDS = 5
+
+
+class _Executor:
+    """Answers once its gate is open."""
+
+    def __init__(self):
+        self.began = trio.Event()
+        self.gate = trio.Event()
+
+    async def run(self, caller, route, run, request_id):
+        self.began.set()
+        await self.gate.wait()
+        return Done(signature="s")
+
+
+class _Quota:
+    async def admit(self, workspace):
+        """Admits everything."""
+
+
+def _decoded(version, **changes):
+    cfg = config(version=version)
+    cfg["tenants"][0].update(changes)
+    return operator.decode_config(msgspec.json.encode(cfg))
+
+
+async def _read_all(stream):
+    got = b""
+    while chunk := await stream.receive_some(1000):
+        got += chunk
+    return got
+
+
+@pytest.mark.parametrize("keys", [["key-w1"], []])
+async def test_a_key_withdrawn_during_a_statement_ends_the_session(keys):
+    fleet = Fleet("i1", "a", Metrics())
+    fleet.set_config(_decoded(1))
+    executor = _Executor()
+    front = Front(fleet, executor, None, _Quota(), Metrics(), 1000, None)
+    with trio.fail_after(SECONDS):
+        async with trio.open_nursery() as nursery:
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            theirs = await trio.open_tcp_stream(*listener.socket.getsockname())
+            nursery.start_soon(front.serve_relayed, await listener.accept())
+            await theirs.send_all(b"START p key-w1\r\nQUERY q1 READ a\r\n")
+            await executor.began.wait()
+            fleet.set_config(_decoded(2, api_keys=keys))
+            executor.gate.set()
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert front.sessions == len(keys)
+            if keys:
+                await theirs.send_eof()
+            assert b"COMPLETE s" in await _read_all(theirs)
