Prove more of the platform's rules by tests seen failing

Each guard was taken out on a scratch copy. Each has a test now that fails without its guard.

No change of the product.

--- a/tests/test_proxy_pool.py
+++ b/tests/test_proxy_pool.py
@@ -15,7 +15,7 @@
 )
 from lagoonstair.routing import Endpoint
 from lagoonstair.standins.statements import Group
-from lagoonstair.statements import Code
+from lagoonstair.statements import Code, Shape
 
 HOST = "127.0.0.1"
 
@@ -159,3 +159,39 @@
         pool.note_answer(link, 0.0)
         assert len(reports) == 1
         assert pool.position == known
+
+
+async def test_a_connection_takes_over_the_values_of_each_session():
+    """What another caller has set must not show, nor lack."""
+    async with _pool(1) as (pool, database):
+        link = await _take(pool)
+        sent = []
+        for values in ({}, {"x": "1"}, {"x": "1", "y": "2"}, {"x": "3"}, {}):
+            await link.match_session(values, None)
+            sent.append([text for _, text in database.statements])
+            database.statements.clear()
+        assert sent == [
+            [],
+            ["SET x 1"],
+            ["SET y 2"],
+            ["RESET", "SET x 3"],
+            ["RESET"],
+        ]
+
+
+async def test_a_prepared_shape_is_prepared_once_and_again_after_a_reset():
+    async with _pool(1) as (pool, database):
+        link = await _take(pool)
+        shape = Shape(writes=False, text="q2c")
+        name = await link.match_session({"x": "1"}, shape)
+        assert await link.match_session({"x": "1"}, shape) == name
+        again = await link.match_session({}, shape)
+        prepared = [
+            text
+            for _, text in database.statements
+            if text.startswith("PREPARE")
+        ]
+        assert prepared == [
+            f"PREPARE {name} READ q2c",
+            f"PREPARE {again} READ q2c",
+        ]
--- a/tests/test_proxy_transactions.py
+++ b/tests/test_proxy_transactions.py
@@ -61,3 +61,20 @@
         # Only the opening of the connection, before, was by a proved primary.
         assert fleet.covering("g", began) is None
         assert fleet.covering("g", began - 1) == Position(1, 0)
+
+
+async def test_a_transaction_stops_when_its_primary_is_no_longer_proved():
+    async with one_endpoint() as (fleet, database):
+        transactions = Transactions(fleet, Targets(fleet, Metrics()))
+        caller = Caller(workspace="w", session=Session())
+        tx = Transaction(
+            route=ROUTE, read_only=False, began=trio.current_time()
+        )
+        write = Run(True, "WRITE a 1", alone=False)
+        assert isinstance(await transactions.run(caller, tx, write, "1"), Done)
+        # Two more voters, neither of which has said anything.
+        fleet.primacy.set_voters(["i1", "i2", "i3"], 2)
+        refused = await transactions.run(caller, tx, write, "2")
+        assert refused.code is Code.ABORTED
+        assert [name for name, _ in database.statements].count("2") == 0
+        assert database.log == []
