Tell a transaction that its endpoint is busy, and until when

A refusal inside a transaction passed the endpoint's bare text on, without a time to come back; it says the same as outside now. Test: test_a_transaction_that_has_run_something_never_begins_anew asks for it.

--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -12,7 +12,7 @@
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import NoLinkError
 from lagoonstair.proxy._retries import (
-    MAX_BUSY_SECONDS,
+    BUSY,
     busy_pauses,
     pause_before,
     refusal_of,
@@ -41,8 +41,6 @@
     outcome_of,
 )
 
-BUSY = f"the endpoint is busy; retry_after_ms={int(MAX_BUSY_SECONDS * 1000)}"
-
 
 async def _rest(pauses: Iterator[float], deadline: float) -> bool:
     """Waits before a busy endpoint is asked again; false without time."""
@@ -96,7 +94,7 @@
             failure = result
             self._metrics.count("attempts_failed", code=failure.code.value)
             if is_busy(sent, failure):
-                failure = Failure(Code.BUSY, BUSY)
+                failure = BUSY
                 if not last and route.consistency is not Consistency.PRIMARY:
                     continue
                 # There is one endpoint for it, or all have been asked.
--- a/src/lagoonstair/proxy/_retries.py
+++ b/src/lagoonstair/proxy/_retries.py
@@ -15,6 +15,12 @@
 time."""
 
 
+BUSY = Failure(
+    Code.BUSY,
+    f"the endpoint is busy; retry_after_ms={int(MAX_BUSY_SECONDS * 1000)}",
+)
+"""What a caller is told once its time is over; nothing has run."""
+
 REFUSED_SECONDS = 1.0
 """When a refused caller is told to come back if nothing tells a better time."""
 
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -10,7 +10,12 @@
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._link import Link, LinkError
 from lagoonstair.proxy._pool import EndpointPool, NoLinkError
-from lagoonstair.proxy._retries import busy_pauses, pause_before, refusal_of
+from lagoonstair.proxy._retries import (
+    BUSY,
+    busy_pauses,
+    pause_before,
+    refusal_of,
+)
 from lagoonstair.proxy._targets import (
     MAX_ATTEMPTS,
     NO_PRIMARY,
@@ -92,13 +97,15 @@
             )
             if isinstance(result, Done):
                 return result
-            if tx.ran or not is_busy(sent, result):
+            if not is_busy(sent, result):
                 return outcome_of(Work.IN_TRANSACTION, sent, result)
+            if tx.ran:
+                return BUSY
             # Nothing of it has run, so it may begin anew when slots are free.
             now = trio.current_time()
             pause = pause_before(pauses, now=now, deadline=deadline)
             if pause is None:
-                return result
+                return BUSY
             tx.link, tx.pool, tx.epoch = None, None, 0
             await trio.sleep(pause)
 
--- a/tests/test_proxy_busy.py
+++ b/tests/test_proxy_busy.py
@@ -72,6 +72,7 @@
         database.refuses = 1
         refused = await transactions.run(caller, tx, write, "2")
         assert refused.code is Code.BUSY
+        assert "retry_after_ms=" in refused.message
         assert (await transactions.commit(caller, tx, "3")).code is Code.ABORTED
         assert database.log == []
         # The connection was rolled back, not closed.
