Don't take a reset connection for a silent home

Cause: a home whose answer was late was asked over the connection between instances; when that connection had just been reset, the call failed at once and the home counted as silent, so that all its waiting callers were told that it was lost.

Change: a check whose connection breaks is made again on a new one, within the same 0.4 s.

Test failing before: test_a_reset_connection_does_not_make_an_instance_silent.

--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -40,6 +40,9 @@
 CALL_SECONDS = 0.4
 """After which a peer is taken not to answer in this round."""
 
+RECONNECT_SECONDS = 0.02
+"""Before a call is tried on a new connection; the old one is being closed."""
+
 CONTACT_SECONDS = 10.0
 """Within which an instance hears from most voters; it asks one of them a
 round, and all of them when it has just started."""
@@ -136,17 +139,25 @@
         return self._missed.get(name, 0)
 
     async def reaches(self, name: str) -> bool:
-        """Whether an instance answers a call now."""
+        """Whether an instance answers a call now.
+
+        A connection that breaks says nothing of the instance: the call is
+        tried again on a new one. Nobody who listens there does.
+        """
         member = self._registry.members.get(name)
         if member is None:
             return False
         with trio.move_on_after(CALL_SECONDS):
-            try:
-                await self._peers.call(member.address, Ping(), type(None))
-            except (LagoonstairError, PeerLostError, PeerNotSentError) as exc:
-                log_event("check failed", peer=name, cause=str(exc))
-            else:
-                return True
+            while True:
+                try:
+                    await self._peers.call(member.address, Ping(), type(None))
+                except PeerLostError:
+                    await trio.sleep(RECONNECT_SECONDS)
+                except (LagoonstairError, PeerNotSentError) as exc:
+                    log_event("check failed", peer=name, cause=str(exc))
+                    return False
+                else:
+                    return True
         return False
 
     def statements_of(self, group: str, within: float) -> dict[str, Statement]:
--- a/tests/test_proxy_gossip.py
+++ b/tests/test_proxy_gossip.py
@@ -2,9 +2,10 @@
 
 from types import SimpleNamespace
 
+import pytest
 import trio
 
-from lagoonstair.peers import PeerNotSentError
+from lagoonstair.peers import PeerLostError, PeerNotSentError
 from lagoonstair.proxy._gossip import PERIOD_SECONDS, Gossip
 from lagoonstair.proxy._tables import NOTHING, Knowledge, Tables
 
@@ -73,5 +74,30 @@
     assert gossip._choose_teacher([]) is None
 
 
+@pytest.mark.parametrize(
+    ("errors", "reached"),
+    [
+        ([], True),
+        ([PeerLostError], True),
+        ([PeerLostError, PeerNotSentError], False),
+        ([PeerLostError] * 100, False),
+    ],
+)
+async def test_a_reset_connection_does_not_make_an_instance_silent(
+    errors, reached, autojump_clock
+):
+    gossip, peers = _gossip(is_whole=True)
+    left = list(errors)
+
+    async def call(address, ask, answer):
+        await trio.lowlevel.checkpoint()
+        if left:
+            raise left.pop(0)
+
+    peers.call = call
+    assert await gossip.reaches("i1") is reached
+    assert not await gossip.reaches("gone")
+
+
 def test_who_asks_for_nothing_is_told_nothing():
     assert Tables.update_for(SimpleNamespace(), None) == NOTHING
