Leave it open when several statements waited for a lost home

Cause: of several statements sent in one go only the last was looked at: COMMIT followed by BEGIN would have been told as not kept. No caller does so; found by reading the diff.

Test failing before: test_of_several_statements_any_may_have_run.

--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -45,7 +45,6 @@
 SILENCE_MS = 1500
 """Unacknowledged bytes end a connection to a home after this time."""
 
-
 TICK_SECONDS = 0.2
 """How often the sessions that wait for an answer are looked at."""
 
@@ -60,7 +59,6 @@
 DEFAULT_TIMEOUT = 1.5
 """Seconds that a statement may take once its route is gone."""
 
-
 LOST = "the instance that ran the session was lost"
 
 KEEPS_NOTHING = Read | Begin | Rollback | SetValue | Prepare | Deallocate
@@ -149,10 +147,16 @@
         return now - self.asked_at if self.outstanding else 0.0
 
     def asked(self) -> lines.Query | None:
-        """The last statement that the home has not answered."""
-        last = self.outstanding.rstrip(b"\r\n").rpartition(b"\n")[2]
+        """The statement that the home has not answered.
+
+        ``None`` if it is not whole, or if the caller sent more than one: any
+        of them may have run.
+        """
+        line, end, more = self.outstanding.partition(b"\n")
+        if more or not end:
+            return None
         try:
-            message = lines.parse_caller_line(last)
+            message = lines.parse_caller_line(line.rstrip(b"\r"))
         except lines.BadLineError:
             return None
         return message if isinstance(message, lines.Query) else None
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -81,6 +81,15 @@
     assert failure.code is Code.IN_DOUBT
 
 
+async def test_of_several_statements_any_may_have_run():
+    failure = await _lose_home(
+        b"QUERY q1 COMMIT\r\nQUERY q2 BEGIN\r\n", greeting=b"READY T -\r\n"
+    )
+    assert failure.code is Code.IN_DOUBT
+    failure = await _lose_home(b"QUERY q1 READ 1a")
+    assert failure.code is Code.IN_DOUBT
+
+
 async def test_nothing_is_said_after_a_part_of_an_answer():
     failure = await _lose_home(b"QUERY q1 READ 1a4\r\n", b"ROW ab")
     assert failure is None
