Log sessions refused without a home; name kinds alike

Read as a newcomer: a session that found no home was only counted, and the kind of a relayed statement was written otherwise than all others. Log lines only.

--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -50,6 +50,8 @@
 ENDING = frozenset({Code.NO_AUTH, Code.NO_DATABASE})
 """Errors after which the session can run nothing more."""
 
+NO_HOME = "no home is in reach"
+
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform keeps for files."""
 
@@ -149,7 +151,14 @@
         )
         if found is None:
             self._metrics.count("starts_refused", code="no_home")
-            await conv.refuse(Failure(Code.BUSY, "no home is in reach"))
+            log_event(
+                "session refused",
+                cause=NO_HOME,
+                database=conv.database,
+                workspace=conv.caller.workspace,
+                line=self._relays.line_of(conv.caller.workspace),
+            )
+            await conv.refuse(Failure(Code.BUSY, NO_HOME))
             return
         name, conv.relayed = found
         if conv.relayed is None:
@@ -362,7 +371,7 @@
         log_event(
             "statement answered",
             request="" if query is None else query.request_id,
-            kind=type(None if query is None else query.statement).__name__,
+            kind="" if query is None else _kind_of(query),
             outcome=failure.code.value,
             cause=failure.message,
             home=home,
@@ -379,7 +388,7 @@
         result: Result,
         seconds: float,
     ) -> None:
-        kind = type(query.statement).__name__.lower()
+        kind = _kind_of(query)
         assert conv.caller is not None
         match result:
             case Done():
@@ -418,6 +427,11 @@
         )
 
 
+def _kind_of(query: lines.Query) -> str:
+    """The kind of a statement, for logs and metrics."""
+    return type(query.statement).__name__.lower()
+
+
 def _anyone(config: EntryConfig) -> str:
     """The workspace in whose name callers of an open route run."""
     return next(iter(config.workspaces), "")
--- a/src/lagoonstair/proxy/_homes.py
+++ b/src/lagoonstair/proxy/_homes.py
@@ -35,8 +35,8 @@
 first. All of them hold shares of its rate, so that three quarters of it are
 left when one fails."""
 
-
 MAX_HASH = 2**64 - 1
+"""The greatest value of the 64-bit hash that draws the homes."""
 
 
 class Place(NamedTuple):
