--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -31,7 +31,7 @@
 )
 from lagoonstair.proxy._reaper import Reaper
 from lagoonstair.proxy._registry import Registry
-from lagoonstair.proxy._relay import Relays
+from lagoonstair.proxy._relays import Relays
 from lagoonstair.proxy._settings import (
     InstanceSettings,
     SettingsError,
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -15,7 +15,8 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._quota import Quota
-from lagoonstair.proxy._relay import RelayedSession, Relays
+from lagoonstair.proxy._relay import RelayedSession
+from lagoonstair.proxy._relays import Relays
 from lagoonstair.proxy._retries import refusal_of
 from lagoonstair.proxy._targets import Caller
 from lagoonstair.proxy._transactions import Transaction, Transactions
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -4,11 +4,10 @@
 import trio.testing
 
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._relay import (
+from lagoonstair.proxy._relay import HomeLostError, RelayedSession
+from lagoonstair.proxy._relays import (
     AWAY_HOME_SECONDS,
     HOMELESS_PAUSE_SECONDS,
-    HomeLostError,
-    RelayedSession,
     Relays,
 )
 from lagoonstair.statements import Code, State
