Record a promotion before its call, and return only once it is resolved

Cause: an accepted promotion that showed no effect within 3 s counted as failed. Change: the group's record lists the promotions that may still take effect, each written before its call. Its endpoint is promoted again; the old primary is used again only after a newer term is seen at a called endpoint, or the called process has ended. The decisions are pure (primacy/_pending.py) and in a model test; the stand-in applies promotions when they are due, and the soak draws late ones from a stream of its own. Found beside it: groups that were promoted at once rewrote the duty's row, so all but one lost the write and then waited 4 s as stalled. Steps now require the row unchanged, and repeat after a conflict with another own step. Conclusion: the doubt is stored, so whoever takes over knows it.

--- a/src/lagoonstair/primacy/__init__.py
+++ b/src/lagoonstair/primacy/__init__.py
@@ -3,16 +3,26 @@
 from lagoonstair.primacy._cause import (
     Cause,
     PrimaryView,
-    choose_target,
     promotion_cause,
     promotion_delay,
 )
+from lagoonstair.primacy._pending import (
+    choose_target,
+    promoted_endpoint,
+    record_call,
+    unresolved_promotions,
+)
 from lagoonstair.primacy._primacy import (
     CLOCK_MARGIN,
     PROOF_SECONDS,
     Primacy,
 )
-from lagoonstair.primacy._record import Duty, GroupRecord, GroupReport
+from lagoonstair.primacy._record import (
+    Duty,
+    GroupRecord,
+    GroupReport,
+    PendingPromotion,
+)
 
 __all__ = [
     "CLOCK_MARGIN",
@@ -21,9 +31,13 @@
     "Duty",
     "GroupRecord",
     "GroupReport",
+    "PendingPromotion",
     "Primacy",
     "PrimaryView",
     "choose_target",
+    "promoted_endpoint",
     "promotion_cause",
     "promotion_delay",
+    "record_call",
+    "unresolved_promotions",
 ]
--- a/src/lagoonstair/primacy/_cause.py
+++ b/src/lagoonstair/primacy/_cause.py
@@ -1,14 +1,12 @@
-"""Pure decisions on a promotion: whether, by which instance, to which endpoint.
+"""Pure decisions on a promotion: whether and by which instance.
 
 None of these functions does I/O or reads a clock.
 """
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from lagoonstair._types import Position
-
 UNREACHABLE_SECONDS = 0.8
 """Time (s) a primary must be unreachable before it is replaced. It exceeds the
 delay of a lost packet and of a process suspended for a scheduling period of
@@ -99,23 +97,6 @@
     return None
 
 
-def choose_target(
-    received: Mapping[str, Position], *, excluded: Iterable[str]
-) -> str | None:
-    """Returns the endpoint to promote, which is the one with the longest log.
-
-    Args:
-        received: The end of the received log by endpoint name.
-        excluded: Names of endpoints that must not be promoted.
-
-    Returns:
-        The endpoint's name, or ``None`` without a candidate. A tie goes to the
-        name that sorts first.
-    """
-    names = sorted(received.keys() - set(excluded))
-    return max(names, key=lambda name: received[name], default=None)
-
-
 def promotion_delay(name: str, alive: Iterable[str], holder: str) -> float:
     """Returns the delay in seconds before an instance starts a promotion.
 
--- a/src/lagoonstair/primacy/_record.py
+++ b/src/lagoonstair/primacy/_record.py
@@ -3,6 +3,18 @@
 import msgspec
 
 
+class PendingPromotion(msgspec.Struct, frozen=True, kw_only=True):
+    """A promotion that the platform may have accepted, without known effect.
+
+    Attributes:
+        endpoint: The endpoint that was to become primary.
+        started: The start time of the endpoint's process, as it reports it.
+    """
+
+    endpoint: str
+    started: int
+
+
 class GroupRecord(msgspec.Struct, frozen=True, kw_only=True):
     """The store's record of a group's primary.
 
@@ -11,12 +23,15 @@
         primary: The primary; during a promotion, the previous one.
         term: The term that the primary leads, as far as observed.
         promoting: The instance that runs a promotion; empty without one.
+        pending: The promotions that may still take effect, in the order of
+            their calls. Each is written before its call.
     """
 
     epoch: int
     primary: str
     term: int = 0
     promoting: str = ""
+    pending: tuple[PendingPromotion, ...] = ()
 
 
 class Duty(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lagoonstair/proxy/_orders.py
+++ b/src/lagoonstair/proxy/_orders.py
@@ -1,8 +1,9 @@
 """Administrative commands and status queries to endpoints."""
 
+from collections.abc import Iterable
+
 import trio
 
-from lagoonstair._types import Position
 from lagoonstair.platform import lines
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._link import Link, LinkError
@@ -18,13 +19,8 @@
 """Timeout (s) of a command, which may have to wait for a slot of the
 endpoint."""
 
-BECOME_PRIMARY_SECONDS = 3.0
-"""Time (s) within which a promoted endpoint must become primary; it usually
-takes 0.6 s to 1 s."""
-
 POLL_SECONDS = 0.04
-"""Interval (s) between status queries to an endpoint that is catching up or
-about to become primary."""
+"""Interval (s) between status queries to an endpoint that is catching up."""
 
 
 class EndpointCommands:
@@ -33,14 +29,14 @@
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
 
-    async def positions(
+    async def statuses(
         self,
         group: str,
         candidates: list[EndpointPool],
         *,
         old: EndpointPool | None,
-    ) -> dict[str, Position]:
-        """Returns the candidates' log ends after letting them catch up.
+    ) -> dict[str, lines.EndpointStatus]:
+        """Returns the candidates' statuses after letting them catch up.
 
         The wait ends once a candidate has the previous primary's whole log, or
         after ``CATCH_UP_SECONDS``. In a group with synchronous replicas, the
@@ -52,34 +48,39 @@
             old: The previous primary, if it may still answer.
 
         Returns:
-            The end of the received log by endpoint name, for each candidate
-            that answered.
+            The status by endpoint name, for each candidate that answered.
         """
         deadline = trio.current_time() + CATCH_UP_SECONDS
-        status = None if old is None else await self._status(old)
-        required = None if status is None else status.received
+        old_status = None if old is None else await self.status(old)
+        required = None if old_status is None else old_status.received
         config = self._fleet.config
         settings = None if config is None else config.groups.get(group)
         if settings is not None and settings.synchronous_replicas:
             await self._suspend(candidates)
         while True:
-            received: dict[str, Position] = {}
-            async with trio.open_nursery() as nursery:
-                for pool in candidates:
-                    nursery.start_soon(self._collect_position, pool, received)
-            best = max(received.values(), default=None)
+            statuses = await self._collect_statuses(candidates)
+            best = max((s.received for s in statuses.values()), default=None)
             if required is None or (best is not None and best >= required):
-                return received
+                return statuses
             if trio.current_time() > deadline:
-                return received
+                return statuses
             await trio.sleep(POLL_SECONDS)
 
-    async def _collect_position(
-        self, pool: EndpointPool, received: dict[str, Position]
-    ) -> None:
-        status = await self._status(pool)
-        if status is not None:
-            received[pool.endpoint.name] = status.received
+    async def _collect_statuses(
+        self, pools: Iterable[EndpointPool]
+    ) -> dict[str, lines.EndpointStatus]:
+        """Returns the status of each endpoint that answers, by name."""
+        statuses: dict[str, lines.EndpointStatus] = {}
+
+        async def collect(pool: EndpointPool) -> None:
+            status = await self.status(pool)
+            if status is not None:
+                statuses[pool.endpoint.name] = status
+
+        async with trio.open_nursery() as nursery:
+            for pool in pools:
+                nursery.start_soon(collect, pool)
+        return statuses
 
     async def _suspend(self, candidates: list[EndpointPool]) -> None:
         """Stops replicas from receiving until one of them becomes primary.
@@ -87,29 +88,24 @@
         The previous primary, if it is still running, can then acknowledge no
         write that the new one lacks.
         """
-        statuses = [await self._status(pool) for pool in candidates]
+        statuses = [await self.status(pool) for pool in candidates]
         term = max((s.term for s in statuses if s is not None), default=0) + 1
         for pool in candidates:
             await self._command(pool, lines.suspend_text(term))
 
-    async def wait_until_primary(self, target: str) -> int | None:
-        """Waits until an endpoint is primary.
+    async def led_terms(self, names: Iterable[str]) -> dict[str, int]:
+        """Returns the term of each endpoint that regards itself as primary.
 
-        Returns:
-            The endpoint's term, or ``None`` if it did not become primary
-            within ``BECOME_PRIMARY_SECONDS``.
+        Args:
+            names: The names of the endpoints to ask.
         """
-        deadline = trio.current_time() + BECOME_PRIMARY_SECONDS
-        while trio.current_time() < deadline:
-            pool = self._fleet.pools.get(target)
-            if pool is None:
-                return None
-            status = await self._status(pool)
-            if status is not None and status.is_primary:
-                return status.term
-            await trio.sleep(POLL_SECONDS)
-        log_event("promoted endpoint did not become primary", target=target)
-        return None
+        pools = [self._fleet.pools.get(name) for name in names]
+        statuses = await self._collect_statuses(filter(None, pools))
+        return {
+            name: status.term
+            for name, status in statuses.items()
+            if status.is_primary
+        }
 
     async def demote(self, old: str, target: str, term: int) -> None:
         """Turns the previous primary into a replica if it is reachable.
@@ -124,7 +120,8 @@
             return
         await self._command(pool, lines.demote_text(term))
 
-    async def _status(self, pool: EndpointPool) -> lines.EndpointStatus | None:
+    async def status(self, pool: EndpointPool) -> lines.EndpointStatus | None:
+        """Returns an endpoint's status, or ``None`` if it does not answer."""
         rows = await self._command(pool, lines.STATUS)
         if rows is None:
             return None
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -1,7 +1,11 @@
 """Runs promotions, which replace primaries that failed or are leaving."""
 
+from collections.abc import Sequence
+
+import msgspec
 import trio
 
+from lagoonstair._types import Position
 from lagoonstair.platform.duties import Duties, PromoteAnswer
 from lagoonstair.platform.store import StoreError
 from lagoonstair.primacy import (
@@ -10,19 +14,28 @@
     Cause,
     Duty,
     GroupRecord,
+    PendingPromotion,
     PrimaryView,
     choose_target,
+    promoted_endpoint,
     promotion_cause,
     promotion_delay,
+    record_call,
+    unresolved_promotions,
 )
 from lagoonstair.proxy._fleet import Fleet
-from lagoonstair.proxy._follower import Follower
+from lagoonstair.proxy._follower import MISSING_ENTRY_SECONDS, Follower
 from lagoonstair.proxy._gossip import ALIVE_SECONDS, Gossip
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._orders import EndpointCommands
 from lagoonstair.proxy._pool import EndpointPool
-from lagoonstair.proxy._registry import DUTY_KEY, GROUP_PREFIX, Registry
+from lagoonstair.proxy._registry import (
+    DUTY_KEY,
+    GROUP_PREFIX,
+    Registry,
+    RowValue,
+)
 from lagoonstair.proxy._transactions import TransactionManager
 from lagoonstair.routing import Endpoint
 
@@ -53,11 +66,9 @@
 POLL_SECONDS = 0.04
 """Interval (s) between checks of which instances have released the primary."""
 
-FENCE_SECONDS = 1.5
-"""Time (s) within which the call to the platform must start, counted from the
-end of the wait for the previous primary's release. After it, the fencing token
-is first written again, so that a process that was suspended does not send an
-outdated token."""
+EFFECT_SECONDS = 3.0
+"""Time (s) after which a promotion without effect is called again; it usually
+takes 0.6 s to 1 s. The call may take effect later all the same."""
 
 RECORD_ATTEMPTS = 20
 """Number of attempts to write the result of a promotion. After an error of the
@@ -95,6 +106,7 @@
         self._scheduled: dict[str, tuple[Cause, float]] = {}
         self._running_groups: set[str] = set()
         self._changed_at: dict[str, tuple[int, float]] = {}
+        self._calls = 0
         self._started_at = trio.current_time()
 
     async def run(self) -> None:
@@ -241,7 +253,12 @@
         primary = self._claimed_primary(group)
         if primary is None:
             return
-        record = GroupRecord(epoch=1, primary=primary)
+        pool = self._fleet.pools.get(primary)
+        status = None if pool is None else await self._commands.status(pool)
+        if status is not None and not status.is_primary:
+            return
+        term = 0 if status is None else status.term
+        record = GroupRecord(epoch=1, primary=primary, term=term)
         if await self._registry.write({GROUP_PREFIX + group: record}):
             self._fleet.set_record(group, record)
         else:
@@ -264,12 +281,8 @@
         epoch = primacy.start_promotion(group)
         self._fleet.notify()
         self._gossip.start_urgent_rounds(group)
-        duty = self._next_duty()
-        started = GroupRecord(
-            epoch=epoch,
-            primary=record.primary,
-            term=record.term,
-            promoting=self._fleet.name,
+        started = msgspec.structs.replace(
+            record, epoch=epoch, promoting=self._fleet.name
         )
         log_event(
             "promotion begins",
@@ -277,31 +290,67 @@
             epoch=epoch,
             cause=cause.value,
             primary=record.primary,
-            fence=duty.fence,
-        )
-        committed = await self._registry.write(
-            {GROUP_PREFIX + group: started, DUTY_KEY: duty}
         )
-        if committed is None:
-            log_event(
-                "promotion record changed concurrently",
-                group=group,
-                epoch=epoch,
-            )
-            await self._follower.read_registry()
+        if await self._write_step(group, started) is None:
             return
-        self._fleet.set_record(group, started)
         if await self._wait_released(group, epoch):
-            await self._promote(group, started, duty, cause)
+            await self._promote(group, started, cause)
 
-    def _next_duty(self) -> Duty:
+    def _next_duty(self, *, renewed: bool = False) -> Duty:
+        """Returns the duty as held by this instance.
+
+        Args:
+            renewed: Whether its fencing token must exceed the present one even
+                if this instance already holds the duty.
+        """
         duty = self._registry.duty
         if duty is None:
             return Duty(holder=self._fleet.name, fence=1)
-        if duty.holder == self._fleet.name:
+        if duty.holder == self._fleet.name and not renewed:
             return duty
         return Duty(holder=self._fleet.name, fence=duty.fence + 1)
 
+    async def _write_step(
+        self, group: str, record: GroupRecord, *, renewed: bool = False
+    ) -> Duty | None:
+        """Writes a step of a promotion while this instance holds the duty.
+
+        Steps of other groups that this instance promotes may change the duty
+        at the same time; the write is then repeated.
+
+        Args:
+            group: The name of the group.
+            record: The group's record after the step.
+            renewed: Whether the fencing token must increase.
+
+        Returns:
+            The duty as written, or ``None`` if another instance has changed
+            the record or holds the duty now.
+        """
+        known = self._registry.groups.get(group)
+        while True:
+            duty = self._next_duty(renewed=renewed)
+            values: dict[str, RowValue] = {GROUP_PREFIX + group: record}
+            unchanged: tuple[str, ...] = (DUTY_KEY,)
+            if duty != self._registry.duty:
+                values[DUTY_KEY] = duty
+                unchanged = ()
+            if await self._registry.write(values, unchanged=unchanged):
+                self._fleet.set_record(group, record)
+                return duty
+            await self._follower.read_registry()
+            holder = self._registry.duty.holder if self._registry.duty else ""
+            if (
+                self._registry.groups.get(group) != known
+                or holder != self._fleet.name
+            ):
+                log_event(
+                    "promotion record changed concurrently",
+                    group=group,
+                    epoch=record.epoch,
+                )
+                return None
+
     def _candidates(
         self, group: str, record: GroupRecord, cause: Cause
     ) -> list[EndpointPool]:
@@ -364,47 +413,132 @@
         return len(names & voters) * 2 > len(voters)
 
     async def _promote(
-        self, group: str, record: GroupRecord, duty: Duty, cause: Cause
+        self, group: str, record: GroupRecord, cause: Cause
     ) -> None:
-        written_at = trio.current_time()
+        """Promotes an endpoint after the previous primary's release.
+
+        The promotion is recorded before its call, so that whoever takes over
+        knows which promotions may still take effect.
+        """
+        pending = self._unresolved(record)
+        if pending and await self._finish(group, record, pending):
+            return
         candidates = self._candidates(group, record, cause)
         # A failed primary may answer late, so the candidates wait for its log
         # only when it left or is gone.
         is_leaving = cause in (Cause.LEAVING, Cause.GONE)
         old = self._fleet.pools.get(record.primary) if is_leaving else None
-        received = await self._commands.positions(group, candidates, old=old)
-        target = choose_target(received, excluded=())
-        if target is None:
+        statuses = await self._commands.statuses(group, candidates, old=old)
+        received = {name: s.received for name, s in statuses.items()}
+        target = choose_target(
+            received,
+            previous=record.primary,
+            pending=[promotion.endpoint for promotion in pending],
+        )
+        endpoint = None if target is None else self._fleet.endpoints.get(target)
+        if target is None or endpoint is None:
             log_event("promotion without a target", group=group)
             await trio.sleep(CHECK_PERIOD_SECONDS * 2)
             return
-        if trio.current_time() - written_at > FENCE_SECONDS:
-            rewritten = await self._registry.write(
-                {GROUP_PREFIX + group: record, DUTY_KEY: duty}
-            )
-            if rewritten is None:
-                await self._follower.read_registry()
-                return
-        answer = await self._duties.promote(
-            group, target, holder=self._fleet.name, fence=duty.fence
+        called = record_call(
+            record,
+            pending,
+            PendingPromotion(endpoint=target, started=endpoint.started),
+            (status.term for status in statuses.values()),
         )
+        if await self._call(group, called, target, received[target]):
+            await self._wait_effect(group, called)
+
+    def _unresolved(self, record: GroupRecord) -> tuple[PendingPromotion, ...]:
+        """Returns the pending promotions that may still take effect.
+
+        Right after this instance's start, entries may be missing because of an
+        outage of the store, so no process counts as ended yet.
+        """
+        uptime = trio.current_time() - self._started_at
+        if uptime < MISSING_ENTRY_SECONDS:
+            return record.pending
+        processes = {
+            name: endpoint.started
+            for name, endpoint in self._fleet.endpoints.items()
+        }
+        return unresolved_promotions(record, processes)
+
+    async def _call(
+        self, group: str, record: GroupRecord, target: str, received: Position
+    ) -> bool:
+        """Records a promotion and calls the platform for it.
+
+        A higher fencing token marks the call as the later one if an earlier
+        promotion is pending. Calls for other groups end first, because none
+        may arrive with a lower token after it.
+
+        Returns:
+            Whether the platform may have accepted it.
+        """
+        renewed = len(record.pending) > 1
+        while renewed and self._calls:
+            await trio.sleep(POLL_SECONDS)
+        self._calls += 1
+        try:
+            duty = await self._write_step(group, record, renewed=renewed)
+            if duty is None:
+                return False
+            answer = await self._duties.promote(
+                group, target, holder=self._fleet.name, fence=duty.fence
+            )
+        finally:
+            self._calls -= 1
         log_event(
             "promotion sent",
             group=group,
             target=target,
             fence=duty.fence,
             answer=answer.value,
-            received=str(received[target]),
+            received=str(received),
         )
         self._metrics.count("promotions", answer=answer.value)
         if answer in (PromoteAnswer.REFUSED, PromoteAnswer.NOT_RUNNING):
             await trio.sleep(CHECK_PERIOD_SECONDS)
-            return
-        term = await self._commands.wait_until_primary(target)
-        if term is None:
-            return
-        await self._record_primary(group, record, target, term)
-        await self._commands.demote(record.primary, target, term)
+            return False
+        return True
+
+    async def _wait_effect(self, group: str, record: GroupRecord) -> None:
+        """Waits until a pending promotion has taken effect and records it.
+
+        Without an effect the record stays as it is: the promotion is taken
+        over, and its endpoint remains the first choice.
+        """
+        deadline = trio.current_time() + EFFECT_SECONDS
+        while trio.current_time() < deadline:
+            if await self._finish(group, record, record.pending):
+                return
+            await trio.sleep(POLL_SECONDS)
+        log_event(
+            "promoted endpoint did not become primary",
+            group=group,
+            pending=[promotion.endpoint for promotion in record.pending],
+        )
+
+    async def _finish(
+        self,
+        group: str,
+        record: GroupRecord,
+        pending: Sequence[PendingPromotion],
+    ) -> bool:
+        """Records the endpoint that a pending promotion has made primary.
+
+        Returns:
+            Whether a promotion has taken effect.
+        """
+        names = [promotion.endpoint for promotion in pending]
+        terms = await self._commands.led_terms(names)
+        leader = promoted_endpoint(record, pending, terms)
+        if leader is None:
+            return False
+        await self._record_primary(group, record, leader, terms[leader])
+        await self._commands.demote(record.primary, leader, terms[leader])
+        return True
 
     async def _record_primary(
         self, group: str, started: GroupRecord, target: str, term: int
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -183,9 +183,16 @@
         present = key in self._values
         return Precondition(TABLE, key, self._versions[key] if present else 0)
 
-    async def write(self, values: dict[str, RowValue]) -> Committed | None:
+    async def write(
+        self, values: dict[str, RowValue], *, unchanged: Iterable[str] = ()
+    ) -> Committed | None:
         """Writes rows if none of them has changed in the store.
 
+        Args:
+            values: The rows to write, by key.
+            unchanged: Keys of further rows that must not have changed. Several
+                transactions that only require a row do not conflict.
+
         Returns:
             The applied transaction, or ``None`` if a row has changed.
 
@@ -197,7 +204,9 @@
             for key, value in values.items()
         ]
         committed = await self._store.transact(
-            conditions=[self.unchanged_condition(key) for key in values],
+            conditions=[
+                self.unchanged_condition(key) for key in (*values, *unchanged)
+            ],
             puts=puts,
         )
         if committed is not None:
--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -1,5 +1,6 @@
 """Stand-ins for replicated databases that speak the statement protocol."""
 
+import itertools
 from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -50,6 +51,8 @@
         databases: The group's databases, by name.
         lag: The delay before a replica applies a commit, in seconds.
         promote_seconds: The time that a promotion takes, in seconds.
+        promotion_seconds: The times that the next promotions take, in
+            seconds; once they are used up, ``promote_seconds`` applies.
     """
 
     def __init__(self, name: str, on_change: Callable[["Database"], None]):
@@ -59,6 +62,8 @@
         self.databases: dict[str, Database] = {}
         self.lag = 0.01
         self.promote_seconds = 0.1
+        self.promotion_seconds: deque[float] = deque()
+        self._accepted = itertools.count(1)
 
     def add(self, name: str, *, slots: int, max_connections: int) -> "Database":
         """Adds a database; the first one becomes the primary."""
@@ -74,14 +79,48 @@
         return max(primaries, key=lambda db: db.term)
 
     def promote(self, name: str) -> bool:
-        """Starts a promotion; returns false if the database is down."""
+        """Starts a promotion; returns false if the database is down.
+
+        Promoting a database again does not postpone the first promotion.
+        """
         database = self.databases[name]
         if database.down:
             return False
-        if not database.is_primary:
-            database.promotion_due = trio.current_time() + self.promote_seconds
+        if database.is_primary and database is self.primary:
+            return True
+        number = next(self._accepted)
+        if database.promotion_due is None:
+            seconds = (
+                self.promotion_seconds.popleft()
+                if self.promotion_seconds
+                else self.promote_seconds
+            )
+            database.promotion_due = trio.current_time() + seconds
+        database.promotion_number = number
         return True
 
+    def apply_due_promotions(self) -> None:
+        """Lets the promotions that are due take effect.
+
+        A promotion that takes effect cancels those accepted before it.
+        """
+        now = trio.current_time()
+        due = [
+            database
+            for database in self.databases.values()
+            if not database.down
+            and database.promotion_due is not None
+            and now >= database.promotion_due
+        ]
+        for database in sorted(due, key=lambda db: db.promotion_number):
+            if database.promotion_due is None:
+                continue
+            for other in self.databases.values():
+                if other.promotion_number <= database.promotion_number:
+                    other.promotion_due = None
+            self.term += 1
+            database.become_primary(self.term)
+
     def publish_entry(self, database: "Database") -> None:
         """Publishes a database's entry in the store."""
         self._on_change(database)
@@ -90,8 +129,8 @@
 class Database:
     """A database of a group.
 
-    Replication and promotion take effect at the first statement after they
-    are due.
+    Replication takes effect at the database's first statement after it is due,
+    promotion at the first statement of any database of the group.
 
     Attributes:
         name: The database's name.
@@ -102,6 +141,8 @@
         is_primary: Whether it regards itself as the primary.
         promotion_due: When its promotion takes effect, on trio's clock in
             seconds; ``None`` while none is under way.
+        promotion_number: The place of its last promotion among all accepted
+            ones, counted from 1; 0 without one.
         down: Whether it neither accepts connections nor answers.
         draining: Whether its entry states that it is about to leave.
         answers_to_drop: The number of the next statements that run, but are
@@ -131,6 +172,7 @@
         self.log: list[Commit] = []
         self.is_primary = False
         self.promotion_due: float | None = None
+        self.promotion_number = 0
         self.down = False
         self.draining = False
         self.answers_to_drop = 0
@@ -200,19 +242,20 @@
         self.log = list(self._group.primary.log)
         self._group.publish_entry(self)
 
+    def become_primary(self, term: int) -> None:
+        """Becomes the primary of a term, with the log that it has."""
+        self.term = term
+        self.is_primary = True
+        self._group.publish_entry(self)
+
     def _apply_due_events(self) -> None:
-        """Applies the replicated commits and the promotion that are due."""
+        """Applies the replicated commits and the promotions that are due."""
         now = trio.current_time()
         while self._replication_queue and self._replication_queue[0][0] <= now:
             _, commit = self._replication_queue.popleft()
             if not self.is_primary and commit.number == len(self.log) + 1:
                 self.log.append(commit)
-        if self.promotion_due is not None and now >= self.promotion_due:
-            self.promotion_due = None
-            self._group.term += 1
-            self.term = self._group.term
-            self.is_primary = True
-            self._group.publish_entry(self)
+        self._group.apply_due_promotions()
 
     def _commit(self, writes: tuple[tuple[str, str, str], ...]) -> None:
         commit = Commit(self.term, len(self.log) + 1, writes)
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -59,6 +59,13 @@
 """The maximum age of the data that a read may return, in seconds; the same as
 in the fleet's configuration."""
 
+LATE_PROMOTIONS = 0.3
+"""The fraction of promotions that take effect late."""
+
+LATE_PROMOTION_SECONDS = (2.0, 6.0)
+"""How long a late promotion takes at least and at most, in seconds; an instance
+calls for a promotion again after 3 s without effect."""
+
 RECOVERY_SECONDS = 20
 """How long all instances may take to serve again after the faults have ended,
 in seconds."""
@@ -441,6 +448,16 @@
         self._fleet.store.put("op", "config", cfg)
 
 
+def _promotion_seconds(rng, count=100):
+    """Draws how long each promotion of a run takes, in seconds."""
+    return [
+        rng.uniform(*LATE_PROMOTION_SECONDS)
+        if rng.random() < LATE_PROMOTIONS
+        else 0.1
+        for _ in range(count)
+    ]
+
+
 async def run_seed(seed, tmp_path, *, seconds=FAULT_SECONDS):
     """Runs one seed.
 
@@ -457,6 +474,9 @@
     async with trio.open_nursery() as nursery:
         fleet = SoakFleet(pathlib.Path(tmp_path), nursery)
         fleet.store.put("op", "config", config())
+        # A stream of its own, so that a seed keeps its faults.
+        rng_promotions = random.Random(f"{seed}/promotions")
+        fleet.group.promotion_seconds.extend(_promotion_seconds(rng_promotions))
         try:
             await fleet.start(INSTANCES)
             callers = [
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -165,7 +165,8 @@
         self._nursery = nursery
         self.store = StoreStandin()
         self.group = Group("g", self._publish_entry)
-        self.duties = DutiesStandin({"g": self.group})
+        self.groups = {"g": self.group}
+        self.duties = DutiesStandin(self.groups)
         self.processes = {}
         self.ports = {}
         self._first_ports = {}
@@ -188,6 +189,17 @@
         self._publish_entry(database)
         return database
 
+    async def add_groups(self, names):
+        """Adds groups of two databases each; the first is the primary."""
+        for group_name in names:
+            group = Group(group_name, self._publish_entry)
+            self.groups[group_name] = group
+            for number in (1, 2):
+                name = f"{group_name}{number}"
+                database = group.add(name, slots=4, max_connections=30)
+                await self._nursery.start(database.serve, HOST)
+                self._publish_entry(database)
+
     async def store_port_of(self, name):
         if name not in self._store_ports:
             self._store_ports[name] = await self._nursery.start(
--- a/tests/test_primacy_proofs.py
+++ b/tests/test_primacy_proofs.py
@@ -4,6 +4,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from msgspec.structs import replace
 
 from lagoonstair._types import Position
 from lagoonstair.primacy import (
@@ -11,17 +12,22 @@
     PROOF_SECONDS,
     Cause,
     GroupRecord,
+    PendingPromotion,
     Primacy,
     PrimaryView,
     choose_target,
+    promoted_endpoint,
     promotion_cause,
     promotion_delay,
+    record_call,
+    unresolved_promotions,
 )
 from lagoonstair.primacy._cause import PROMOTION_STAGGER_SECONDS
 from soak import examples
 
 VOTERS = ["i1", "i2", "i3"]
 OTHERS = ["x1"]
+DATABASES = ["d1", "d2", "d3"]
 NAMES = VOTERS + OTHERS
 GROUP = "g"
 
@@ -120,6 +126,102 @@
 )
 
 
+class PromotionMachine(RuleBasedStateMachine):
+    """Promoters that die at any step, and promotions that take effect late.
+
+    The platform applies promotions in the order of their calls: one that takes
+    effect cancels those called before it. A process that has ended is not
+    promoted any more.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.record = GroupRecord(epoch=1, primary="d1", term=1)
+        self.leader, self.term = "d1", 1
+        self.terms = dict.fromkeys(DATABASES, 1)
+        self.leads = {"d1"}
+        self.started = dict.fromkeys(DATABASES, 1)
+        self.accepted = []
+
+    @property
+    def pending(self):
+        return unresolved_promotions(self.record, self.started)
+
+    @rule()
+    def begin(self):
+        self.record = replace(
+            self.record, epoch=self.record.epoch + 1, promoting="i1"
+        )
+
+    @rule(
+        reachable=st.sets(st.sampled_from(DATABASES)), is_called=st.booleans()
+    )
+    def call(self, reachable, is_called):
+        if not self.record.promoting:
+            return
+        received = {name: Position(1, 1) for name in reachable}
+        target = choose_target(
+            received,
+            previous=self.record.primary,
+            pending=[p.endpoint for p in self.pending],
+        )
+        if target is None:
+            return
+        called = PendingPromotion(endpoint=target, started=self.started[target])
+        known = [self.terms[name] for name in reachable]
+        self.record = record_call(self.record, self.pending, called, known)
+        # The promoter may die between the record and the call, and for the
+        # present primary the platform does nothing.
+        if is_called and target != self.leader:
+            self.accepted.append(called)
+
+    @rule(number=st.integers(0, 3))
+    def take_effect(self, number):
+        if number >= len(self.accepted):
+            return
+        promotion = self.accepted[number]
+        del self.accepted[: number + 1]
+        name = promotion.endpoint
+        if self.started[name] == promotion.started:
+            self.leader, self.term = name, self.term + 1
+            self.terms[name] = self.term
+            self.leads.add(name)
+
+    @rule(name=st.sampled_from(DATABASES))
+    def demote(self, name):
+        if name != self.leader:
+            self.leads.discard(name)
+            self.terms[name] = self.term
+
+    @rule(name=st.sampled_from(DATABASES))
+    def restart(self, name):
+        if name != self.leader:
+            self.started[name] += 1
+            self.leads.discard(name)
+
+    @rule(reachable=st.sets(st.sampled_from(DATABASES)))
+    def finish(self, reachable):
+        if not self.record.promoting:
+            return
+        terms = {name: self.terms[name] for name in reachable & self.leads}
+        found = promoted_endpoint(self.record, self.pending, terms)
+        if found is not None:
+            self.record = GroupRecord(
+                epoch=self.record.epoch + 1, primary=found, term=terms[found]
+            )
+
+    @invariant()
+    def the_usable_primary_leads(self):
+        if not self.record.promoting:
+            assert self.record.primary == self.leader
+
+
+TestPromotion = PromotionMachine.TestCase
+TestPromotion.settings = settings(
+    max_examples=examples(300), stateful_step_count=30, deadline=None
+)
+
+
 def _voter(reports):
     primacy = Primacy("i1")
     primacy.set_voters(VOTERS, 1)
@@ -180,9 +282,9 @@
 
 def test_the_endpoint_with_the_longest_log_is_promoted():
     received = {"d2": Position(3, 7), "d3": Position(3, 9)}
-    assert choose_target(received, excluded=()) == "d3"
-    assert choose_target(received, excluded=("d3",)) == "d2"
-    assert choose_target({}, excluded=()) is None
+    assert choose_target(received) == "d3"
+    assert choose_target({"d2": Position(3, 7)}) == "d2"
+    assert choose_target({}) is None
 
 
 def test_the_holder_of_the_duty_comes_first():
--- a/tests/test_proxy_path.py
+++ b/tests/test_proxy_path.py
@@ -1,5 +1,6 @@
 """End-to-end tests of proxy processes against stand-ins of the platform."""
 
+import itertools
 import signal
 
 import trio
@@ -20,6 +21,15 @@
 and a margin for a busy machine."""
 
 
+HANDOVER_SECONDS = 3
+"""Time limit in seconds of the handovers of several groups. An instance waits 4
+s before it takes over a promotion that another one does not finish."""
+
+
+LATE_SECONDS = 20
+"""Time limit in seconds for the effect of a late promotion."""
+
+
 LOSS_DETECTION_SECONDS = 4
 """Time limit in seconds for the detection of a lost home; a second is enough on
 an idle machine."""
@@ -338,3 +348,65 @@
             while fleet.group.primary.name == "d1":
                 await caller.ask("q2", "READ a")
         assert fleet.duties.calls[0].holder != "i1"
+
+
+async def test_a_promotion_that_takes_effect_late_loses_no_write(tmp_path):
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        # Each call takes longer than an instance waits for its effect. The
+        # previous primary is back by then, and still leads.
+        fleet.group.promotion_seconds.extend([4.5, 9.0, 9.0])
+        callers = [await fleet.caller(instance=n) for n in fleet.processes]
+        await _ask_primary(callers[0], "q0")
+        await trio.sleep(fleet.group.lag * 2)
+        old = fleet.group.databases["d1"]
+        old.crash()
+        await fleet.until(lambda: fleet.duties.calls, PROMOTION_SECONDS)
+        old.recover()
+        assert old.is_primary
+        acknowledged = set()
+        numbers = itertools.count()
+
+        async def write_until(caller, stop):
+            while not stop.is_set():
+                name = f"w{next(numbers)}"
+                answer = await caller.ask(name, f"WRITE a {name}")
+                if answer[0].startswith("COMPLETE"):
+                    acknowledged.add(name)
+
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for caller in callers:
+                nursery.start_soon(write_until, caller, stop)
+            await fleet.until(
+                lambda: fleet.group.primary is not old, LATE_SECONDS
+            )
+            await trio.sleep(1)
+            stop.set()
+        assert not acknowledged & old.superseded_commits
+        new = {w[0] for c in fleet.group.primary.log for w in c.writes}
+        assert acknowledged <= new
+        fences = [call.fence for call in fleet.duties.calls]
+        assert fences == sorted(fences)
+
+
+async def test_groups_whose_primaries_leave_together_do_not_wait_in_turn(
+    tmp_path,
+):
+    groups = ["g", "h", "k", "m"]
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        await fleet.add_groups(groups[1:])
+        fleet.group.lag = 0.0
+        await fleet.until(
+            lambda: all(
+                fleet.store.row("lagoonstair", f"group/{name}")
+                for name in groups
+            )
+        )
+        for group in fleet.groups.values():
+            group.primary.draining = True
+            group.publish_entry(group.primary)
+        with trio.fail_after(HANDOVER_SECONDS):
+            while any(group.term == 1 for group in fleet.groups.values()):
+                await trio.sleep(0.05)
+        fences = [call.fence for call in fleet.duties.calls]
+        assert fences == sorted(fences)
