Do not believe a home that holds another configuration

Cause: the entry checks a session, then its home checks it again. A home that was cut off and is just back in reach still holds the older configuration, and its 404 was passed on to a caller whose entry had long followed. Change: a home's refusal of a session that the entry's configuration allows is not passed on. The next home is tried, for as long as a lost home is searched for; either side learns of the newer version within a round of gossip. The entry also ends relayed sessions whose key or route is gone, once idle, and a drain ends busy relayed sessions after their answer. Conclusion: an instance in touch no longer answers for one that is not.

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -225,6 +225,16 @@
     return f"ERROR {word} {failure.message}\r\n".encode("latin-1", "replace")
 
 
+def is_authorization_refusal(greeting: bytes) -> bool:
+    """Returns whether a greeting refuses a session's key or database name."""
+    verb, _, rest = greeting.partition(b" ")
+    word = rest.partition(b" ")[0].decode("latin-1")
+    return verb == b"ERROR" and CODES.get(word) in (
+        ErrorCode.NO_AUTH,
+        ErrorCode.NO_DATABASE,
+    )
+
+
 def encode_result(result: Result, state: TransactionState) -> bytes:
     """Encodes the complete answer to a caller's statement, READY included."""
     match result:
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -97,8 +97,8 @@
         for connection in [*self._connections.values()]:
             if connection.wait_scope is not None and connection.is_idle:
                 connection.wait_scope.cancel()
-            if connection.relayed is not None and connection.relayed.is_idle:
-                connection.relayed.cancel()
+            if connection.relayed is not None:
+                connection.relayed.cancel_when_idle()
 
     def roll_back_idle_transactions(self) -> None:
         """Rolls back open transactions that wait for their caller."""
@@ -158,9 +158,17 @@
         assert connection.caller is not None
         start = lines.encode_caller_start(connection.database, connection.key)
         found = await self._router.open_session(
-            connection.caller.workspace, connection.stream, start
+            connection.caller.workspace,
+            connection.stream,
+            start,
+            lambda: not isinstance(self._authorize(connection), Failure),
         )
         if found is None:
+            refusal = self._authorize(connection)
+            if isinstance(refusal, Failure):
+                self._metrics.count("starts_refused", code=refusal.code.value)
+                await connection.send_refusal(refusal)
+                return
             self._metrics.count("starts_refused", code="no_home")
             log_event(
                 "session refused",
@@ -402,13 +410,19 @@
         return not self.draining
 
     def _close_unauthorized(self) -> None:
-        """Closes idle sessions whose key or route was removed."""
+        """Closes sessions whose key or route was removed, once they are idle.
+
+        A relayed session is closed here too, because its home may be cut off
+        from the configuration.
+        """
         for connection in [*self._connections.values()]:
-            if connection.caller is None or connection.wait_scope is None:
-                continue
-            if connection.is_idle and isinstance(
+            if connection.caller is None or not isinstance(
                 self._authorize(connection), Failure
             ):
+                continue
+            if connection.relayed is not None:
+                connection.relayed.cancel_when_idle()
+            elif connection.wait_scope is not None and connection.is_idle:
                 connection.wait_scope.cancel()
 
     def _log_lost_home(
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -56,6 +56,7 @@
     line. It is forwarded to the caller before any other answer.
 
     Attributes:
+        greeting: The first data that the home sent.
         state: The session's state, as the home last reported it.
         outstanding: The caller's data that the home has not answered.
         outstanding_since: When the caller sent the first of it, in seconds.
@@ -66,9 +67,10 @@
     ) -> None:
         self._caller = caller
         self._home = home
-        self._greeting = first
+        self.greeting = first
         self._partial_answer = b""
         self._scope = trio.CancelScope()
+        self._ends_when_idle = False
         self.state = TransactionState.IDLE
         self.outstanding = b""
         self.outstanding_since = 0.0
@@ -120,6 +122,16 @@
         """Ends the session."""
         self._scope.cancel()
 
+    def close(self) -> None:
+        """Closes the connection to the home without relaying anything."""
+        self._home.socket.close()
+
+    def cancel_when_idle(self) -> None:
+        """Ends the session as soon as no work would be lost."""
+        self._ends_when_idle = True
+        if self.is_idle:
+            self.cancel()
+
     def waiting_seconds(self, now: float) -> float:
         """Returns how long the caller has waited for an answer.
 
@@ -198,7 +210,7 @@
 
     async def _forward_to_caller(self) -> None:
         """Forwards the home's answers until either side closes."""
-        chunk = self._greeting
+        chunk = self.greeting
         while chunk:
             # Tracked before it is forwarded, because the caller may send its
             # next statement immediately after.
@@ -209,6 +221,8 @@
                 # The caller has left, so no answer is outstanding.
                 self.outstanding = b""
                 return
+            if self._ends_when_idle and self.is_idle:
+                return
             try:
                 chunk = await self._home.receive_some(READ_BYTES)
             except (OSError, trio.BrokenResourceError):
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -5,6 +5,7 @@
 import trio
 
 from lagoonstair._types import Address
+from lagoonstair.platform import lines
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
@@ -83,7 +84,11 @@
         return available or ranked
 
     async def open_session(
-        self, workspace: str, caller: trio.SocketStream, start: bytes
+        self,
+        workspace: str,
+        caller: trio.SocketStream,
+        start: bytes,
+        is_authorized: Callable[[], bool],
     ) -> tuple[str, RelayedSession | None] | None:
         """Opens a session at the first candidate home that is reachable.
 
@@ -91,17 +96,25 @@
         that is refused then soon exhausts its attempts, so this waits for a
         home instead.
 
+        A home that refuses a session which this instance's configuration
+        allows holds another configuration, for example because it was cut off
+        until a moment ago. The refusal is not passed on: either the home or
+        this instance learns of the newer configuration within a round of
+        gossip.
+
         Args:
             workspace: The caller's workspace.
             caller: The caller's connection.
             start: The caller's first line.
+            is_authorized: Returns whether the session is authorized here.
 
         Returns:
             The home's name, and the session there unless the home is this
-            instance; ``None`` if no home was reachable in time.
+            instance; ``None`` if no home opened it in time, or if it is not
+            authorized any more.
         """
         give_up_at = trio.current_time() + HOME_SEARCH_SECONDS
-        while True:
+        while is_authorized():
             for name in self.candidates(workspace):
                 if name == self._fleet.name:
                     return name, None
@@ -111,16 +124,22 @@
             if trio.current_time() + HOME_SEARCH_PAUSE_SECONDS > give_up_at:
                 return None
             await trio.sleep(HOME_SEARCH_PAUSE_SECONDS)
+        return None
 
     async def _open(
         self, name: str, caller: trio.SocketStream, start: bytes
     ) -> RelayedSession | None:
-        """Opens a session at a home; ``None`` if the home is unreachable."""
+        """Opens a session at a home.
+
+        Returns:
+            The session, or ``None`` if the home is unreachable or holds
+            another configuration than this instance.
+        """
         address = self._address_of(name)
         if address is None:
             return None
         try:
-            return await RelayedSession.open(caller, address, start)
+            session = await RelayedSession.open(caller, address, start)
         except HomeLostError as exc:
             seconds = (
                 REFUSED_HOME_SKIP_SECONDS
@@ -129,6 +148,12 @@
             )
             self.mark_lost(name, str(exc), seconds)
             return None
+        if not lines.is_authorization_refusal(session.greeting):
+            return session
+        session.close()
+        self._metrics.count("homes_outdated")
+        log_event("home refused an authorized session", peer=name)
+        return None
 
     async def relay(
         self,
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -175,13 +175,42 @@
         self.homes = _Homes(candidates)
 
 
-def _router(monkeypatch, up, candidates=("h1", "h2")):
-    """Returns a router whose homes open sessions from the given times on."""
+class _Session:
+    """A session that a home has opened."""
+
+    def __init__(self, home, greeting):
+        self.home = home
+        self.greeting = greeting
+
+    def close(self):
+        self.home = None
+
+
+async def _open(router, is_authorized=lambda: True):
+    """Returns the name of the home that opens a session."""
+    found = await router.open_session("w", None, b"", is_authorized)
+    if found is None:
+        return None
+    name, session = found
+    assert session.home == name
+    return name
+
+
+def _router(monkeypatch, up, candidates=("h1", "h2"), greetings=None):
+    """Returns a router whose homes open sessions from the given times on.
+
+    Args:
+        monkeypatch: Replaces the opening of sessions.
+        up: When each home starts to open sessions; now by default.
+        candidates: The homes, in order.
+        greetings: Returns a home's present greeting, by home.
+    """
+    greetings = greetings or {}
 
     async def open_session(caller, address, start):
         if trio.current_time() < up.get(address, 0.0):
             raise HomeLostError("refused", is_refused=True)
-        return address
+        return _Session(address, greetings.get(address, lambda: GREETING)())
 
     async def reaches(name):
         return True
@@ -198,7 +227,7 @@
     router = _router(
         monkeypatch, {"h1": started_at + 0.5, "h2": started_at + 0.8}
     )
-    assert await router.open_session("w", None, b"") == ("h1", "h1")
+    assert await _open(router) == "h1"
     # A home that refused the connection is tried again soon.
     waited = trio.current_time() - started_at
     assert waited <= 0.5 + REFUSED_HOME_SKIP_SECONDS + HOME_SEARCH_PAUSE_SECONDS
@@ -210,7 +239,7 @@
     never = trio.current_time() + 1e6
     router = _router(monkeypatch, {"h1": never, "h2": never})
     started_at = trio.current_time()
-    assert await router.open_session("w", None, b"") is None
+    assert await _open(router) is None
     assert trio.current_time() - started_at < 2.0
 
 
@@ -219,5 +248,54 @@
 ):
     started_at = trio.current_time()
     router = _router(monkeypatch, {"h1": started_at + 0.5})
-    assert await router.open_session("w", None, b"") == ("h2", "h2")
+    assert await _open(router) == "h2"
     assert trio.current_time() == started_at
+
+
+NO_DATABASE = b"ERROR NODB no route has this name\r\n"
+
+
+async def test_a_home_that_was_cut_off_refuses_no_new_route(
+    monkeypatch, autojump_clock
+):
+    """A home is back in reach before it has heard of the newest routes."""
+    knows_at = trio.current_time() + 0.3
+
+    def greet():
+        return GREETING if trio.current_time() >= knows_at else NO_DATABASE
+
+    router = _router(monkeypatch, {}, greetings={"h1": greet})
+    assert await _open(router) == "h2"
+    assert trio.current_time() < knows_at
+    alone = _router(monkeypatch, {}, ("h1",), greetings={"h1": greet})
+    assert await _open(alone) == "h1"
+    assert trio.current_time() >= knows_at
+
+
+async def test_a_home_that_knows_of_a_removed_route_first_is_right(
+    monkeypatch, autojump_clock
+):
+    knows_at = trio.current_time() + 0.3
+    router = _router(
+        monkeypatch,
+        {},
+        greetings=dict.fromkeys(("h1", "h2"), lambda: NO_DATABASE),
+    )
+    found = await _open(router, lambda: trio.current_time() < knows_at)
+    assert found is None
+    assert trio.current_time() < knows_at + 2 * HOME_SEARCH_PAUSE_SECONDS
+
+
+async def test_a_busy_session_is_ended_after_its_answer():
+    """Its key is withdrawn while its home is cut off from the store."""
+    ends = await _ends()
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(ends.run)
+            await ends.caller.receive_some(100)
+            await ends.ask(b"QUERY q1 READ 1a4\r\n")
+            ends.session.cancel_when_idle()
+            answer = b"ROW a\r\nCOMPLETE s\r\n" + GREETING
+            await ends.home.send_all(answer)
+            assert await ends.caller.receive_some(100) == answer
+    assert ends.failure is None
