Serve after a restart only what a majority of the voters confirms

Cause: a restarted instance took the store data of the first peer that answered as complete and served at once. That peer may be cut off from the store and still hold keys that were withdrawn; the others corrected it a round later. Change: the data counts after a majority of the voters has been told its versions and sent what it lacks; the round for that follows at once. Without a majority the instance reads the store. The wake-up ends both pauses. Conclusion: a restart costs one more round trip to the voters.

--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -53,6 +53,10 @@
 STALE_ENDPOINTS_SECONDS = 2.5
 """Age (s) of the endpoint entries beyond which a voter reads them itself."""
 
+CONFIRMATION_CHECK_SECONDS = 0.02
+"""Interval (s) between checks of whether a newly started instance's data is
+confirmed."""
+
 ROLE_CHECK_SECONDS = 0.3
 """Interval (s) between checks of whether this instance must read the store."""
 
@@ -92,8 +96,8 @@
     ) -> None:
         """Follows all tables; reports as started once each is known."""
         with trio.move_on_after(PEER_DATA_WAIT_SECONDS):
-            while not (self._must_read_store() or self._tables.is_complete):
-                await self._fleet.wait_change(ROLE_CHECK_SECONDS)
+            while not (self._must_read_store() or self._tables.is_confirmed):
+                await trio.sleep(CONFIRMATION_CHECK_SECONDS)
         async with trio.open_nursery() as nursery:
             for table, apply, period in (
                 (TABLE, self._apply_registry, 0.0),
@@ -153,7 +157,7 @@
     ) -> None:
         version = 0
         pause = RETRY_SECONDS
-        started = self._tables.is_complete
+        started = self._tables.is_confirmed
         if started:
             task_status.started()
         while True:
@@ -175,6 +179,9 @@
                 continue
             except StoreError as exc:
                 self._note_failure(table, exc)
+                if not started and self._tables.is_confirmed:
+                    started = True
+                    task_status.started()
                 await trio.sleep(jittered(pause))
                 pause = min(MAX_RETRY_SECONDS, pause * 2)
                 continue
--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -143,7 +143,7 @@
     def start_urgent_rounds(self, group: str) -> None:
         """Starts frequent rounds to all instances on behalf of a group."""
         self.urgent_groups.add(group)
-        self._wake.set()
+        self._start_round()
 
     def stop_urgent_rounds(self, group: str) -> None:
         """Ends the frequent rounds on behalf of a group."""
@@ -249,9 +249,13 @@
                         )
                 pause = URGENT_PERIOD_SECONDS if self.urgent_groups else period
                 with trio.move_on_after(pause):
-                    self._wake = trio.Event()
                     await self._wake.wait()
 
+    def _start_round(self) -> None:
+        """Ends the pause before the next round and the next sweep."""
+        event, self._wake = self._wake, trio.Event()
+        event.set()
+
     def _choose_update_source(self, targets: Sequence[str]) -> str | None:
         """Chooses the instance that sends a newly started one the store data.
 
@@ -298,7 +302,12 @@
         if self._missed_rounds.pop(name, 0) >= LOST_ROUNDS:
             log_event("instance regained", peer=name)
         self.replies[name] = reply
+        was_complete = self._tables.is_complete
         self._tables.apply_update(name, reply.update, asked_at)
+        if ask.known_versions is not None and was_complete:
+            self._tables.confirmed_by.add(name)
+        elif self._tables.is_complete and not was_complete:
+            self._start_round()
         self._fleet.primacy.note_report(
             name,
             asked_at,
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -62,6 +62,8 @@
             answered, by name, in seconds.
         endpoints_asked_at: When the store was asked for the known endpoint
             entries, in seconds.
+        confirmed_by: The peers that were told the versions of the complete
+            local data and sent what it lacked.
     """
 
     def __init__(
@@ -75,6 +77,18 @@
         self._checksum = 0
         self.last_asked_at: dict[str, float] = {}
         self.endpoints_asked_at = float("-inf")
+        self.confirmed_by: set[str] = set()
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the local data is complete and a majority has completed it.
+
+        The peer that sent it first may have been cut off from the store, with
+        a configuration that still holds keys withdrawn meanwhile.
+        """
+        voters = self._fleet.primacy.voters
+        is_majority = len(self.confirmed_by & voters) * 2 > len(voters)
+        return self.is_complete and is_majority
 
     @property
     def is_complete(self) -> bool:
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -554,11 +554,37 @@
     return violations
 
 
+def keep_logs(seed, tmp_path):
+    """Copies the logs of a failed seed to ``build/soak``.
+
+    Returns:
+        The directory with the copies.
+    """
+    saved = pathlib.Path(__file__).parent.parent / "build" / "soak" / str(seed)
+    saved.mkdir(parents=True, exist_ok=True)
+    for log in pathlib.Path(tmp_path).glob("*.log"):
+        (saved / log.name).write_bytes(log.read_bytes())
+    return saved
+
+
+@contextlib.contextmanager
+def logs_kept_on_error(seed, tmp_path):
+    """Keeps the logs if the seed ends with an error, and prints their path."""
+    try:
+        yield
+    except BaseException:
+        print(f"logs of seed {seed}: {keep_logs(seed, tmp_path)}", flush=True)
+        raise
+
+
 def main(seeds):
     """Runs seeds in order; returns the number of seeds with violations."""
     failed = 0
     for seed in seeds:
-        with tempfile.TemporaryDirectory() as tmp_path:
+        with (
+            tempfile.TemporaryDirectory() as tmp_path,
+            logs_kept_on_error(seed, tmp_path),
+        ):
             violations, schedule, count = trio.run(run_seed, seed, tmp_path)
             print(
                 f"seed {seed}: {count} operations, {len(schedule)} faults: ",
@@ -567,11 +593,7 @@
             )
             if violations:
                 failed += 1
-                print(schedule, flush=True)
-                saved = pathlib.Path("build/soak") / str(seed)
-                saved.mkdir(parents=True, exist_ok=True)
-                for log in pathlib.Path(tmp_path).glob("*.log"):
-                    (saved / log.name).write_bytes(log.read_bytes())
+                print(schedule, keep_logs(seed, tmp_path), flush=True)
     return failed
 
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from fault_soak import Log, Operation, find_violations, run_seed
+import fault_soak
+from fault_soak import (
+    Log,
+    Operation,
+    find_violations,
+    logs_kept_on_error,
+    run_seed,
+)
 
 CI_SEEDS = (1, 3)
 """Seed 1 kills and stops instances, seed 3 drains primaries."""
@@ -18,13 +25,26 @@
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
 async def test_guarantees_hold_under_faults(seed, tmp_path):
-    violations, schedule, count = await run_seed(
-        seed, tmp_path, seconds=SECONDS
-    )
-    assert violations == [], schedule
+    with logs_kept_on_error(seed, tmp_path):
+        violations, schedule, count = await run_seed(
+            seed, tmp_path, seconds=SECONDS
+        )
+        assert violations == [], schedule
     assert count > 0
 
 
+def test_the_logs_of_a_failed_seed_are_kept(tmp_path, monkeypatch, capsys):
+    monkeypatch.setattr(
+        fault_soak, "__file__", str(tmp_path / "tests" / "fault_soak.py")
+    )
+    (tmp_path / "i1.log").write_text("line")
+    with pytest.raises(TimeoutError), logs_kept_on_error(7, tmp_path):
+        raise TimeoutError
+    kept = tmp_path / "build" / "soak" / "7"
+    assert (kept / "i1.log").read_text() == "line"
+    assert str(kept) in capsys.readouterr().out
+
+
 def _violations(*operations, ids=(), late=(), term=1):
     logs = {"d1": Log(term, list(ids))}
     return find_violations([list(operations)], logs, set(late))
--- a/tests/test_proxy_gossip.py
+++ b/tests/test_proxy_gossip.py
@@ -6,8 +6,19 @@
 import trio
 
 from lagoonstair.peers import PeerLostError, PeerNotSentError
-from lagoonstair.proxy._gossip import ROUND_PERIOD_SECONDS, Gossip
-from lagoonstair.proxy._tables import EMPTY_UPDATE, KnownVersions, Tables
+from lagoonstair.proxy._gossip import (
+    ROUND_PERIOD_SECONDS,
+    SWEEP_PERIOD_SECONDS,
+    URGENT_PERIOD_SECONDS,
+    Gossip,
+    GossipReply,
+)
+from lagoonstair.proxy._tables import (
+    EMPTY_UPDATE,
+    KnownVersions,
+    Tables,
+    Update,
+)
 
 VOTERS = 7
 KNOWLEDGE = KnownVersions(0, 0, 0)
@@ -112,3 +123,91 @@
 
 def test_a_request_without_versions_gets_an_empty_update():
     assert Tables.update_for(SimpleNamespace(), None) == EMPTY_UPDATE
+
+
+async def test_a_promotion_is_announced_at_once_after_a_sweep(autojump_clock):
+    gossip, peers = _gossip(is_complete=True)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gossip.run)
+        # Between a sweep and the next regular round.
+        await trio.sleep(SWEEP_PERIOD_SECONDS + ROUND_PERIOD_SECONDS / 10)
+        asked = len(peers.asks)
+        gossip.start_urgent_rounds("g")
+        await trio.sleep(URGENT_PERIOD_SECONDS / 2)
+        assert len(peers.asks) > asked
+        nursery.cancel_scope.cancel()
+
+
+def _update(config, known):
+    """Returns a voter's answer, with a configuration if it has a newer one."""
+    is_newer = known is not None and config > known.config_version
+    return Update(b"config" if is_newer else None, (), 0, (), 1.0)
+
+
+async def test_a_restarted_instance_serves_after_a_majority_has_answered(
+    autojump_clock,
+):
+    """The first peer that answers may hold a configuration with withdrawn keys.
+
+    Its data alone is not enough; the others send what it lacks.
+    """
+    gossip, peers = _gossip(is_complete=False)
+    tables = gossip._tables
+    versions = {"i1": 4, "i4": 4}
+    held = []
+
+    def apply_update(name, update, asked_at):
+        if update.config is not None:
+            held.append(versions.get(name, 5))
+        tables.is_complete = bool(held)
+
+    def known_versions():
+        return KnownVersions(held[-1] if held else 0, 0, 0)
+
+    async def call(address, ask, answer):
+        await trio.lowlevel.checkpoint()
+        version = versions.get(f"i{address}", 5)
+        update = _update(version, ask.known_versions)
+        return GossipReply(0, 0.0, (), update)
+
+    peers.call = call
+    tables.confirmed_by = set()
+    tables.apply_update = apply_update
+    tables.known_versions = known_versions
+    gossip._fleet.primacy.note_report = lambda *args, **kwargs: None
+    gossip._fleet.apply_group_reports = lambda reports, asked_at: None
+    started_at = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            gossip._run_rounds, gossip._round_targets, ROUND_PERIOD_SECONDS
+        )
+        while len(tables.confirmed_by) * 2 <= VOTERS:
+            await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    assert held[0] == 4
+    assert held[-1] == 5
+    # The second round follows the first without the usual pause.
+    assert trio.current_time() - started_at < ROUND_PERIOD_SECONDS / 2
+
+
+@pytest.mark.parametrize(
+    ("is_complete", "confirmed_by", "is_confirmed"),
+    [
+        (True, {"i1"}, False),
+        (True, {"i1", "x1", "x2"}, False),
+        (True, {"i1", "i2"}, True),
+        (False, {"i1", "i2"}, False),
+    ],
+)
+def test_data_is_confirmed_by_a_majority_of_the_voters(
+    is_complete, confirmed_by, is_confirmed
+):
+    primacy = SimpleNamespace(voters=frozenset({"i1", "i2", "i3"}))
+    fleet = SimpleNamespace(
+        primacy=primacy,
+        config=object() if is_complete else None,
+        endpoints={"d1": object()},
+    )
+    tables = Tables(fleet, None, None)
+    tables.confirmed_by |= confirmed_by
+    assert tables.is_confirmed is is_confirmed
