Keep the shares of rates when instances are added

Cause: the candidate homes hold the shares of a workspace's rate. When three instances joined nine, the connections no longer sufficed for each, the fleet went over to two homes, and with it all shares moved at once. A new holder's share waits 8.2 s, until every other instance must know of the change; the former shares end at once. For eight seconds everything was refused. Change: up to 16 instances all hold shares, homes or not, ranked as before, so an added instance moves only its part. Beyond that the homes hold them. Conclusion: above 16 instances a change of the homes still moves shares; open.

--- a/src/lagoonstair/proxy/_homes.py
+++ b/src/lagoonstair/proxy/_homes.py
@@ -38,8 +38,11 @@
 
 MIN_CANDIDATES = 4
 """Least number of candidate homes of a workspace; one of each failure domain
-comes first. All of them hold shares of the workspace's rate, so that three
-quarters of it are left when one fails."""
+comes first. If they hold the shares of the workspace's rate, three quarters of
+it are left when one fails."""
+
+MAX_SHARE_HOLDERS = 16
+"""Maximum number of instances that hold shares of a workspace's rate."""
 
 MAX_HASH = 2**64 - 1
 """Greatest value of the 64-bit hash that ranks the homes."""
@@ -115,6 +118,23 @@
             self._candidates[workspace] = candidates
         return candidates
 
+    def share_holders(self, workspace: str) -> tuple[str, ...]:
+        """Returns the instances that hold shares of a workspace's rate.
+
+        A new holder's share takes effect only after seconds. Up to
+        ``MAX_SHARE_HOLDERS`` instances therefore hold shares whether they are
+        homes or not, so that the set hardly changes when one more instance
+        makes some of them homes of the others' workspaces. With more
+        instances, only the candidate homes do, so that none has to borrow.
+        """
+        if self.is_direct or len(self._instances) > MAX_SHARE_HOLDERS:
+            return self.candidates(workspace)
+        instances = [
+            RankedInstance(name, instance.failure_domain)
+            for name, instance in self._instances.items()
+        ]
+        return rank_instances(f"workspace:{workspace}", instances)
+
     def candidates_from(self, workspace: str, name: str) -> tuple[str, ...]:
         """Returns a workspace's candidate homes for callers of an instance.
 
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -11,7 +11,7 @@
     WorkspaceLimit,
 )
 from lagoonstair.peers import HandlerRegistry, PeerClient
-from lagoonstair.proxy._homes import HomeAssignment
+from lagoonstair.proxy._homes import MAX_SHARE_HOLDERS, HomeAssignment
 from lagoonstair.proxy._log import log_event
 from lagoonstair.routing import RoutingConfig, Workspace
 
@@ -20,11 +20,6 @@
 a proof that it knows the registered instances. A new instance waits for a
 second longer before it spends any."""
 
-MAX_SHARE_HOLDERS = 16
-"""Maximum number of instances that hold shares of a workspace's rate. If a
-workspace has fewer candidate homes and its burst is large enough to be split
-among them, all of these hold one, so that none of them has to borrow."""
-
 LIMIT_SETTINGS = LimitSettings(
     freshness_bound=MEMBERSHIP_FRESHNESS_SECONDS,
     loan_ttl=2.0,
@@ -129,15 +124,14 @@
 
         Args:
             config: The newest configuration.
-            homes: The assignment of homes; the candidate homes of a workspace
-                hold the shares of its rate.
+            homes: The assignment of homes and of the shares of rates.
             resumed: Whether this instance held its shares before it started.
         """
         limits = {
             workspace.name: WorkspaceLimit.from_config(
                 rate=workspace.rate,
                 burst=workspace.burst,
-                holders=homes.candidates(workspace.name),
+                holders=homes.share_holders(workspace.name),
                 max_holders=MAX_SHARE_HOLDERS,
             )
             for workspace in config.workspaces.values()
