Let no call overlap with one that renews the fencing token

Cause: a promotion that renews the token waited for the calls in flight, but a call that began while it wrote the new token could still carry the old one and arrive after it. Change: calls wait while one renews the token. Conclusion: tokens arrive in ascending order from one instance.

--- a/src/lagoonstair/primacy/_pending.py
+++ b/src/lagoonstair/primacy/_pending.py
@@ -1,4 +1,4 @@
-"""Pure decisions on the steps of a promotion, none of which may be forgotten.
+"""Pure decisions on promotions that may still take effect.
 
 A promotion is recorded in the store before the platform is called for it. An
 accepted promotion without known effect is an open question: it may take effect
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -106,7 +106,8 @@
         self._scheduled: dict[str, tuple[Cause, float]] = {}
         self._running_groups: set[str] = set()
         self._changed_at: dict[str, tuple[int, float]] = {}
-        self._calls = 0
+        self._calls_in_flight = 0
+        self._is_renewing = False
         self._started_at = trio.current_time()
 
     async def run(self) -> None:
@@ -469,17 +470,18 @@
     ) -> bool:
         """Records a promotion and calls the platform for it.
 
-        A higher fencing token marks the call as the later one if an earlier
-        promotion is pending. Calls for other groups end first, because none
-        may arrive with a lower token after it.
+        A higher fencing token marks the call as the later one if the promotion
+        of another endpoint is pending. Such a call overlaps with no other one:
+        a lower token must not arrive after a higher one.
 
         Returns:
             Whether the platform may have accepted it.
         """
         renewed = len(record.pending) > 1
-        while renewed and self._calls:
+        while self._is_renewing or (renewed and self._calls_in_flight):
             await trio.sleep(POLL_SECONDS)
-        self._calls += 1
+        self._is_renewing = renewed
+        self._calls_in_flight += 1
         try:
             duty = await self._write_step(group, record, renewed=renewed)
             if duty is None:
@@ -488,7 +490,9 @@
                 group, target, holder=self._fleet.name, fence=duty.fence
             )
         finally:
-            self._calls -= 1
+            self._calls_in_flight -= 1
+            if renewed:
+                self._is_renewing = False
         log_event(
             "promotion sent",
             group=group,
--- /dev/null
+++ b/tests/test_proxy_promoter.py
@@ -0,0 +1,81 @@
+"""Order of the calls by which one instance promotes several groups."""
+
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from lagoonstair._types import Position
+from lagoonstair.platform.duties import PromoteAnswer
+from lagoonstair.primacy import Duty, GroupRecord, PendingPromotion
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._promoter import Promoter
+
+WRITE_SECONDS = 0.01
+CALL_SECONDS = {"g": 0.3, "h": 0.05, "k": 0.1}
+"""How long each group's call is on its way to the platform, in seconds."""
+
+
+class _Registry:
+    """A registry whose writes succeed after a while."""
+
+    def __init__(self):
+        self.duty = Duty(holder="i1", fence=5)
+        self.groups = {}
+
+    async def write(self, values, *, unchanged=()):
+        fence = self.duty.fence
+        await trio.sleep(WRITE_SECONDS)
+        if self.duty.fence != fence:
+            return None
+        self.duty = values.get("duty", self.duty)
+        return object()
+
+
+class _Duties:
+    """Records the fencing tokens in the order in which they arrive."""
+
+    def __init__(self):
+        self.fences = []
+
+    async def promote(self, group, endpoint, *, holder, fence):
+        await trio.sleep(CALL_SECONDS[group])
+        self.fences.append(fence)
+        return PromoteAnswer.ACCEPTED
+
+
+def _record(*endpoints):
+    pending = (PendingPromotion(endpoint=e, started=1) for e in endpoints)
+    return GroupRecord(epoch=2, primary="d1", pending=tuple(pending))
+
+
+@pytest.mark.parametrize("late_by", [0.0, WRITE_SECONDS / 2, 0.2])
+async def test_no_lower_fencing_token_arrives_after_a_higher_one(
+    late_by, autojump_clock
+):
+    async def read_registry():
+        await trio.lowlevel.checkpoint()
+
+    duties = _Duties()
+    promoter = Promoter(
+        SimpleNamespace(name="i1", set_record=lambda group, record: None),
+        _Registry(),
+        SimpleNamespace(read_registry=read_registry),
+        None,
+        None,
+        None,
+        duties,
+        Metrics(),
+        drain_seconds=7.0,
+    )
+
+    async def call(group, record, delay):
+        await trio.sleep(delay)
+        assert await promoter._call(group, record, "d2", Position(1, 1))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call, "g", _record("d2"), 0.0)
+        nursery.start_soon(call, "h", _record("d3", "d2"), late_by)
+        nursery.start_soon(call, "k", _record("d2"), late_by * 1.5)
+    assert duties.fences == sorted(duties.fences)
+    assert duties.fences[-1] == 6
