Log which history of the store an answer belongs to

Cause: the logs could not tell a registry that is stuck on lost versions from a version that was given out again. Change: answers of the store carry the number of its history; a rise is logged as 'store restored' and shown as the metric store_era; a refused conditional write is logged with the versions that it named. The stand-in sends Store-Era and can be restored from a copy. Conclusion: the hypotheses can be told apart.

--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -30,6 +30,10 @@
 ROWS_PER_CALL = 500
 """Row limit of one answer, set by the store."""
 
+ERA_HEADER = "store-era"
+"""Header of every answer with the number of the store's history, which rises
+each time the store is restored from an older copy."""
+
 
 class StoreError(Exception):
     """A store call failed.
@@ -74,12 +78,16 @@
         now: The store's monotonic clock at that moment, in seconds.
         asked_at: When the rows were requested, in seconds on the caller's
             monotonic clock.
+        era: The number of the history that the versions belong to. Each
+            restore of the store from an older copy starts a new one, in which
+            lost versions are given out again.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     now: float
     asked_at: float
+    era: int = 0
 
 
 class Precondition(NamedTuple):
@@ -104,10 +112,12 @@
     Attributes:
         version: The store version of all rows of the transaction.
         now: The store's monotonic clock, in seconds.
+        era: The number of the history that the version belongs to.
     """
 
     version: int
     now: float
+    era: int = 0
 
 
 class _WireRow(msgspec.Struct):
@@ -124,6 +134,13 @@
     has_more: bool = False
 
 
+class _Page(NamedTuple):
+    """The body of an answer and the number of the history it belongs to."""
+
+    body: _WireRows
+    era: int
+
+
 class Store:
     """Client for the metadata store.
 
@@ -132,11 +149,13 @@
 
     Attributes:
         calls: Number of calls made so far.
+        era: The newest history number in any answer so far.
     """
 
     def __init__(self, address: Address) -> None:
         self._pool = ConnectionPool(address, size=CONNECTIONS)
         self.calls = 0
+        self.era = 0
 
     async def read_table(self, table: str) -> Rows:
         """Reads all rows of a table, in several calls if necessary."""
@@ -144,14 +163,14 @@
         rows: list[StoredRow] = []
         query = {"table": table, "part": "", "limit": str(ROWS_PER_CALL)}
         while True:
-            page = await self._get("rows-get", query, CALL_SECONDS)
+            page, era = await self._get("rows-get", query, CALL_SECONDS)
             rows += [_decode_row(row) for row in page.rows]
             if not (page.has_more and page.rows):
                 break
             # A range includes its first key; start just after the last one.
             query["from"] = page.rows[-1].key + "\0"
         now = page.now_ms / 1000
-        return Rows(tuple(rows), page.row_version, now, asked_at)
+        return Rows(tuple(rows), page.row_version, now, asked_at, era)
 
     async def follow(self, table: str, version: int, wait: float) -> Rows:
         """Waits for changes of a table after a version.
@@ -171,9 +190,11 @@
             "after": str(version),
             "wait_ms": str(int(wait * 1000)),
         }
-        page = await self._get("rows-feed", query, wait + FEED_MARGIN_SECONDS)
+        page, era = await self._get(
+            "rows-feed", query, wait + FEED_MARGIN_SECONDS
+        )
         rows = tuple(map(_decode_row, page.rows))
-        return Rows(rows, page.row_version, page.now_ms / 1000, asked_at)
+        return Rows(rows, page.row_version, page.now_ms / 1000, asked_at, era)
 
     async def transact(
         self,
@@ -211,17 +232,17 @@
         answer = await self._call("POST", "/-/rows-tx", body, CALL_SECONDS)
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
             return None
-        page = _decode_rows(answer)
-        return Committed(page.row_version, page.now_ms / 1000)
+        page, era = _decode_page(answer)
+        return Committed(page.row_version, page.now_ms / 1000, era)
 
     async def _get(
         self, call: str, query: dict[str, str], timeout: float
-    ) -> _WireRows:
+    ) -> _Page:
         target = f"/-/{call}?{urllib.parse.urlencode(query)}"
         answer = await self._call("GET", target, b"", timeout)
         if answer.status == HTTPStatus.GONE:
             raise HistoryLostError
-        return _decode_rows(answer)
+        return _decode_page(answer)
 
     async def _call(
         self, method: str, target: str, body: bytes, timeout: float
@@ -231,7 +252,7 @@
         try:
             with trio.fail_after(timeout):
                 async with self._pool.acquire() as conn:
-                    return await conn.call(
+                    answer = await conn.call(
                         method, target, body, headers=headers
                     )
         except NotSentError as exc:
@@ -239,6 +260,14 @@
         except (HttpError, trio.TooSlowError) as exc:
             message = f"{target.partition('?')[0]}: {exc or 'timed out'}"
             raise StoreError(message, refused=False) from exc
+        self.era = max(self.era, _era_of(answer))
+        return answer
+
+
+def _era_of(answer: ClientResponse) -> int:
+    """Returns the history number of an answer; 0 from a store without one."""
+    text = answer.headers.get(ERA_HEADER, "")
+    return int(text) if text.isdecimal() else 0
 
 
 def _row_id(table: str, key: str) -> dict[str, str]:
@@ -252,11 +281,12 @@
     return StoredRow(row.key, value, row.row_version)
 
 
-def _decode_rows(answer: ClientResponse) -> _WireRows:
+def _decode_page(answer: ClientResponse) -> _Page:
     if answer.status != HTTPStatus.OK:
         raise StoreError(f"the store answered {answer.status}", refused=True)
     try:
-        return msgspec.json.decode(answer.body, type=_WireRows)
+        body = msgspec.json.decode(answer.body, type=_WireRows)
+        return _Page(body, _era_of(answer))
     except msgspec.MsgspecError as exc:
         message = f"the store's answer is malformed: {exc}"
         raise StoreError(message, refused=False) from exc
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -89,6 +89,7 @@
         self._registered_at = 0.0
         self._store_now = 0.0
         self._answered_at = 0.0
+        self._era = 0
         self.reached_at = float("-inf")
 
     async def run(
@@ -205,6 +206,16 @@
         self._store_now = rows.now
         self._answered_at = trio.current_time()
         self._metrics.set("store_calls", self._store.calls)
+        if rows.era > self._era:
+            if self._era:
+                log_event(
+                    "store restored",
+                    era=rows.era,
+                    previous=self._era,
+                    version=rows.version,
+                )
+            self._era = rows.era
+            self._metrics.set("store_era", rows.era)
         if self._is_store_lost:
             self._is_store_lost = False
             log_event("store regained")
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -203,13 +203,17 @@
             PutRow(TABLE, key, msgspec.json.encode(value))
             for key, value in values.items()
         ]
-        committed = await self._store.transact(
-            conditions=[
-                self.unchanged_condition(key) for key in (*values, *unchanged)
-            ],
-            puts=puts,
-        )
-        if committed is not None:
+        conditions = [
+            self.unchanged_condition(key) for key in (*values, *unchanged)
+        ]
+        committed = await self._store.transact(conditions=conditions, puts=puts)
+        if committed is None:
+            log_event(
+                "registry write refused",
+                era=self._store.era,
+                rows={row.key: row.version for row in conditions},
+            )
+        else:
             for put in puts:
                 self.apply(StoredRow(put.key, put.value, committed.version))
         return committed
--- a/src/lagoonstair/standins/statements/_store.py
+++ b/src/lagoonstair/standins/statements/_store.py
@@ -1,6 +1,7 @@
 """A stand-in for the metadata store, with fault injection."""
 
 import base64
+import dataclasses
 import enum
 import functools
 import urllib.parse
@@ -15,6 +16,9 @@
 """Tables that callers may not write; they belong to the operator and the
 databases."""
 
+ERA_HEADER = "Store-Era"
+"""Header of every answer with the number of restores, counted from 1."""
+
 MAX_WAIT_SECONDS = 30.0
 """The longest that a feed call may wait for a change, in seconds."""
 
@@ -42,10 +46,25 @@
     version: int
 
 
+class StoreCopy(NamedTuple):
+    """A copy of all rows, from which the store can be restored.
+
+    Attributes:
+        rows: The rows by table and key.
+        version: The newest version.
+        history_start: The version from which on changes are kept.
+    """
+
+    rows: dict[tuple[str, str], _Row]
+    version: int
+    history_start: int
+
+
 class StoreStandin:
     """A metadata store that keeps its rows in memory.
 
     Attributes:
+        era: The number of the history; rises with each restore.
         fault: The injected fault.
         refused_callers: The callers whose calls are answered with 503.
         calls: The number of calls received.
@@ -56,6 +75,7 @@
         self._version = 0
         self._history_start = 0
         self._changed = trio.Event()
+        self.era = 1
         self.fault = StoreFault.NONE
         self.refused_callers: set[str] = set()
         self.calls = 0
@@ -104,6 +124,21 @@
         self._history_start = self._version
         self._notify_feeds()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the present rows."""
+        return StoreCopy(dict(self._rows), self._version, self._history_start)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Goes back to a copy; its later versions are given out again.
+
+        Rows of protected tables are lost too: their writers write them again.
+        """
+        self._rows = dict(copy.rows)
+        self._version = copy.version
+        self._history_start = copy.history_start
+        self.era += 1
+        self._notify_feeds()
+
     def _apply(self, values: dict[tuple[str, str], str | None]) -> None:
         self._version += 1
         for row_key, value in values.items():
@@ -115,6 +150,11 @@
         event.set()
 
     async def _handle(self, caller: str, req: HttpRequest) -> HttpResponse:
+        resp = await self._answer(caller, req)
+        era = (ERA_HEADER, str(self.era))
+        return dataclasses.replace(resp, headers=(*resp.headers, era))
+
+    async def _answer(self, caller: str, req: HttpRequest) -> HttpResponse:
         self.calls += 1
         if self.fault is StoreFault.BUSY or caller in self.refused_callers:
             return HttpResponse(status=503, body=b"")
@@ -165,7 +205,7 @@
             min(MAX_WAIT_SECONDS, int(args["wait_ms"]) / 1000)
         ):
             while True:
-                if after < self._history_start:
+                if not self._history_start <= after <= self._version:
                     return HttpResponse(status=410, body=b"")
                 rows = [
                     self._encode_row(row_key, row)
