--- /dev/null
+++ b/tests/test_store_restore.py
@@ -0,0 +1,158 @@
+"""The store comes back from an older copy: what was written since is gone.
+
+Versions go back and are given out again. The operator and the databases write
+their rows again; what the system wrote is only in the instances' memory.
+"""
+
+import signal
+
+import pytest
+import trio
+
+from lagoonstair._types import Address
+from lagoonstair.platform.store import HistoryLostError, PutRow, Store
+from lagoonstair.standins.statements import StoreStandin
+from lagoonstair.standins.statements._store import StoreFault
+from proxy_fleet import HOST, config, proxy_fleet
+
+PROMOTION_SECONDS = 8.0
+"""Time (s) within which a crashed primary is replaced."""
+
+AWAY_SECONDS = 1.0
+"""Time (s) for which the store is down before it is restored."""
+
+
+async def _restore(fleet, copy):
+    """Takes the store down, and brings it back from a copy."""
+    fleet.store.fault = StoreFault.SILENT
+    await trio.sleep(AWAY_SECONDS)
+    fleet.store.restore(copy)
+    fleet.store.fault = StoreFault.NONE
+
+
+def _publish_all(fleet):
+    """Has the databases write their entries again."""
+    for group in fleet.groups.values():
+        for database in group.databases.values():
+            group.publish_entry(database)
+
+
+async def _replace_primary(fleet, caller=None):
+    """Crashes the primary, waits for its replacement and lets it recover."""
+    await trio.sleep(fleet.group.lag * 2)
+    old = fleet.group.primary
+    old.crash()
+    await fleet.until(lambda: fleet.group.primary is not old, PROMOTION_SECONDS)
+    await fleet.until(
+        lambda: (
+            fleet.store.row("lagoonstair", "group/g")["primary"]
+            == fleet.group.primary.name
+        ),
+        PROMOTION_SECONDS,
+    )
+    old.recover()
+
+
+def _tokens(fleet):
+    return [(call.fence, call.holder) for call in fleet.duties.calls]
+
+
+def _assert_tokens_rise(fleet):
+    """Each token has one holder, and none comes after a higher one."""
+    fences = [fence for fence, _ in _tokens(fleet)]
+    assert fences == sorted(fences), _tokens(fleet)
+    holders = dict(_tokens(fleet))
+    assert all(holders[fence] == holder for fence, holder in _tokens(fleet)), (
+        _tokens(fleet)
+    )
+
+
+async def test_a_primary_is_replaced_after_the_store_lost_a_promotion(
+    tmp_path,
+):
+    """Instances that hold lost versions must not be refused for good.
+
+    Their conditional writes name versions that the restored store lacks.
+    """
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        copy = fleet.store.copy()
+        await _replace_primary(fleet)
+        await _restore(fleet, copy)
+        _publish_all(fleet)
+        await _replace_primary(fleet)
+        _assert_tokens_rise(fleet)
+
+
+async def test_a_restarted_holder_sends_no_token_from_before_a_restore(
+    tmp_path,
+):
+    """The holder of the restored copy must not promote with its old token.
+
+    Another one held the duty in the lost stretch, with a higher token.
+    """
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        await _replace_primary(fleet)
+        holder = fleet.duties.calls[-1].holder
+        copy = fleet.store.copy()
+        fleet.signal(holder, signal.SIGKILL)
+        await _replace_primary(fleet)
+        assert fleet.duties.calls[-1].holder != holder
+        await _restore(fleet, copy)
+        _publish_all(fleet)
+        for name in fleet.processes:
+            fleet.signal(name, signal.SIGKILL)
+            await fleet.wait_ended(name)
+        for name in [*fleet.processes]:
+            await fleet.start_instance(name)
+        for name in fleet.processes:
+            await fleet.wait_ready(name)
+        await _replace_primary(fleet)
+        _assert_tokens_rise(fleet)
+
+
+async def test_a_key_withdrawn_before_a_restore_stays_withdrawn_at_a_restart(
+    tmp_path,
+):
+    """A new process must not serve the restored copy's older configuration.
+
+    Its peers hold the newer one until the operator has written it again.
+    """
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        copy = fleet.store.copy()
+        cfg = config(version=2)
+        cfg["tenants"][0]["api_keys"] = []
+        fleet.store.put("op", "config", cfg)
+        await fleet.until(
+            lambda: all(
+                line["version"] == 2
+                for name in fleet.processes
+                for line in fleet.log(name)[-1:]
+                if line["event"] == "configuration in force"
+            )
+        )
+        await trio.sleep(AWAY_SECONDS)
+        await _restore(fleet, copy)
+        fleet.signal("i1", signal.SIGKILL)
+        await fleet.wait_ended("i1")
+        await fleet.start_instance("i1")
+        await fleet.wait_ready("i1")
+        greeting = (await fleet.caller()).greeting
+        assert greeting[0].startswith("ERROR NOAUTH"), greeting
+
+
+async def test_a_feed_does_not_go_on_across_a_restore():
+    """A version that is given out again is not the one known before."""
+    standin = StoreStandin()
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(standin.serve, HOST, "i1")
+        client = Store(Address(HOST, port))
+        copy = standin.copy()
+        await client.transact(puts=[PutRow("t", "lost", b"1")])
+        rows = await client.read_table("t")
+        standin.restore(copy)
+        # Written before the feed asks again, up to the version it knows.
+        standin.put("t", "kept", 1)
+        standin.put("t", "other", 2)
+        with pytest.raises(HistoryLostError):
+            await client.follow("t", rows.version, 0.1)
+        nursery.cancel_scope.cancel()
