Reconcile the registry after the store was restored from an older copy

Cause: row versions of the store were taken for a total order. After a restore they go back and are given out again, so the local copy ignored the restored rows, conditional writes named versions that were lost, a feed could go on across the restore, and whatever the copy held was believed by new processes. Change: versions count only within one history (Store-Era). A restored table is not used until one instance, after asking a majority of the voters, has put back what is known and marked the history; each conditional write requires that no later history is marked, and does not count if it was applied in one. Epochs and tokens of a new history start above a floor. A primary without a record is found by its term. New processes wait for their peers' configuration.

--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -154,16 +154,34 @@
 
     def __init__(self, address: Address) -> None:
         self._pool = ConnectionPool(address, size=CONNECTIONS)
+        self._feeds: set[trio.CancelScope] = set()
         self.calls = 0
         self.era = 0
 
+    def note_era(self, era: int) -> None:
+        """Records a history number, as of an answer to any instance.
+
+        Waiting feed calls of an earlier history end: they may wait for
+        versions that will be given out again.
+        """
+        if era <= self.era:
+            return
+        self.era = era
+        for scope in self._feeds:
+            scope.cancel()
+
     async def read_table(self, table: str) -> Rows:
         """Reads all rows of a table, in several calls if necessary."""
         asked_at = trio.current_time()
         rows: list[StoredRow] = []
         query = {"table": table, "part": "", "limit": str(ROWS_PER_CALL)}
+        first_era: int | None = None
         while True:
             page, era = await self._get("rows-get", query, CALL_SECONDS)
+            if first_era not in (None, era):
+                message = "the store was restored between two pages"
+                raise StoreError(message, refused=True)
+            first_era = era
             rows += [_decode_row(row) for row in page.rows]
             if not (page.has_more and page.rows):
                 break
@@ -172,17 +190,21 @@
         now = page.now_ms / 1000
         return Rows(tuple(rows), page.row_version, now, asked_at, era)
 
-    async def follow(self, table: str, version: int, wait: float) -> Rows:
+    async def follow(
+        self, table: str, version: int, wait: float, *, era: int
+    ) -> Rows:
         """Waits for changes of a table after a version.
 
         Args:
             table: The name of the table.
             version: The version up to which the table's rows are known.
             wait: Seconds after which to return without a change.
+            era: The number of the history that the version belongs to.
 
         Raises:
             HistoryLostError: The store no longer keeps all changes since the
-                version.
+                version, or has a later history, in which that version is
+                another one.
         """
         asked_at = trio.current_time()
         query = {
@@ -190,9 +212,18 @@
             "after": str(version),
             "wait_ms": str(int(wait * 1000)),
         }
-        page, era = await self._get(
-            "rows-feed", query, wait + FEED_MARGIN_SECONDS
-        )
+        if self.era > era:
+            raise HistoryLostError
+        with trio.CancelScope() as scope:
+            self._feeds.add(scope)
+            try:
+                page, answer_era = await self._get(
+                    "rows-feed", query, wait + FEED_MARGIN_SECONDS
+                )
+            finally:
+                self._feeds.discard(scope)
+        if scope.cancelled_caught or answer_era != era:
+            raise HistoryLostError
         rows = tuple(map(_decode_row, page.rows))
         return Rows(rows, page.row_version, page.now_ms / 1000, asked_at, era)
 
@@ -260,7 +291,7 @@
         except (HttpError, trio.TooSlowError) as exc:
             message = f"{target.partition('?')[0]}: {exc or 'timed out'}"
             raise StoreError(message, refused=False) from exc
-        self.era = max(self.era, _era_of(answer))
+        self.note_era(_era_of(answer))
         return answer
 
 
--- a/src/lagoonstair/primacy/__init__.py
+++ b/src/lagoonstair/primacy/__init__.py
@@ -10,6 +10,7 @@
     choose_target,
     promoted_endpoint,
     record_call,
+    unrecorded_primary,
     unresolved_promotions,
 )
 from lagoonstair.primacy._primacy import (
@@ -39,5 +40,6 @@
     "promotion_cause",
     "promotion_delay",
     "record_call",
+    "unrecorded_primary",
     "unresolved_promotions",
 ]
--- a/src/lagoonstair/primacy/_pending.py
+++ b/src/lagoonstair/primacy/_pending.py
@@ -44,12 +44,16 @@
 
     Returns:
         The endpoint's name, or ``None`` without a candidate. A tie goes to the
-        name that sorts first.
+        previous primary, which may still lead, then to the name that sorts
+        first.
     """
     for name in reversed(pending):
         if name in received:
             return name
-    names = sorted(received.keys() - ({previous} if pending else set()))
+    names = sorted(
+        received.keys() - ({previous} if pending else set()),
+        key=lambda name: (name != previous, name),
+    )
     return max(names, key=lambda name: received[name], default=None)
 
 
@@ -123,3 +127,24 @@
         key=led.__getitem__,
         default=None,
     )
+
+
+def unrecorded_primary(
+    record: GroupRecord, terms: Mapping[str, int]
+) -> str | None:
+    """Returns the endpoint that a promotion without a record has made primary.
+
+    A restore of the store may have lost the record.
+
+    Args:
+        record: The record of a group, without pending promotions.
+        terms: The term of each endpoint that regards itself as the primary.
+
+    Returns:
+        The name of the one with the newest term, or ``None`` if no term is
+        newer than the recorded one.
+    """
+    leader = max(sorted(terms), key=terms.__getitem__, default=None)
+    if leader is None or terms[leader] <= record.term:
+        return None
+    return leader
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -14,7 +14,8 @@
 from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._registry import TABLE, Registry
+from lagoonstair.proxy._registry import Registry, UnreconciledError
+from lagoonstair.proxy._registry_rows import TABLE
 from lagoonstair.proxy._tables import Tables
 
 FEED_WAIT_SECONDS = 20.0
@@ -53,6 +54,10 @@
 STALE_ENDPOINTS_SECONDS = 2.5
 """Age (s) of the endpoint entries beyond which a voter reads them itself."""
 
+REWRITE_SECONDS = 10.0
+"""Time (s) after a restore of the store within which the operator and the
+endpoints write their lost rows again."""
+
 CONFIRMATION_CHECK_SECONDS = 0.02
 """Interval (s) between checks of whether a newly started instance's data is
 confirmed."""
@@ -97,7 +102,9 @@
     ) -> None:
         """Follows all tables; reports as started once each is known."""
         with trio.move_on_after(PEER_DATA_WAIT_SECONDS):
-            while not (self._must_read_store() or self._tables.is_confirmed):
+            while not self._tables.is_confirmed and (
+                self._is_store_behind() or not self._must_read_store()
+            ):
                 await trio.sleep(CONFIRMATION_CHECK_SECONDS)
         async with trio.open_nursery() as nursery:
             for table, apply, period in (
@@ -132,10 +139,12 @@
 
         Raises:
             StoreError: The store did not answer or refused the call.
+            UnreconciledError: The table was restored from an older copy.
         """
         rows = await self._store.read_table(TABLE)
         self._note_answer(rows)
-        self._apply_registry(rows, True)
+        if not self._apply_registry(rows, True):
+            raise UnreconciledError
 
     @property
     def endpoints_age(self) -> float:
@@ -150,13 +159,13 @@
     async def _follow(
         self,
         table: str,
-        apply: Callable[[Rows, bool], None],
+        apply: Callable[[Rows, bool], bool],
         is_needed: Callable[[], bool],
         period: float,
         *,
         task_status: trio.TaskStatus[None],
     ) -> None:
-        version = 0
+        version = era = 0
         pause = RETRY_SECONDS
         started = self._tables.is_confirmed
         if started:
@@ -172,7 +181,7 @@
                     rows = await self._store.read_table(table)
                 else:
                     rows = await self._store.follow(
-                        table, version, FEED_WAIT_SECONDS
+                        table, version, FEED_WAIT_SECONDS, era=era
                     )
             except HistoryLostError:
                 log_event("store history lost", table=table, version=version)
@@ -187,13 +196,16 @@
                 pause = min(MAX_RETRY_SECONDS, pause * 2)
                 continue
             pause = RETRY_SECONDS
-            if rows.version < version:
-                # The answer is older than the known state; discard it.
+            is_outdated = (rows.era, rows.version) < (era, version)
+            if not is_outdated:
+                self._note_answer(rows)
+            if is_outdated or not apply(rows, is_full_read):
+                # Read again: the answer is older than the known state, or
+                # nobody has reconciled the restored registry yet.
+                version = version if is_outdated else 0
                 await trio.sleep(jittered(RETRY_SECONDS))
                 continue
-            self._note_answer(rows)
-            apply(rows, is_full_read)
-            version = rows.version
+            version, era = rows.version, rows.era
             if not started:
                 started = True
                 task_status.started()
@@ -229,29 +241,43 @@
             self._is_store_lost = True
             log_event("store lost", table=table, cause=str(exc))
 
-    def _apply_registry(self, rows: Rows, is_full_read: bool) -> None:
-        if is_full_read:
-            self._registry.load(rows.rows, rows.version)
-        else:
-            self._registry.apply_changes(rows.rows)
+    def _apply_registry(self, rows: Rows, is_full_read: bool) -> bool:
+        apply = (
+            self._registry.load
+            if is_full_read
+            else self._registry.apply_changes
+        )
+        if not apply(rows):
+            return False
         self._fleet.primacy.note_store_read(rows.asked_at)
         if is_full_read or rows.rows:
             self._tables.apply_registry()
+        return True
 
-    def _apply_config(self, rows: Rows, is_full_read: bool) -> None:
+    def _apply_config(self, rows: Rows, is_full_read: bool) -> bool:
         for row in rows.rows:
             if row.key == operator.KEY and row.value is not None:
                 self._tables.apply_config(row.value)
+        return True
 
-    def _apply_endpoints(self, rows: Rows, is_full_read: bool) -> None:
+    def _apply_endpoints(self, rows: Rows, is_full_read: bool) -> bool:
         self._tables.endpoints_asked_at = rows.asked_at
         if is_full_read:
             self._tables.apply_endpoints(
                 {row.key: row.value or b"" for row in rows.rows}
             )
-            return
+            return True
         for row in rows.rows:
             self._tables.apply_endpoint_change(row.key, row.value)
+        return True
+
+    def _is_store_behind(self) -> bool:
+        """Returns whether other writers' rows may still be those of a copy.
+
+        After a restore, peers may hold a newer configuration than the store.
+        """
+        age = self.store_now - self._registry.restored_at
+        return age < REWRITE_SECONDS
 
     def _must_read_store(self) -> bool:
         voters = self._registry.voters()
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -21,6 +21,7 @@
     promotion_cause,
     promotion_delay,
     record_call,
+    unrecorded_primary,
     unresolved_promotions,
 )
 from lagoonstair.proxy._fleet import Fleet
@@ -30,12 +31,8 @@
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._orders import EndpointCommands
 from lagoonstair.proxy._pool import EndpointPool
-from lagoonstair.proxy._registry import (
-    DUTY_KEY,
-    GROUP_PREFIX,
-    Registry,
-    RowValue,
-)
+from lagoonstair.proxy._registry import Registry, UnreconciledError
+from lagoonstair.proxy._registry_rows import DUTY_KEY, GROUP_PREFIX, RowValue
 from lagoonstair.proxy._transactions import TransactionManager
 from lagoonstair.routing import Endpoint
 
@@ -239,6 +236,9 @@
                 await self._create_record(group)
             elif cause is not None:
                 await self._replace_primary(group, cause)
+        except UnreconciledError as exc:
+            log_event("promotion put off", group=group, cause=str(exc))
+            await trio.sleep(CHECK_PERIOD_SECONDS * 3)
         except StoreError as exc:
             log_event("promotion put off", group=group, cause=str(exc))
             self._backoff_until = (
@@ -330,6 +330,8 @@
         """
         known = self._registry.groups.get(group)
         while True:
+            if self._is_superseded(group, record):
+                return None
             duty = self._next_duty(renewed=renewed)
             values: dict[str, RowValue] = {GROUP_PREFIX + group: record}
             unchanged: tuple[str, ...] = (DUTY_KEY,)
@@ -352,6 +354,19 @@
                 )
                 return None
 
+    def _is_superseded(self, group: str, record: GroupRecord) -> bool:
+        """Returns whether the registry has a record that replaces a step."""
+        known = self._registry.groups.get(group)
+        if known is None or known.epoch < record.epoch:
+            return False
+        log_event(
+            "promotion record changed concurrently",
+            group=group,
+            epoch=record.epoch,
+            known=known.epoch,
+        )
+        return True
+
     def _candidates(
         self, group: str, record: GroupRecord, cause: Cause
     ) -> list[EndpointPool]:
@@ -424,6 +439,12 @@
         pending = self._unresolved(record)
         if pending and await self._finish(group, record, pending):
             return
+        if (
+            cause is Cause.STALLED
+            and not pending
+            and await self._find_unrecorded(group, record)
+        ):
+            return
         candidates = self._candidates(group, record, cause)
         # A failed primary may answer late, so the candidates wait for its log
         # only when it left or is gone.
@@ -544,6 +565,27 @@
         await self._commands.demote(record.primary, leader, terms[leader])
         return True
 
+    async def _find_unrecorded(self, group: str, record: GroupRecord) -> bool:
+        """Records the primary that a promotion with a lost record has made.
+
+        Returns:
+            Whether there is one.
+        """
+        names = [pool.endpoint.name for pool in self._fleet.group_pools(group)]
+        terms = await self._commands.led_terms(names)
+        leader = unrecorded_primary(record, terms)
+        if leader is None:
+            return False
+        log_event(
+            "primary without a record",
+            group=group,
+            primary=leader,
+            term=terms[leader],
+        )
+        await self._record_primary(group, record, leader, terms[leader])
+        await self._commands.demote(record.primary, leader, terms[leader])
+        return True
+
     async def _record_primary(
         self, group: str, started: GroupRecord, target: str, term: int
     ) -> None:
@@ -555,15 +597,14 @@
             epoch=started.epoch + 1, primary=target, term=term
         )
         for _ in range(RECORD_ATTEMPTS):
+            if self._is_superseded(group, finished):
+                return
             try:
                 committed = await self._registry.write(
                     {GROUP_PREFIX + group: finished}
                 )
                 if committed is None:
                     await self._follower.read_registry()
-                    known = self._fleet.primacy.records.get(group)
-                    if known is not None and known.epoch > started.epoch:
-                        return
                     continue
                 self._fleet.set_record(group, finished)
                 return
--- a/src/lagoonstair/proxy/_reaper.py
+++ b/src/lagoonstair/proxy/_reaper.py
@@ -9,7 +9,8 @@
 from lagoonstair.proxy._gossip import ROUND_PERIOD_SECONDS, Gossip
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._quota import MEMBERSHIP_FRESHNESS_SECONDS
-from lagoonstair.proxy._registry import MEMBER_PREFIX, Registry
+from lagoonstair.proxy._registry import Registry
+from lagoonstair.proxy._registry_rows import MEMBER_PREFIX
 from lagoonstair.proxy._settings import InstanceSettings
 
 SILENT_ROUNDS = 8
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -4,9 +4,10 @@
 promotion duty and the secret that the instances share.
 """
 
+import itertools
 import random
 import secrets
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
 import msgspec
@@ -24,23 +25,22 @@
 )
 from lagoonstair.primacy import Duty, GroupRecord
 from lagoonstair.proxy._log import log_event
+from lagoonstair.proxy._reconcile import Registered, reconcile
+from lagoonstair.proxy._registry_rows import (
+    DUTY_KEY,
+    ERA_PREFIX,
+    FOUNDING_KEY,
+    GROUP_PREFIX,
+    MEMBER_PREFIX,
+    TABLE,
+    Era,
+    Founding,
+    Member,
+    RowValue,
+    era_key,
+)
 from lagoonstair.proxy._settings import InstanceSettings
 
-TABLE = "lagoonstair"
-"""The store table of the registry."""
-
-FOUNDING_KEY = "founding"
-"""The key of the row written at the system's first start."""
-
-DUTY_KEY = "duty"
-"""The key of the row with the holder of the promotion duty."""
-
-MEMBER_PREFIX = "member/"
-"""Prefix of the keys of registered instances; the instance's name follows."""
-
-GROUP_PREFIX = "group/"
-"""Prefix of the keys of group records; the group's name follows."""
-
 SECRET_BYTES = 16
 """Length (bytes) of the secret that the instances share."""
 
@@ -58,50 +58,27 @@
 their shares at once. Until then, the system does not serve yet or has only just
 started to."""
 
+RECONCILE_SECONDS = 4.0
+"""Time (s) for which a newly started instance leaves it to the others, which
+know what was lost, to reconcile a restored registry."""
 
-class Founding(msgspec.Struct, frozen=True, kw_only=True):
-    """The row written at the system's first start.
-
-    Attributes:
-        secret: The secret that authenticates instances to each other, in
-            hexadecimal digits.
-        at: When the row was written, in seconds on the store's clock.
-    """
-
-    secret: str
-    at: float
+ROWS_PER_TRANSACTION = 45
+"""Changed rows in one transaction. The store takes 100 entries, and each row
+needs a condition and a change."""
 
 
-class Member(msgspec.Struct, frozen=True, kw_only=True):
-    """A registered instance.
+class UnreconciledError(StoreError):
+    """The store was restored from an older copy that is not reconciled yet.
 
-    Attributes:
-        host: The IP address at which other instances call it.
-        port: The port at which other instances call it.
-        failure_domain: The failure domain in which it runs.
-        since: When it registered, in seconds on the store's clock.
-        capacity: Its processor time per second, in seconds of the reference
-            processor.
-        suspected: When it was last suspected to be gone, in seconds on the
-            store's clock; 0 while it is not suspected.
+    What this instance knows of the registry belongs to a history that has
+    ended, so nothing can be written on that condition.
     """
 
-    host: str
-    port: int
-    failure_domain: str
-    since: float
-    capacity: float = 1.0
-    suspected: float = 0.0
-
-    @property
-    def address(self) -> Address:
-        """Address at which other instances call it."""
-        return Address(self.host, self.port)
-
+    def __init__(self) -> None:
+        super().__init__("the restored store is not reconciled", refused=False)
 
-RowValue = Founding | Member | GroupRecord | Duty
 
-_RowT = TypeVar("_RowT", Founding, Member, GroupRecord, Duty)
+_RowT = TypeVar("_RowT", Founding, Member, GroupRecord, Duty, Era)
 
 
 class Registry:
@@ -112,38 +89,100 @@
         founding: The founding row; ``None`` before it is known.
         duty: The holder of the promotion duty; ``None`` before the first.
         groups: The records of the groups' primaries, by group.
-        members_version: The newest version among the rows of instances.
+        members_version: The newest version among the rows of instances. It
+            rises across restores of the store too.
+        era: The number of the store's history that the copy belongs to; 0
+            before the first.
         version: The store version up to which every change is known. A row
             that this instance wrote may be newer.
+        unreconciled: The table as read after a restore, while no instance has
+            reconciled it.
     """
 
     def __init__(self, store: Store) -> None:
         self._store = store
         self._versions: dict[str, int] = {}
         self._values: dict[str, bytes] = {}
+        self._floor = 0
+        self.era = 0
         self.version = 0
         self.members: dict[str, Member] = {}
         self.founding: Founding | None = None
         self.duty: Duty | None = None
         self.groups: dict[str, GroupRecord] = {}
         self.members_version = 0
+        self.unreconciled: Rows | None = None
+
+    @property
+    def restored_at(self) -> float:
+        """When the restored registry was reconciled.
+
+        It is in seconds on the store's clock, and negative infinity before the
+        first restore.
+        """
+        value = self._values.get(era_key(self.era))
+        if value is None or not self._floor:
+            return float("-inf")
+        return _decode(value, Era).at
 
-    def load(self, rows: Iterable[StoredRow], version: int) -> None:
-        """Replaces the local copy with the whole table as of a version."""
-        rows = tuple(rows)
-        present = {row.key for row in rows}
-        for key in [key for key in self._values if key not in present]:
-            self.apply(StoredRow(key, None, version))
-        self.apply_changes(rows)
-
-    def apply_changes(self, rows: Iterable[StoredRow]) -> None:
-        """Applies all changes since the known version."""
-        for row in rows:
+    def load(self, rows: Rows) -> bool:
+        """Replaces the local copy with the whole table, unless it is older.
+
+        A table that was restored from an older copy is not used before it is
+        reconciled: it lacks what was written since.
+
+        Returns:
+            Whether the local copy is now the table as read.
+        """
+        if rows.era < self.era:
+            return False
+        present = {row.key: row for row in rows.rows}
+        if rows.era > self.era:
+            mark = present.get(era_key(rows.era))
+            if mark is None and (present or self.era):
+                self.unreconciled = rows
+                return False
+            self._start_era(rows.era, mark)
+        self.unreconciled = None
+        for key in self._values.keys() - present.keys():
+            self.apply(StoredRow(key, None, rows.version))
+        return self.apply_changes(rows)
+
+    def apply_changes(self, rows: Rows) -> bool:
+        """Applies all changes since the known version.
+
+        Returns:
+            Whether the changes belong to the history of the local copy.
+        """
+        if rows.era != self.era:
+            return False
+        for row in rows.rows:
             self.apply(row)
             self.version = max(self.version, row.version)
+        return True
+
+    def _start_era(self, era: int, mark: StoredRow | None) -> None:
+        """Starts a history of the store, whose versions are compared anew."""
+        self._store.note_era(era)
+        self._versions.clear()
+        self._floor = 0
+        if mark is not None and mark.value is not None:
+            self._floor = _decode(mark.value, Era).floor
+        self.era = era
+        self.version = 0
+        self.members_version = max(self.members_version, self._floor)
+
+    def changes_since(self, era: int, version: int) -> tuple[StoredRow, ...]:
+        """Returns the rows that another instance lacks.
 
-    def changes_since(self, version: int) -> tuple[StoredRow, ...]:
-        """Returns the rows changed after a version, for another instance."""
+        Args:
+            era: The number of the store's history that its copy belongs to.
+            version: The version up to which it knows the changes.
+        """
+        if era > self.era:
+            return ()
+        if era < self.era:
+            version = -1
         return tuple(
             StoredRow(key, self._values.get(key), changed)
             for key, changed in self._versions.items()
@@ -203,17 +242,13 @@
             PutRow(TABLE, key, msgspec.json.encode(value))
             for key, value in values.items()
         ]
-        conditions = [
-            self.unchanged_condition(key) for key in (*values, *unchanged)
-        ]
-        committed = await self._store.transact(conditions=conditions, puts=puts)
-        if committed is None:
-            log_event(
-                "registry write refused",
-                era=self._store.era,
-                rows={row.key: row.version for row in conditions},
-            )
-        else:
+        committed = await self._transact(
+            conditions=[
+                self.unchanged_condition(key) for key in (*values, *unchanged)
+            ],
+            puts=puts,
+        )
+        if committed is not None:
             for put in puts:
                 self.apply(StoredRow(put.key, put.value, committed.version))
         return committed
@@ -225,10 +260,117 @@
             StoreError: The store did not answer or refused the call.
         """
         key = MEMBER_PREFIX + name
-        await self._store.transact(
+        await self._transact(
             conditions=[self.unchanged_condition(key)], removals=[(TABLE, key)]
         )
 
+    async def _transact(
+        self,
+        *,
+        conditions: list[Precondition],
+        puts: list[PutRow] | None = None,
+        removals: list[tuple[str, str]] | None = None,
+    ) -> Committed | None:
+        """Applies a transaction that relies on the local copy.
+
+        A version that the local copy knows may have been given out again after
+        a restore. The transaction therefore also requires that no later
+        history is reconciled, and does not count if it was applied in one.
+
+        Raises:
+            UnreconciledError: The store has a later history.
+        """
+        if self._store.era > self.era:
+            raise UnreconciledError
+        committed = await self._store.transact(
+            conditions=[
+                *conditions,
+                Precondition(TABLE, era_key(self.era + 1), 0),
+            ],
+            puts=puts or (),
+            removals=removals or (),
+        )
+        if committed is None:
+            log_event(
+                "registry write refused",
+                era=self._store.era,
+                rows={row.key: row.version for row in conditions},
+            )
+        elif committed.era != self.era:
+            raise UnreconciledError
+        return committed
+
+    async def reconcile(
+        self,
+        rows: Rows,
+        *,
+        name: str,
+        epochs: Mapping[str, int],
+        is_certain: bool,
+    ) -> bool:
+        """Brings a restored table up to date with what is known here.
+
+        Args:
+            rows: The whole table, as read from the store.
+            name: The name of this instance.
+            epochs: The newest epoch of each group that a peer has announced.
+            is_certain: Whether a majority of the voters has told what it
+                knows.
+
+        Returns:
+            Whether all changes were applied. Otherwise another instance has
+            changed the table, and it must be read again.
+
+        Raises:
+            StoreError: The store did not answer or refused the call.
+        """
+        restored = _decode_rows({row.key: row.value for row in rows.rows})
+        # A copy that was reconciled after this instance's own history has
+        # rows that this instance has missed.
+        is_behind = any(
+            era_key(era) in restored.rows
+            for era in range(self.era + 1, rows.era)
+        )
+        is_known = bool(self.era) and not is_behind
+        changes = reconcile(
+            _decode_rows(self._values) if is_known else None,
+            restored,
+            era=rows.era,
+            now=rows.now,
+            name=name,
+            epochs=epochs,
+            is_certain=is_certain and is_known,
+        )
+        log_event(
+            "registry reconciled",
+            era=rows.era,
+            known_era=self.era,
+            certain=is_certain and is_known,
+            put=sorted(changes.puts),
+            removed=changes.removals,
+        )
+        versions = {row.key: row.version for row in rows.rows}
+        steps = [*changes.puts.items(), *((k, None) for k in changes.removals)]
+        for batch in (*_batched(steps), tuple(changes.last.items())):
+            keys = {key for key, _ in batch} | {era_key(rows.era)}
+            committed = await self._store.transact(
+                conditions=[
+                    Precondition(TABLE, key, versions.get(key, 0))
+                    for key in sorted(keys)
+                ],
+                puts=[
+                    PutRow(TABLE, key, msgspec.json.encode(value))
+                    for key, value in batch
+                    if value is not None
+                ],
+                removals=[
+                    (TABLE, key) for key, value in batch if value is None
+                ],
+            )
+            if committed is None or committed.era != rows.era:
+                return False
+        return True
+
     async def register(self, settings: InstanceSettings) -> Rows:
         """Registers this instance, and retries until it succeeds.
 
@@ -236,14 +378,28 @@
             The table as last read, which includes this instance.
         """
         is_loss_logged = False
+        waiting_since: float | None = None
         while True:
             try:
                 rows = await self._store.read_table(TABLE)
-                self.load(rows.rows, rows.version)
-                missing = self._missing_rows(settings, rows.now)
-                if not missing:
-                    return rows
-                await self.write(missing)
+                # Only the first start of all finds a table that is rightly
+                # empty.
+                is_usable = settings.first_start or self.era or rows.rows
+                if is_usable and self.load(rows):
+                    missing = self._missing_rows(settings, rows.now)
+                    if not missing:
+                        return rows
+                    await self.write(missing)
+                elif waiting_since is None:
+                    waiting_since = trio.current_time()
+                    log_event("waits for the restored registry", era=rows.era)
+                elif trio.current_time() > waiting_since + RECONCILE_SECONDS:
+                    await self.reconcile(
+                        rows,
+                        name=settings.instance,
+                        epochs={},
+                        is_certain=False,
+                    )
             except StoreError as exc:
                 if not is_loss_logged:
                     log_event("store lost", cause=str(exc), during="start")
@@ -281,6 +437,7 @@
         if self.founding is None:
             secret = secrets.token_hex(SECRET_BYTES)
             missing[FOUNDING_KEY] = Founding(secret=secret, at=now)
+            missing[era_key(self.era)] = Era(at=now)
         key = MEMBER_PREFIX + settings.instance
         known = self.members.get(settings.instance)
         if known is None or known.address != settings.peer_address:
@@ -299,7 +456,9 @@
 
     def _apply_member(self, row: StoredRow) -> None:
         name = row.key.removeprefix(MEMBER_PREFIX)
-        self.members_version = max(self.members_version, row.version)
+        self.members_version = max(
+            self.members_version, self._floor + row.version
+        )
         if row.value is None:
             self.members.pop(name, None)
         else:
@@ -308,3 +467,31 @@
 
 def _decode(value: bytes, kind: type[_RowT]) -> _RowT:
     return msgspec.json.decode(value, type=kind)
+
+
+def _decode_rows(values: Mapping[str, bytes | None]) -> Registered:
+    """Decodes rows; those of an unknown kind are left out."""
+    rows: dict[str, RowValue] = {}
+    for key, value in values.items():
+        if value is None:
+            continue
+        if key.startswith(MEMBER_PREFIX):
+            rows[key] = _decode(value, Member)
+        elif key.startswith(GROUP_PREFIX):
+            rows[key] = _decode(value, GroupRecord)
+        elif key.startswith(ERA_PREFIX):
+            rows[key] = _decode(value, Era)
+        elif key == DUTY_KEY:
+            rows[key] = _decode(value, Duty)
+        elif key == FOUNDING_KEY:
+            rows[key] = _decode(value, Founding)
+    return Registered(rows)
+
+
+def _batched(
+    steps: list[tuple[str, RowValue | None]],
+) -> Iterable[tuple[tuple[str, RowValue | None], ...]]:
+    """Splits changes so that each part fits into one transaction."""
+    remaining = iter(steps)
+    while batch := tuple(itertools.islice(remaining, ROWS_PER_TRANSACTION)):
+        yield batch
--- /dev/null
+++ b/src/lagoonstair/proxy/_registry_rows.py
@@ -0,0 +1,97 @@
+"""Rows of the registry, the system's own store table."""
+
+import msgspec
+
+from lagoonstair._types import Address
+from lagoonstair.primacy import Duty, GroupRecord
+
+TABLE = "lagoonstair"
+"""The store table of the registry."""
+
+FOUNDING_KEY = "founding"
+"""The key of the row written at the system's first start."""
+
+DUTY_KEY = "duty"
+"""The key of the row with the holder of the promotion duty."""
+
+MEMBER_PREFIX = "member/"
+"""Prefix of the keys of registered instances; the instance's name follows."""
+
+GROUP_PREFIX = "group/"
+"""Prefix of the keys of group records; the group's name follows."""
+
+ERA_PREFIX = "era/"
+"""Prefix of the keys of history rows; the history's number follows."""
+
+FLOOR_BITS = 32
+"""Number of bits by which a history's number is shifted for its floor. Fewer
+epochs, tokens and versions than this allows are given out in one history."""
+
+
+class Founding(msgspec.Struct, frozen=True, kw_only=True):
+    """The row written at the system's first start.
+
+    Attributes:
+        secret: The secret that authenticates instances to each other, in
+            hexadecimal digits.
+        at: When the row was written, in seconds on the store's clock.
+    """
+
+    secret: str
+    at: float
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True):
+    """A registered instance.
+
+    Attributes:
+        host: The IP address at which other instances call it.
+        port: The port at which other instances call it.
+        failure_domain: The failure domain in which it runs.
+        since: When it registered, in seconds on the store's clock.
+        capacity: Its processor time per second, in seconds of the reference
+            processor.
+        suspected: When it was last suspected to be gone, in seconds on the
+            store's clock; 0 while it is not suspected.
+    """
+
+    host: str
+    port: int
+    failure_domain: str
+    since: float
+    capacity: float = 1.0
+    suspected: float = 0.0
+
+    @property
+    def address(self) -> Address:
+        """Address at which other instances call it."""
+        return Address(self.host, self.port)
+
+
+class Era(msgspec.Struct, frozen=True, kw_only=True):
+    """The row that says that the registry is complete in a store history.
+
+    A restore of the store from an older copy starts a new history without this
+    row. The instance that writes it has put back what the copy lacks.
+
+    Attributes:
+        at: When the row was written, in seconds on the store's clock.
+        floor: A number below the epochs and fencing tokens of this history and
+            above those of all earlier ones; 0 in the first history.
+    """
+
+    at: float
+    floor: int = 0
+
+
+RowValue = Founding | Member | GroupRecord | Duty | Era
+
+
+def era_key(era: int) -> str:
+    """Returns the key of a history's row."""
+    return f"{ERA_PREFIX}{era}"
+
+
+def floor_of(era: int) -> int:
+    """Returns the floor of a history that follows a restore."""
+    return era << FLOOR_BITS
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -6,7 +6,7 @@
 import trio
 
 from lagoonstair.platform import discovery, operator
-from lagoonstair.platform.store import StoredRow
+from lagoonstair.platform.store import Rows, StoredRow
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._homes import InstanceResources
 from lagoonstair.proxy._log import log_event
@@ -24,11 +24,14 @@
         config_version: The version of its configuration; 0 for none.
         registry_version: The version of its registry.
         endpoints: A checksum of its endpoint entries.
+        era: The number of the store's history that the version of its registry
+            belongs to.
     """
 
     config_version: int
     registry_version: int
     endpoints: int
+    era: int = 0
 
 
 class Update(msgspec.Struct, frozen=True, array_like=True):
@@ -42,6 +45,8 @@
         registry_version: The version of the sender's registry.
         endpoints: The stored discovery entries, as name and value.
         endpoints_age: Seconds since the entries were read from the store.
+        era: The number of the store's history that the registry rows belong
+            to. They are all rows if the requester's belong to an earlier one.
     """
 
     config: bytes | None
@@ -49,6 +54,7 @@
     registry_version: int
     endpoints: tuple[tuple[str, bytes], ...]
     endpoints_age: float
+    era: int = 0
 
 
 EMPTY_UPDATE = Update(None, (), 0, (), 1e6)
@@ -102,6 +108,7 @@
             0 if config is None else config.version,
             self._registry.version,
             self._checksum,
+            self._registry.era,
         )
 
     def update_for(self, known: KnownVersions | None) -> Update:
@@ -114,7 +121,7 @@
         if known is None:
             return EMPTY_UPDATE
         own = self.known_versions()
-        rows = self._registry.changes_since(known.registry_version)
+        rows = self._registry.changes_since(known.era, known.registry_version)
         entries: tuple[tuple[str, bytes], ...] = ()
         if own.endpoints != known.endpoints:
             entries = tuple(self._entries.items())
@@ -126,6 +133,7 @@
             own.registry_version,
             entries,
             round(age, 3),
+            own.era,
         )
 
     def apply_update(self, name: str, update: Update, asked_at: float) -> None:
@@ -140,10 +148,21 @@
         if update.config is not None:
             self.apply_config(zlib.decompress(update.config))
         if update.registry:
-            self._registry.apply_changes(
-                StoredRow(*row) for row in update.registry
+            rows = Rows(
+                tuple(StoredRow(*row) for row in update.registry),
+                update.registry_version,
+                0.0,
+                asked_at,
+                update.era,
             )
-            self.apply_registry()
+            is_newer_era = update.era > self._registry.era
+            is_applied = (
+                self._registry.load(rows)
+                if is_newer_era
+                else self._registry.apply_changes(rows)
+            )
+            if is_applied:
+                self.apply_registry()
         read_at = asked_at - update.endpoints_age
         if read_at > self.endpoints_asked_at:
             self.endpoints_asked_at = read_at
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -64,13 +64,13 @@
     async with _store() as (client, _):
         first = await client.transact(puts=[PutRow("t", "k", b"one")])
         await client.transact(removals=[("t", "k")])
-        rows = await client.follow("t", first.version, 5)
+        rows = await client.follow("t", first.version, 5, era=first.era)
         assert [(row.key, row.value) for row in rows.rows] == [("k", None)]
 
 
 async def test_the_feed_returns_without_a_change_in_time():
-    async with _store() as (client, _):
-        rows = await client.follow("t", 0, 0.05)
+    async with _store() as (client, standin):
+        rows = await client.follow("t", 0, 0.05, era=standin.era)
         assert rows.rows == ()
 
 
@@ -80,7 +80,7 @@
         standin.put("t", "k", 2)
         standin.truncate_history()
         with pytest.raises(HistoryLostError):
-            await client.follow("t", 1, 1)
+            await client.follow("t", 1, 1, era=standin.era)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -154,5 +154,5 @@
         standin.put("t", "kept", 1)
         standin.put("t", "other", 2)
         with pytest.raises(HistoryLostError):
-            await client.follow("t", rows.version, 0.1)
+            await client.follow("t", rows.version, 0.1, era=rows.era)
         nursery.cancel_scope.cancel()
