Test what is put back after a restore, and log the rows that were lost

Cause: the decisions on a restored registry had only tests with processes; the log named the rows that were written, not those that the copy lacked. Change: tests of the decisions and of the registry against a store that gives versions out again; the floor of epochs and tokens takes 20 bits, versions of several histories compare by 40; an instance without a majority waits 1 s, a new process 3 s, before it reconciles and verifies every primary.

--- a/src/lagoonstair/proxy/_reconcile.py
+++ b/src/lagoonstair/proxy/_reconcile.py
@@ -11,7 +11,7 @@
 of earlier histories.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -44,6 +44,20 @@
         row = self.rows.get(DUTY_KEY)
         return row if isinstance(row, Duty) else None
 
+    def marked_eras(self) -> list[int]:
+        """Returns the numbers of the histories in which rows were complete."""
+        return [
+            int(key.removeprefix(ERA_PREFIX))
+            for key in self.rows
+            if key.startswith(ERA_PREFIX)
+        ]
+
+    def missing_from(self, other: "Registered") -> list[str]:
+        """Returns the keys of the rows that other rows lack or contradict."""
+        return sorted(
+            key for key, row in self.rows.items() if other.rows.get(key) != row
+        )
+
 
 class Changes(NamedTuple):
     """Changes to the restored table.
@@ -86,6 +100,7 @@
             a promotion.
     """
     floor = floor_of(era)
+    is_certain = is_certain and known is not None
     puts: dict[str, RowValue] = {}
     for key in sorted(_group_keys(known) | _group_keys(restored)):
         record = _newest(known, restored, key)
@@ -121,25 +136,18 @@
     }
     last |= {
         era_key(number): Era(at=now, floor=floor)
-        for number in _unmarked_eras(restored.rows, era)
+        for number in _unmarked_eras(restored, era)
     }
     return Changes(puts, removals, last)
 
 
-def _unmarked_eras(keys: Iterable[str], era: int) -> range:
+def _unmarked_eras(restored: Registered, era: int) -> range:
     """Returns the histories after the newest marked one, up to the present.
 
     All of them are marked, because a writer that missed several restores
     requires only that the history after its own is not marked.
     """
-    marked = [
-        int(key.removeprefix(ERA_PREFIX))
-        for key in keys
-        if key.startswith(ERA_PREFIX)
-    ]
-    return range(
-        max([n for n in marked if n < era], default=era - 1) + 1, era + 1
-    )
+    return range(max(restored.marked_eras(), default=era - 1) + 1, era + 1)
 
 
 def _group_keys(registered: Registered | None) -> set[str]:
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -33,6 +33,7 @@
     GROUP_PREFIX,
     MEMBER_PREFIX,
     TABLE,
+    VERSION_BITS,
     Era,
     Founding,
     Member,
@@ -58,7 +59,7 @@
 their shares at once. Until then, the system does not serve yet or has only just
 started to."""
 
-RECONCILE_SECONDS = 4.0
+RECONCILE_SECONDS = 3.0
 """Time (s) for which a newly started instance leaves it to the others, which
 know what was lost, to reconcile a restored registry."""
 
@@ -103,7 +104,7 @@
         self._store = store
         self._versions: dict[str, int] = {}
         self._values: dict[str, bytes] = {}
-        self._floor = 0
+        self._version_base = 0
         self.era = 0
         self.version = 0
         self.members: dict[str, Member] = {}
@@ -121,9 +122,8 @@
         first restore.
         """
         value = self._values.get(era_key(self.era))
-        if value is None or not self._floor:
-            return float("-inf")
-        return _decode(value, Era).at
+        mark = None if value is None else _decode(value, Era)
+        return mark.at if mark and mark.floor else float("-inf")
 
     def load(self, rows: Rows) -> bool:
         """Replaces the local copy with the whole table, unless it is older.
@@ -165,12 +165,12 @@
         """Starts a history of the store, whose versions are compared anew."""
         self._store.note_era(era)
         self._versions.clear()
-        self._floor = 0
-        if mark is not None and mark.value is not None:
-            self._floor = _decode(mark.value, Era).floor
+        self._version_base = 0
+        if mark is not None and mark.value and _decode(mark.value, Era).floor:
+            self._version_base = era << VERSION_BITS
         self.era = era
         self.version = 0
-        self.members_version = max(self.members_version, self._floor)
+        self.members_version = max(self.members_version, self._version_base)
 
     def changes_since(self, era: int, version: int) -> tuple[StoredRow, ...]:
         """Returns the rows that another instance lacks.
@@ -325,28 +325,26 @@
             StoreError: The store did not answer or refused the call.
         """
         restored = _decode_rows({row.key: row.value for row in rows.rows})
-        # A copy that was reconciled after this instance's own history has
-        # rows that this instance has missed.
-        is_behind = any(
-            era_key(era) in restored.rows
-            for era in range(self.era + 1, rows.era)
-        )
-        is_known = bool(self.era) and not is_behind
+        # A copy that was reconciled in a later history than this instance's
+        # has rows that this instance has missed.
+        newest_era = max(restored.marked_eras(), default=0)
+        is_known = bool(self.era) and newest_era <= self.era
+        known = _decode_rows(self._values) if is_known else None
         changes = reconcile(
-            _decode_rows(self._values) if is_known else None,
+            known,
             restored,
             era=rows.era,
             now=rows.now,
             name=name,
             epochs=epochs,
-            is_certain=is_certain and is_known,
+            is_certain=is_certain,
         )
         log_event(
             "registry reconciled",
             era=rows.era,
             known_era=self.era,
             certain=is_certain and is_known,
-            put=sorted(changes.puts),
+            lost=[] if known is None else known.missing_from(restored),
             removed=changes.removals,
         )
         versions = {row.key: row.version for row in rows.rows}
@@ -457,7 +455,7 @@
     def _apply_member(self, row: StoredRow) -> None:
         name = row.key.removeprefix(MEMBER_PREFIX)
         self.members_version = max(
-            self.members_version, self._floor + row.version
+            self.members_version, self._version_base + row.version
         )
         if row.value is None:
             self.members.pop(name, None)
--- a/src/lagoonstair/proxy/_registry_rows.py
+++ b/src/lagoonstair/proxy/_registry_rows.py
@@ -23,9 +23,13 @@
 ERA_PREFIX = "era/"
 """Prefix of the keys of history rows; the history's number follows."""
 
-FLOOR_BITS = 32
+FLOOR_BITS = 20
 """Number of bits by which a history's number is shifted for its floor. Fewer
-epochs, tokens and versions than this allows are given out in one history."""
+epochs and fencing tokens than this allows are given out in one history."""
+
+VERSION_BITS = 40
+"""Number of bits by which a history's number is shifted to compare versions of
+several histories. The store's counter of transactions stays below it."""
 
 
 class Founding(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lagoonstair/proxy/_restorer.py
+++ b/src/lagoonstair/proxy/_restorer.py
@@ -16,7 +16,7 @@
 """Delay (s) between the attempts of successive instances. It exceeds the time
 until the others see that the registry is reconciled."""
 
-MAJORITY_WAIT_SECONDS = 2.0
+MAJORITY_WAIT_SECONDS = 1.0
 """Time (s) for which an instance waits for what a majority of the voters knows.
 A promotion that it does not know of was announced to one of them."""
 
--- /dev/null
+++ b/tests/test_proxy_reconcile.py
@@ -0,0 +1,269 @@
+"""What one instance puts back after the store came back from an older copy."""
+
+import pytest
+
+from lagoonstair.platform.store import (
+    Committed,
+    Rows,
+    StoredRow,
+)
+from lagoonstair.primacy import Duty, GroupRecord
+from lagoonstair.proxy._reconcile import Registered, reconcile
+from lagoonstair.proxy._registry import Registry, UnreconciledError
+from lagoonstair.proxy._registry_rows import (
+    Era,
+    Founding,
+    Member,
+    era_key,
+    floor_of,
+)
+
+FOUNDING = Founding(secret="00", at=1.0)
+MEMBER = Member(host="h", port=1, failure_domain="a", since=1.0)
+ADDED = Member(host="h", port=2, failure_domain="a", since=5.0)
+OLD = GroupRecord(epoch=1, primary="d1", term=1)
+NEW = GroupRecord(epoch=4, primary="d2", term=2)
+COPY = {
+    "founding": FOUNDING,
+    "era/1": Era(at=1.0),
+    "member/i1": MEMBER,
+    "group/g": OLD,
+    "duty": Duty(holder="i1", fence=1),
+}
+KNOWN = {
+    **COPY,
+    "member/i2": ADDED,
+    "group/g": NEW,
+    "duty": Duty(holder="i2", fence=2),
+}
+
+
+def _changes(known, restored, era=2, **changes):
+    options = {"epochs": {}, "is_certain": True, **changes}
+    return reconcile(
+        None if known is None else Registered(known),
+        Registered(restored),
+        era=era,
+        now=9.0,
+        name="i9",
+        **options,
+    )
+
+
+def test_lost_rows_are_put_back_and_removed_ones_removed_again():
+    known = {key: row for key, row in KNOWN.items() if key != "member/i1"}
+    changes = _changes(known, COPY)
+    assert changes.puts["member/i2"] == ADDED
+    assert changes.removals == ("member/i1",)
+    assert "founding" not in changes.puts
+
+
+def test_a_table_restored_from_before_the_founding_keeps_its_secret():
+    changes = _changes(KNOWN, {})
+    assert changes.puts["founding"] == FOUNDING
+    assert set(changes.last) == {"duty", "era/2"}
+
+
+def test_epochs_and_tokens_exceed_those_of_all_earlier_histories():
+    changes = _changes(KNOWN, COPY)
+    record = changes.puts["group/g"]
+    assert (record.primary, record.term) == ("d2", 2)
+    assert record.promoting == ""
+    assert record.epoch > floor_of(2)
+    assert changes.last["duty"].holder == "i2"
+    assert changes.last["duty"].fence > floor_of(2)
+    later = _changes({**KNOWN, **changes.last, **changes.puts}, COPY, era=3)
+    assert later.puts["group/g"].epoch > record.epoch
+    assert later.last["duty"].fence > changes.last["duty"].fence
+
+
+def test_without_known_rows_every_primary_is_verified():
+    changes = _changes(None, COPY)
+    assert changes.puts["group/g"].promoting == "i9"
+    assert changes.puts["group/g"].primary == "d1"
+    assert changes.last["duty"].fence > floor_of(2)
+
+
+@pytest.mark.parametrize(
+    ("epoch", "is_certain", "promoting"),
+    [(4, True, ""), (5, True, "i9"), (4, False, "i9")],
+)
+def test_a_promotion_that_may_have_begun_unnoticed_is_taken_over(
+    epoch, is_certain, promoting
+):
+    changes = _changes(KNOWN, COPY, epochs={"g": epoch}, is_certain=is_certain)
+    assert changes.puts["group/g"].promoting == promoting
+    assert changes.puts["group/g"].epoch > epoch
+
+
+def test_every_history_that_was_missed_is_marked():
+    assert set(_changes(KNOWN, COPY, era=4).last) == {
+        "duty",
+        "era/2",
+        "era/3",
+        "era/4",
+    }
+
+
+class _Store:
+    """A store of one table that can be restored from a copy.
+
+    Attributes:
+        rows: The rows with their versions, by key.
+        era: The number that a caller has noticed.
+        own_era: The number of the present history.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.era = self.own_era = 1
+
+    def note_era(self, era):
+        self.era = max(self.era, era)
+
+    def restore(self, copy):
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.own_era += 1
+
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def table(self):
+        rows = tuple(StoredRow(key, *row) for key, row in self.rows.items())
+        return Rows(rows, self.version, 0.0, 0.0, self.own_era)
+
+    async def transact(self, *, conditions=(), puts=(), removals=()):
+        for row in conditions:
+            if self.rows.get(row.key, (None, 0))[1] != row.version:
+                return None
+        self.version += 1
+        for put in puts:
+            self.rows[put.key] = (put.value, self.version)
+        for _, key in removals:
+            del self.rows[key]
+        return Committed(self.version, 0.0, self.own_era)
+
+
+async def _registry(store, rows=None):
+    """Returns a registry that knows the table, after writing its rows."""
+    registry = Registry(store)
+    assert registry.load(store.table())
+    if rows:
+        assert await registry.write(rows)
+    return registry
+
+
+async def _reconcile(registry, store):
+    rows = store.table()
+    done = await registry.reconcile(rows, name="i1", epochs={}, is_certain=True)
+    return done and registry.load(store.table())
+
+
+async def test_a_restored_table_is_not_used_before_it_is_reconciled():
+    store = _Store()
+    registry = await _registry(store, {**COPY})
+    copy = store.copy()
+    assert await registry.write({"group/g": NEW})
+    store.restore(copy)
+    assert not registry.load(store.table())
+    assert registry.groups["g"] == NEW
+    store.note_era(2)
+    with pytest.raises(UnreconciledError):
+        await registry.write({"group/g": NEW})
+    assert await _reconcile(registry, store)
+    assert registry.groups["g"].primary == "d2"
+    assert await registry.write({"group/g": NEW})
+
+
+async def test_a_version_that_is_given_out_again_meets_no_condition():
+    """A writer that missed a restore knows a version that now is another row.
+
+    Its write must fail once the new history is reconciled, and not count
+    before.
+    """
+    store = _Store()
+    writer = await _registry(store, {**COPY})
+    other = await _registry(store)
+    copy = store.copy()
+    lost = GroupRecord(epoch=2, primary="d1", promoting="i1")
+    assert await writer.write({"group/g": lost})
+    store.restore(copy)
+    other.load(store.table())
+    assert await _reconcile(other, store)
+    row = store.rows["group/g"]
+    # The same version as the lost write had; the writer's client has had no
+    # answer since.
+    store.era = 1
+    store.rows["group/g"] = (row[0], copy[1] + 1)
+    assert await writer.write({"group/g": NEW}) is None
+    assert store.rows["group/g"][0] == row[0]
+
+
+async def test_a_write_applied_after_an_unnoticed_restore_does_not_count():
+    store = _Store()
+    writer = await _registry(store, {**COPY})
+    store.restore(store.copy())
+    with pytest.raises(UnreconciledError):
+        await writer.write({"duty": Duty(holder="i1", fence=2)})
+    assert writer.duty.fence == 1
+
+
+async def test_of_two_that_reconcile_at_once_one_wins():
+    store = _Store()
+    first = await _registry(store, {**COPY})
+    second = await _registry(store)
+    store.restore(store.copy())
+    rows = store.table()
+    options = {"name": "i1", "epochs": {}, "is_certain": True}
+    assert await first.reconcile(rows, **options)
+    assert not await second.reconcile(rows, **options)
+    assert second.load(store.table())
+    assert second.duty.fence == floor_of(2) + 1
+
+
+async def test_an_instance_that_missed_a_reconciled_history_adds_nothing():
+    store = _Store()
+    absent = await _registry(store, {**COPY})
+    present = await _registry(store)
+    copy = store.copy()
+    store.restore(copy)
+    assert await _reconcile(present, store)
+    await present.remove_member("i1")
+    store.restore(store.copy())
+    absent.load(store.table())
+    assert await _reconcile(absent, store)
+    assert "i1" not in absent.members
+
+
+async def test_many_rows_are_put_back_in_several_transactions():
+    store = _Store()
+    registry = await _registry(store, {"founding": FOUNDING})
+    assert await registry.write({era_key(1): Era(at=0.0)})
+    copy = store.copy()
+    names = [f"i{number}" for number in range(200)]
+    for name in names:
+        assert await registry.write({f"member/{name}": MEMBER})
+    store.restore(copy)
+    registry.load(store.table())
+    assert await _reconcile(registry, store)
+    assert registry.members.keys() == set(names)
+
+
+async def test_peers_take_over_a_newer_history_whole():
+    store = _Store()
+    sender = await _registry(store, {**KNOWN})
+    receiver = await _registry(store)
+    version = receiver.members_version
+    copy = store.copy()
+    await sender.remove_member("i2")
+    store.restore(copy)
+    sender.load(store.table())
+    assert await _reconcile(sender, store)
+    rows = sender.changes_since(receiver.era, receiver.version)
+    assert receiver.load(Rows(rows, sender.version, 0.0, 0.0, sender.era))
+    assert receiver.members == sender.members
+    assert receiver.groups == sender.groups
+    assert receiver.members_version == sender.members_version > version
+    # An instance that is behind has nothing for one that is not.
+    assert receiver.changes_since(sender.era + 1, 0) == ()
