Keep an endpoint leaving when the store's copy has an older entry

Callers would see: new work at an endpoint that leaves, after the store came back with the entry from before it announced that. Cause: entries were taken in the order in which they were read. Change: for 3 s after a restore, an entry that is older than the known one, by the start of its process and its number, is left out; the table is read anew until the time is over, so what was left out wrongly is seen then. Evidence: test_an_endpoint_that_leaves_is_not_taken_back_after_a_restore fails without the change.

--- a/src/lagoonstair/platform/discovery.py
+++ b/src/lagoonstair/platform/discovery.py
@@ -51,6 +51,7 @@
         leaving=wire.state == "draining",
         says_primary=wire.db_role == "primary",
         started=wire.born,
+        sequence=wire.seq_no,
     )
 
 
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -54,9 +54,9 @@
 STALE_ENDPOINTS_SECONDS = 2.5
 """Age (s) of the endpoint entries beyond which a voter reads them itself."""
 
-REWRITE_SECONDS = 10.0
-"""Time (s) after a restore of the store within which the operator and the
-endpoints write their lost rows again."""
+CONFIG_REWRITE_SECONDS = 10.0
+"""Time (s) after a restore of the store within which the operator writes a lost
+configuration again."""
 
 CONFIRMATION_CHECK_SECONDS = 0.02
 """Interval (s) between checks of whether a newly started instance's data is
@@ -167,6 +167,7 @@
     ) -> None:
         version = era = 0
         pause = RETRY_SECONDS
+        was_rewriting = False
         started = self._tables.is_confirmed
         if started:
             task_status.started()
@@ -175,7 +176,12 @@
                 await trio.sleep(ROLE_CHECK_SECONDS)
                 version = 0
                 continue
-            is_full_read = version == 0
+            # Entries that were left out as older than the known ones do not
+            # come again with the feed.
+            is_full_read = version == 0 or was_rewriting
+            was_rewriting = (
+                table == discovery.TABLE and self._tables.awaits_rewrites
+            )
             try:
                 if is_full_read:
                     rows = await self._store.read_table(table)
@@ -226,6 +232,7 @@
                     previous=self._era,
                     version=rows.version,
                 )
+                self._tables.note_restore()
             self._era = rows.era
             self._metrics.set("store_era", rows.era)
         if self._is_store_lost:
@@ -277,7 +284,7 @@
         After a restore, peers may hold a newer configuration than the store.
         """
         age = self.store_now - self._registry.restored_at
-        return age < REWRITE_SECONDS
+        return age < CONFIG_REWRITE_SECONDS
 
     def _must_read_store(self) -> bool:
         voters = self._registry.voters()
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -57,6 +57,10 @@
     era: int = 0
 
 
+REWRITE_SECONDS = 3.0
+"""Time (s) after a restore of the store within which live endpoints write their
+entries again; it takes them about 2 s."""
+
 EMPTY_UPDATE = Update(None, (), 0, (), 1e6)
 
 
@@ -81,6 +85,8 @@
         self._config = b""
         self._entries: dict[str, bytes] = {}
         self._checksum = 0
+        self._ages: dict[str, tuple[int, int]] = {}
+        self._restored_at = float("-inf")
         self.last_asked_at: dict[str, float] = {}
         self.endpoints_asked_at = float("-inf")
         self.confirmed_by: set[str] = set()
@@ -101,6 +107,15 @@
         """Whether both a configuration and endpoints are known."""
         return self._fleet.config is not None and bool(self._fleet.endpoints)
 
+    @property
+    def awaits_rewrites(self) -> bool:
+        """Whether stored entries may still be those of an older copy."""
+        return trio.current_time() - self._restored_at < REWRITE_SECONDS
+
+    def note_restore(self) -> None:
+        """Records that the store has been restored from an older copy."""
+        self._restored_at = trio.current_time()
+
     def known_versions(self) -> KnownVersions:
         """Returns the versions of the local store data."""
         config = self._fleet.config
@@ -156,6 +171,8 @@
                 update.era,
             )
             is_newer_era = update.era > self._registry.era
+            if is_newer_era and self._registry.era:
+                self.note_restore()
             is_applied = (
                 self._registry.load(rows)
                 if is_newer_era
@@ -219,6 +236,8 @@
         now = trio.current_time()
         for name in self._fleet.endpoints.keys() - present:
             self._fleet.missing_since.setdefault(name, now)
+        for name in self._ages.keys() - self._fleet.endpoints.keys():
+            del self._ages[name]
         self._update_checksum()
 
     def apply_endpoint_change(self, name: str, value: bytes | None) -> None:
@@ -236,6 +255,11 @@
         if endpoint is None:
             self._metrics.count("entries_unreadable")
             return False
+        age = (endpoint.started, endpoint.sequence)
+        if self.awaits_rewrites and age < self._ages.get(name, age):
+            # The copy's entry is older than the known one.
+            return name in self._fleet.endpoints
+        self._ages[name] = age
         if self._fleet.endpoints.get(name) != endpoint:
             self._entries[name] = value
         self._entries.setdefault(name, value)
--- a/src/lagoonstair/routing/_model.py
+++ b/src/lagoonstair/routing/_model.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lagoonstair._types import Address
 
@@ -110,6 +110,8 @@
         says_primary: Whether it considers itself the primary.
         started: The start time of its process, as it reports it.
             Distinguishes two processes with the same ID.
+        sequence: The number of this entry, counted by its process. Entries
+            that differ only in it are equal.
     """
 
     name: str
@@ -120,3 +122,4 @@
     leaving: bool
     says_primary: bool
     started: int
+    sequence: int = field(default=0, compare=False)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -6,11 +6,15 @@
 
 import signal
 
+import msgspec
 import pytest
 import trio
 
 from lagoonstair._types import Address
 from lagoonstair.platform.store import HistoryLostError, PutRow, Store
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._tables import REWRITE_SECONDS, Tables
 from lagoonstair.standins.statements import StoreStandin
 from lagoonstair.standins.statements._store import StoreFault
 from proxy_fleet import HOST, config, proxy_fleet
@@ -156,3 +160,43 @@
         with pytest.raises(HistoryLostError):
             await client.follow("t", rows.version, 0.1, era=rows.era)
         nursery.cancel_scope.cancel()
+
+
+def _entry(**changes):
+    value = {
+        "service": "g",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 2,
+        "state": "ready",
+        "db_role": "replica",
+        "seq_no": 3,
+        "born": 1000,
+    }
+    return msgspec.json.encode({**value, **changes})
+
+
+async def test_an_endpoint_that_leaves_is_not_taken_back_after_a_restore(
+    autojump_clock,
+):
+    """The copy's older entry must not bring new work to a leaving endpoint.
+
+    The endpoint writes its entry again, within about two seconds.
+    """
+    fleet = Fleet("i1", "a", Metrics())
+    tables = Tables(fleet, None, Metrics())
+    tables.apply_endpoints({"d1": _entry(seq_no=5, state="draining")})
+    tables.note_restore()
+    tables.apply_endpoints({"d1": _entry(seq_no=3)})
+    assert fleet.endpoints["d1"].leaving
+    assert not fleet.missing_since
+    tables.apply_endpoints({"d1": _entry(seq_no=9, born=900)})
+    assert fleet.endpoints["d1"].leaving
+    # Another process under the same name, or a later entry of this one.
+    tables.apply_endpoints({"d1": _entry(seq_no=1, born=2000)})
+    assert not fleet.endpoints["d1"].leaving
+    tables.apply_endpoints({"d1": _entry(seq_no=6, state="draining")})
+    assert not fleet.endpoints["d1"].leaving
+    await trio.sleep(REWRITE_SECONDS + 1)
+    tables.apply_endpoints({"d1": _entry(seq_no=6, state="draining")})
+    assert fleet.endpoints["d1"].leaving
