--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -66,6 +66,19 @@
 """How long a late promotion takes at least and at most, in seconds; an instance
 calls for a promotion again after 3 s without effect."""
 
+RESTORES = 3
+"""How many times at most a seed restores the store from an older copy."""
+
+COPY_SECONDS = 0.25
+"""The interval between copies of the store, in seconds."""
+
+COPY_AGE_SECONDS = (0.5, 12.0)
+"""How old the restored copy is at least and at most, in seconds."""
+
+REWRITE_SECONDS = (0.0, 2.0)
+"""How long after a restore the operator and the databases write their rows
+again at least and at most, in seconds."""
+
 RECOVERY_SECONDS = 20
 """How long all instances may take to serve again after the faults have ended,
 in seconds."""
@@ -443,11 +456,64 @@
 
     async def _change_config(self, pause):
         self._version += 1
+        self.write_config()
+
+    def write_config(self):
+        """Writes the newest configuration, also after the store lost it."""
         cfg = config(version=self._version)
         cfg["limits"]["tx_idle_ms"] = 2000 + self._version
         self._fleet.store.put("op", "config", cfg)
 
 
+class StoreRestorer:
+    """Takes the store down and brings it back from an older copy.
+
+    It draws from a stream of its own, so that a seed keeps its other faults.
+    """
+
+    def __init__(self, fleet, rng, injector):
+        self._fleet = fleet
+        self._rng = rng
+        self._injector = injector
+        self._copies = []
+
+    async def run(self, seconds):
+        times = sorted(
+            self._rng.uniform(0, seconds)
+            for _ in range(self._rng.randint(1, RESTORES))
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._copy)
+            began = trio.current_time()
+            for at in times:
+                await trio.sleep(max(0, began + at - trio.current_time()))
+                self._injector.schedule.append(
+                    (round(seconds - at, 2), "restore_store")
+                )
+                await self._restore()
+            nursery.cancel_scope.cancel()
+
+    async def _copy(self):
+        while True:
+            self._copies.append((trio.current_time(), self._fleet.store.copy()))
+            await trio.sleep(COPY_SECONDS)
+
+    async def _restore(self):
+        store = self._fleet.store
+        store.fault = self._rng.choice((StoreFault.BUSY, StoreFault.SILENT))
+        age = self._rng.uniform(*COPY_AGE_SECONDS)
+        taken_by = trio.current_time() - age
+        older = [copy for at, copy in self._copies if at <= taken_by]
+        await trio.sleep(self._rng.uniform(0.1, 2.0))
+        store.restore(older[-1] if older else self._copies[0][1])
+        store.fault = StoreFault.NONE
+        await trio.sleep(self._rng.uniform(*REWRITE_SECONDS))
+        self._injector.write_config()
+        await trio.sleep(self._rng.uniform(*REWRITE_SECONDS))
+        for database in self._fleet.group.databases.values():
+            self._fleet.group.publish_entry(database)
+
+
 def _promotion_seconds(rng, count=100):
     """Draws how long each promotion of a run takes, in seconds."""
     return [
@@ -458,13 +524,14 @@
     ]
 
 
-async def run_seed(seed, tmp_path, *, seconds=FAULT_SECONDS):
+async def run_seed(seed, tmp_path, *, seconds=FAULT_SECONDS, restores=True):
     """Runs one seed.
 
     Args:
         seed: Seeds the choice of faults and of operations.
         tmp_path: The directory for settings and logs.
         seconds: How long faults are injected, in seconds.
+        restores: Whether the store is restored from older copies too.
 
     Returns:
         The violations, the schedule of faults and the number of operations.
@@ -487,7 +554,13 @@
             async with trio.open_nursery() as work:
                 for caller in callers:
                     work.start_soon(caller.run, stop)
-                await injector.run(seconds)
+                async with trio.open_nursery() as faults:
+                    faults.start_soon(injector.run, seconds)
+                    if restores:
+                        restorer = StoreRestorer(
+                            fleet, random.Random(f"{seed}/restores"), injector
+                        )
+                        faults.start_soon(restorer.run, seconds)
                 await _wait_recovered(fleet)
                 stop.set()
             violations = check_results(fleet, callers)
@@ -541,6 +614,9 @@
     fences = [call.fence for call in fleet.duties.calls]
     if fences != sorted(fences):
         violations.append(f"fencing tokens decreased: {fences}")
+    tokens = {(call.fence, call.holder) for call in fleet.duties.calls}
+    if len(tokens) > len({fence for fence, _ in tokens}):
+        violations.append(f"a fencing token has two holders: {sorted(tokens)}")
     for name, number, code in fleet.ended:
         if number == "did not recover":
             violations.append("an instance did not recover in time")
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -19,15 +19,25 @@
 A write that was answered after its primary's proof had expired was not recorded
 for the session."""
 
+RESTORE_SEEDS = (2, 5)
+"""Seeds that also restore the store from older copies; seed 5 does so three
+times."""
+
 SECONDS = 5.0
 """How long a seed injects faults, in seconds; about ten faults."""
 
 
-@pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
-async def test_guarantees_hold_under_faults(seed, tmp_path):
+@pytest.mark.parametrize(
+    ("seed", "restores"),
+    [
+        *((seed, False) for seed in (*CI_SEEDS, *REGRESSIONS)),
+        *((seed, True) for seed in RESTORE_SEEDS),
+    ],
+)
+async def test_guarantees_hold_under_faults(seed, restores, tmp_path):
     with logs_kept_on_error(seed, tmp_path):
         violations, schedule, count = await run_seed(
-            seed, tmp_path, seconds=SECONDS
+            seed, tmp_path, seconds=SECONDS, restores=restores
         )
         assert violations == [], schedule
     assert count > 0
