Model the registry under restores of its store

Cause: the proofs of the promotion duty assumed that the store loses nothing. Change: a state machine restores the store to any copy, restarts instances without memory, loses answers and has instances learn of a restore late; tokens must rise and have one holder, epochs must rise.

--- a/tests/test_proxy_reconcile.py
+++ b/tests/test_proxy_reconcile.py
@@ -1,11 +1,19 @@
 """What one instance puts back after the store came back from an older copy."""
 
+import itertools
+from functools import partial
+
 import pytest
+import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lagoonstair.platform.store import (
     Committed,
     Rows,
     StoredRow,
+    StoreError,
 )
 from lagoonstair.primacy import Duty, GroupRecord
 from lagoonstair.proxy._reconcile import Registered, reconcile
@@ -17,6 +25,7 @@
     era_key,
     floor_of,
 )
+from soak import examples
 
 FOUNDING = Founding(secret="00", at=1.0)
 MEMBER = Member(host="h", port=1, failure_domain="a", since=1.0)
@@ -105,22 +114,19 @@
     }
 
 
-class _Store:
+class _Server:
     """A store of one table that can be restored from a copy.
 
     Attributes:
         rows: The rows with their versions, by key.
-        era: The number that a caller has noticed.
+        version: The newest version.
         own_era: The number of the present history.
     """
 
     def __init__(self):
         self.rows = {}
         self.version = 0
-        self.era = self.own_era = 1
-
-    def note_era(self, era):
-        self.era = max(self.era, era)
+        self.own_era = 1
 
     def restore(self, copy):
         self.rows, self.version = dict(copy[0]), copy[1]
@@ -133,7 +139,7 @@
         rows = tuple(StoredRow(key, *row) for key, row in self.rows.items())
         return Rows(rows, self.version, 0.0, 0.0, self.own_era)
 
-    async def transact(self, *, conditions=(), puts=(), removals=()):
+    def transact(self, conditions, puts, removals):
         for row in conditions:
             if self.rows.get(row.key, (None, 0))[1] != row.version:
                 return None
@@ -145,6 +151,33 @@
         return Committed(self.version, 0.0, self.own_era)
 
 
+class _Store:
+    """One instance's client of the store.
+
+    Attributes:
+        era: The newest history number in an answer so far.
+        is_answer_lost: Whether answers to transactions are lost.
+    """
+
+    def __init__(self, server=None):
+        self.server = server or _Server()
+        self.era = 1
+        self.is_answer_lost = False
+
+    def note_era(self, era):
+        self.era = max(self.era, era)
+
+    def __getattr__(self, name):
+        return getattr(self.server, name)
+
+    async def transact(self, *, conditions=(), puts=(), removals=()):
+        committed = self.server.transact(conditions, puts, removals)
+        if self.is_answer_lost:
+            raise StoreError("no answer", refused=False)
+        self.note_era(self.server.own_era)
+        return committed
+
+
 async def _registry(store, rows=None):
     """Returns a registry that knows the table, after writing its rows."""
     registry = Registry(store)
@@ -267,3 +300,144 @@
     assert receiver.members_version == sender.members_version > version
     # An instance that is behind has nothing for one that is not.
     assert receiver.changes_since(sender.era + 1, 0) == ()
+
+
+class RegistryMachine(RuleBasedStateMachine):
+    """Instances that promote while the store goes back to older copies.
+
+    An instance calls the platform right after its write, with the token that
+    it then holds. Answers are lost, instances restart without memory, and some
+    learn of a restore from their peers, late or never.
+    """
+
+    names = st.sampled_from(["i1", "i2", "i3"])
+
+    def __init__(self):
+        super().__init__()
+        self.server = _Server()
+        self.copies = []
+        self.calls = []
+        self.registries = {}
+        self.epochs = []
+        self.stores = {}
+        for name in ("i1", "i2", "i3"):
+            self.restart(name)
+        first = self.registries["i1"]
+        rows = {**COPY, "group/g": OLD}
+        assert trio.run(first.write, rows)
+        for name in self.registries:
+            self.read(name)
+
+    @rule(name=names)
+    def restart(self, name):
+        self.stores[name] = _Store(self.server)
+        self.stores[name].era = 0
+        self.registries[name] = Registry(self.stores[name])
+        self.read(name)
+
+    @rule()
+    def copy(self):
+        self.copies.append(self.server.copy())
+
+    @rule(name=names, is_taken=st.booleans())
+    def read_and_promote(self, name, is_taken):
+        self.read(name)
+        self.promote(name, is_taken, is_answer_lost=False)
+
+    @rule(
+        number=st.integers(0, 5),
+        restarted=st.sets(names),
+        settled_by=names | st.none(),
+    )
+    def restore(self, number, restarted, settled_by):
+        if not self.copies:
+            return
+        number %= len(self.copies)
+        self.server.restore(self.copies[number])
+        # A later restore goes back to a copy of the present history.
+        self.copies = self.copies[: number + 1]
+        for name in sorted(restarted):
+            self.restart(name)
+        if settled_by is not None:
+            self.read(settled_by)
+            self.reconcile(settled_by, is_certain=True)
+
+    @rule(name=names)
+    def read(self, name):
+        self.stores[name].note_era(self.server.own_era)
+        self.registries[name].load(self.server.table())
+
+    @rule(asker=names, answerer=names)
+    def ask(self, asker, answerer):
+        ours, theirs = self.registries[asker], self.registries[answerer]
+        rows = Rows(
+            theirs.changes_since(ours.era, ours.version),
+            theirs.version,
+            0.0,
+            0.0,
+            theirs.era,
+        )
+        if theirs.era > ours.era:
+            ours.load(rows)
+        else:
+            ours.apply_changes(rows)
+
+    @rule(name=names, is_taken=st.booleans(), is_answer_lost=st.booleans())
+    def promote(self, name, is_taken, is_answer_lost):
+        registry = self.registries[name]
+        duty, record = registry.duty, registry.groups.get("g")
+        if duty is None or record is None:
+            return
+        values = {}
+        if is_taken or duty.holder != name:
+            duty = Duty(holder=name, fence=duty.fence + 1)
+            values["duty"] = duty
+        record = GroupRecord(
+            epoch=record.epoch + 1, primary=f"d{len(self.calls)}"
+        )
+        values["group/g"] = record
+        unchanged = () if "duty" in values else ("duty",)
+        store = self.stores[name]
+        store.is_answer_lost = is_answer_lost
+        try:
+            committed = trio.run(
+                partial(registry.write, values, unchanged=unchanged)
+            )
+        except StoreError:
+            return
+        finally:
+            store.is_answer_lost = False
+        if committed is not None:
+            self.calls.append((duty.fence, name))
+            self.epochs.append(record.epoch)
+
+    @rule(name=names, is_certain=st.booleans())
+    def reconcile(self, name, is_certain):
+        registry = self.registries[name]
+        rows = registry.unreconciled
+        if rows is not None:
+            reconcile_rows = partial(
+                registry.reconcile,
+                rows,
+                name=name,
+                epochs={},
+                is_certain=is_certain,
+            )
+            trio.run(reconcile_rows)
+            self.read(name)
+
+    @invariant()
+    def tokens_rise_and_have_one_holder(self):
+        fences = [fence for fence, _ in self.calls]
+        assert fences == sorted(fences)
+        assert len(set(self.calls)) == len(set(fences))
+
+    @invariant()
+    def epochs_rise(self):
+        assert all(a < b for a, b in itertools.pairwise(self.epochs))
+
+
+TestRegistry = RegistryMachine.TestCase
+TestRegistry.settings = settings(
+    max_examples=examples(200), stateful_step_count=40, deadline=None
+)
