Resume an instance's own promotion without waiting for its turn

Cause: the instance that a record names as its promoter waited for its turn among the voters, 0.35 s for each before it. Change: it comes first. Evidence: test_an_instance_resumes_its_own_promotion_without_delay fails before.

--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -154,12 +154,22 @@
         scheduled = self._scheduled.get(group)
         if scheduled is None or scheduled[0] is not cause:
             alive = self._fleet.primacy.responsive_voters(now, ALIVE_SECONDS)
-            duty = self._registry.duty
-            holder = duty.holder if duty else ""
-            due = now + promotion_delay(self._fleet.name, alive, holder)
+            first = self._first_promoter(group)
+            due = now + promotion_delay(self._fleet.name, alive, first)
             self._scheduled[group] = scheduled = (cause, due)
         return now >= scheduled[1]
 
+    def _first_promoter(self, group: str) -> str:
+        """Returns the instance that comes first to promote.
+
+        An instance resumes its own promotion before others take it over.
+        """
+        record = self._fleet.primacy.records.get(group)
+        if record is not None and record.promoting == self._fleet.name:
+            return record.promoting
+        duty = self._registry.duty
+        return duty.holder if duty else ""
+
     def _cause(self, group: str) -> Cause | None:
         now = trio.current_time()
         primacy = self._fleet.primacy
--- a/tests/test_proxy_promoter.py
+++ b/tests/test_proxy_promoter.py
@@ -7,7 +7,7 @@
 
 from lagoonstair._types import Position
 from lagoonstair.platform.duties import PromoteAnswer
-from lagoonstair.primacy import Duty, GroupRecord, PendingPromotion
+from lagoonstair.primacy import Cause, Duty, GroupRecord, PendingPromotion
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._promoter import Promoter
 
@@ -49,6 +49,38 @@
     return GroupRecord(epoch=2, primary="d1", pending=tuple(pending))
 
 
+@pytest.mark.parametrize(
+    ("promoting", "delay"), [("i1", 0.0), ("i9", 1.4), ("", 1.4)]
+)
+async def test_an_instance_resumes_its_own_promotion_without_delay(
+    promoting, delay, autojump_clock
+):
+    """After a restore, the instance that reconciled verifies the primaries."""
+    record = GroupRecord(epoch=2, primary="d1", promoting=promoting)
+    others = {"a1", "a2", "a3", "h"}
+    primacy = SimpleNamespace(
+        records={"g": record}, responsive_voters=lambda now, within: others
+    )
+    registry = _Registry()
+    registry.duty = Duty(holder="h", fence=5)
+    promoter = Promoter(
+        SimpleNamespace(name="i1", primacy=primacy),
+        registry,
+        None,
+        None,
+        None,
+        None,
+        None,
+        Metrics(),
+        drain_seconds=7.0,
+    )
+    promoter._cause = lambda group: Cause.STALLED
+    started_at = trio.current_time()
+    while not promoter._is_due("g"):
+        await trio.sleep(0.05)
+    assert trio.current_time() - started_at == pytest.approx(delay, abs=0.06)
+
+
 @pytest.mark.parametrize("late_by", [0.0, WRITE_SECONDS / 2, 0.2])
 async def test_no_lower_fencing_token_arrives_after_a_higher_one(
     late_by, autojump_clock
