Ask another peer for data when the first has just started too

Callers would see: after a restore, a new process that starts among others may serve the copy's older configuration although one peer holds the newer one. Cause: the peer to learn from was drawn in the same failure domain each time, also when it had no data itself; after 1.5 s the process read the store instead. Change: a peer that had none is asked again only after all others, and the next is asked at once, once for each. Evidence: test_load_pattern_one_of_many_restarted_instances_has_the_data fails before.

--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -123,6 +123,7 @@
         self._tables = tables
         self._peers = peers
         self._missed_rounds: dict[str, int] = {}
+        self._lacking_data: set[str] = set()
         self._wake = trio.Event()
         self._round_numbers = itertools.count()
         self.replies: dict[str, GossipReply] = {}
@@ -261,13 +262,17 @@
 
         Updates from all of them would saturate its network link, and after a
         power failure all instances start at once. Instances in the same
-        failure domain are preferred.
+        failure domain are preferred. One that had no data itself, as it has
+        just started too, is asked again only after all others.
 
         Args:
             targets: The instances to be asked in this round.
         """
         if not targets:
             return None
+        targets = [
+            name for name in targets if name not in self._lacking_data
+        ] or targets
         same_domain = [
             name
             for name in targets
@@ -306,6 +311,13 @@
         self._tables.apply_update(name, reply.update, asked_at)
         if ask.known_versions is not None and was_complete:
             self._tables.confirmed_by.add(name)
+        elif (
+            ask.known_versions is not None
+            and not self._tables.is_complete
+            and name not in self._lacking_data
+        ):
+            self._lacking_data.add(name)
+            self._start_round()
         elif self._tables.is_complete and not was_complete:
             self._start_round()
         self._fleet.primacy.note_report(
