--- a/tests/faulty_link.py
+++ b/tests/faulty_link.py
@@ -42,6 +42,7 @@
     def __init__(self, target):
         self._target = target
         self._streams = set()
+        self._silent = set()
         self.port = 0
         self.mode = Mode.OPEN
         self.delay = 0.05
@@ -60,6 +61,10 @@
                 stream.socket.close()
             self.mode = Mode.OPEN
 
+    def silence_open(self):
+        """Makes all open connections silent for good; new ones work."""
+        self._silent |= self._streams
+
     async def _serve(self, stream):
         try:
             upstream = await trio.open_tcp_stream(HOST, self._target)
@@ -77,6 +82,7 @@
                 )
         finally:
             self._streams -= {stream, upstream}
+            self._silent -= {stream, upstream}
             stream.socket.close()
             upstream.socket.close()
 
@@ -87,7 +93,10 @@
                 if self.mode is Mode.DELAY:
                     await trio.sleep(self.delay)
                 pending += chunk
-                while self.mode in (blocking_mode, Mode.SILENT):
+                while (
+                    self.mode in (blocking_mode, Mode.SILENT)
+                    or source in self._silent
+                ):
                     await trio.sleep(0.02)
                 await sink.send_all(pending)
                 pending = b""
--- /dev/null
+++ b/tests/test_config_currency.py
@@ -0,0 +1,88 @@
+"""An acknowledged configuration is in force everywhere within its bound.
+
+Whatever happened to connections and peers before, an instance that reaches the
+store, or another instance that does, must not go on with an older one.
+"""
+
+import itertools
+from contextlib import asynccontextmanager
+
+import trio
+
+from fault_soak import SoakFleet
+from faulty_link import Mode
+from lagoonstair.proxy._registry import VOTER_COUNT
+from proxy_fleet import config
+
+CONFIG_SECONDS = 3.0
+"""Bound (s) on the time from the store's acknowledgement of a configuration
+until it is in force."""
+
+QUIET_SECONDS = 1.0
+"""Time (s) after which all feed calls wait for a change."""
+
+
+@asynccontextmanager
+async def _fleet(tmp_path, instances):
+    """Runs a fleet whose connections to the store can be disturbed."""
+    async with trio.open_nursery() as nursery:
+        fleet = SoakFleet(tmp_path, nursery)
+        fleet.store.put("op", "config", config())
+        try:
+            await fleet.start(instances)
+            await trio.sleep(QUIET_SECONDS)
+            yield fleet
+        finally:
+            fleet.stop()
+            nursery.cancel_scope.cancel()
+
+
+def _version(fleet, name):
+    """Returns the version of the configuration in force at an instance."""
+    versions = [
+        line["version"]
+        for line in fleet.log(name)
+        if line["event"] == "configuration in force"
+    ]
+    return versions[-1]
+
+
+async def test_a_change_is_in_force_in_time_after_all_connections_went_silent(
+    tmp_path,
+):
+    """A feed call that waits on a silent connection shows no change.
+
+    No error tells so: the bytes of the answer just do not arrive.
+    """
+    async with _fleet(tmp_path, instances=3) as fleet:
+        for version in itertools.count(2):
+            for link in fleet.store_links.values():
+                link.silence_open()
+            fleet.store.put("op", "config", config(version=version))
+            await fleet.until(
+                lambda version=version: all(
+                    _version(fleet, name) == version for name in fleet.processes
+                ),
+                CONFIG_SECONDS,
+            )
+            if version == 4:
+                break
+
+
+async def test_a_new_process_reads_what_a_majority_that_is_cut_off_lacks(
+    tmp_path,
+):
+    """The agreement of a majority does not make old data current.
+
+    A key that was withdrawn while they were cut off must not be in use again.
+    """
+    async with _fleet(tmp_path, instances=VOTER_COUNT) as fleet:
+        for link in fleet.store_links.values():
+            link.set(Mode.SILENT)
+        cfg = config(version=2)
+        cfg["tenants"][0]["api_keys"] = []
+        fleet.store.put("op", "config", cfg)
+        await fleet.start_instance("new")
+        await fleet.wait_ready("new")
+        greeting = (await fleet.caller(instance="new")).greeting
+        assert greeting[0].startswith("ERROR NOAUTH"), greeting
