Log where a configuration came from and measure how current it is

The logs could not tell which link brought a version, nor how old an instance's knowledge was while nothing changed. Each instance now tracks the newest time for which a read of the store shows its configuration to be the newest, and sends that age with its gossip. Nothing decides by it yet; the wire gains one trailing field, which the build before ignores.

--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -13,6 +13,7 @@
 from lagoonstair.platform.duties import Duties
 from lagoonstair.platform.store import Store, StoreError
 from lagoonstair.primacy import PROOF_SECONDS
+from lagoonstair.proxy._config_age import ConfigAge
 from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._follower import Follower
@@ -128,7 +129,12 @@
                 ),
             )
             self._quota = quota
-            tables = Tables(self._fleet, self._registry, self._metrics)
+            tables = Tables(
+                self._fleet,
+                self._registry,
+                self._metrics,
+                ConfigAge(settings.config_ms / 1000),
+            )
             self._follower = Follower(
                 self._store, self._fleet, self._registry, tables, self._metrics
             )
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -62,6 +62,9 @@
 """Interval (s) between checks of whether a newly started instance's data is
 confirmed."""
 
+CONFIG_WATCH_SECONDS = 0.1
+"""Interval (s) at which the age of the known configuration is examined."""
+
 ROLE_CHECK_SECONDS = 0.3
 """Interval (s) between checks of whether this instance must read the store."""
 
@@ -125,6 +128,7 @@
                     self._follow, table, apply, is_needed, period
                 )
             nursery.start_soon(self._expire_endpoints)
+            nursery.start_soon(self._watch_config)
             task_status.started()
 
     def apply_registration(self, rows: Rows) -> None:
@@ -262,11 +266,23 @@
         return True
 
     def _apply_config(self, rows: Rows, is_full_read: bool) -> bool:
-        for row in rows.rows:
-            if row.key == operator.KEY and row.value is not None:
-                self._tables.apply_config(row.value)
+        source = "read" if is_full_read else "feed"
+        is_valid = all(
+            self._tables.apply_config(row.value, source=source)
+            for row in rows.rows
+            if row.key == operator.KEY and row.value is not None
+        )
+        if is_valid:
+            self._tables.config_age.note_read(rows.asked_at)
         return True
 
+    async def _watch_config(self) -> None:
+        """Shows how current the known configuration is."""
+        while True:
+            age = self._tables.config_age.age(trio.current_time())
+            self._metrics.set("configuration_age_seconds", round(age, 3))
+            await trio.sleep(jittered(CONFIG_WATCH_SECONDS))
+
     def _apply_endpoints(self, rows: Rows, is_full_read: bool) -> bool:
         self._tables.endpoints_asked_at = rows.asked_at
         if is_full_read:
--- a/src/lagoonstair/proxy/_settings.py
+++ b/src/lagoonstair/proxy/_settings.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+from typing import Annotated
 
 import msgspec
 
@@ -52,6 +53,8 @@
         drain_ms: Time in milliseconds for which a leaving endpoint still
             accepts work.
         grace_s: Time in seconds within which a stopping process must exit.
+        config_ms: Time in milliseconds from the acknowledgement of a
+            configuration until it must be in force.
         fence_required: Whether the platform checks fencing tokens.
         quota_window_s: Window in seconds over which rates are measured.
         quota_excess: The fraction by which a rate may be exceeded within the
@@ -75,6 +78,7 @@
     heartbeat_ms: float = 1200
     drain_ms: float = 7000
     grace_s: float = 6
+    config_ms: Annotated[float, msgspec.Meta(gt=0)] = 3000
     fence_required: bool = False
     quota_window_s: float = 5
     quota_excess: float = 0
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -7,6 +7,7 @@
 
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import Rows, StoredRow
+from lagoonstair.proxy._config_age import UNKNOWN_AGE_SECONDS, ConfigAge
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._homes import InstanceResources
 from lagoonstair.proxy._log import log_event
@@ -47,6 +48,8 @@
         endpoints_age: Seconds since the entries were read from the store.
         era: The number of the store's history that the registry rows belong
             to. They are all rows if the requester's belong to an earlier one.
+        config_age: Seconds since the sender's configuration was certainly the
+            newest in the store.
     """
 
     config: bytes | None
@@ -55,6 +58,7 @@
     endpoints: tuple[tuple[str, bytes], ...]
     endpoints_age: float
     era: int = 0
+    config_age: float = UNKNOWN_AGE_SECONDS
 
 
 REWRITE_SECONDS = 3.0
@@ -74,10 +78,15 @@
             entries, in seconds.
         confirmed_by: The peers that were told the versions of the complete
             local data and sent what it lacked.
+        config_age: How current the local configuration is.
     """
 
     def __init__(
-        self, fleet: Fleet, registry: Registry, metrics: Metrics
+        self,
+        fleet: Fleet,
+        registry: Registry,
+        metrics: Metrics,
+        config_age: ConfigAge | None = None,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
@@ -90,6 +99,7 @@
         self.last_asked_at: dict[str, float] = {}
         self.endpoints_asked_at = float("-inf")
         self.confirmed_by: set[str] = set()
+        self.config_age = config_age or ConfigAge()
 
     @property
     def is_confirmed(self) -> bool:
@@ -141,7 +151,8 @@
         if own.endpoints != known.endpoints:
             entries = tuple(self._entries.items())
         is_newer = own.config_version > known.config_version
-        age = min(trio.current_time() - self.endpoints_asked_at, 1e6)
+        now = trio.current_time()
+        age = min(now - self.endpoints_asked_at, 1e6)
         return Update(
             self._config if is_newer else None,
             tuple((row.key, row.value, row.version) for row in rows),
@@ -149,6 +160,7 @@
             entries,
             round(age, 3),
             own.era,
+            round(self.config_age.age(now), 3),
         )
 
     def apply_update(self, name: str, update: Update, asked_at: float) -> None:
@@ -160,8 +172,10 @@
             asked_at: When the peer was asked, in seconds.
         """
         self.last_asked_at[name] = asked_at
-        if update.config is not None:
-            self.apply_config(zlib.decompress(update.config))
+        if update.config is None or self.apply_config(
+            zlib.decompress(update.config), source=name
+        ):
+            self.config_age.note_peer(name, asked_at, update.config_age)
         if update.registry:
             rows = Rows(
                 tuple(StoredRow(*row) for row in update.registry),
@@ -209,15 +223,24 @@
         for notify in self._fleet.config_listeners:
             notify()
 
-    def apply_config(self, value: bytes) -> None:
-        """Applies a stored configuration if it is valid and newer."""
+    def apply_config(self, value: bytes, *, source: str) -> bool:
+        """Applies a stored configuration if it is valid and newer.
+
+        Args:
+            value: The stored configuration.
+            source: Where it came from, for the log: the call to the store, or
+                the name of a peer.
+
+        Returns:
+            Whether it is valid, so that it or a newer one is in force now.
+        """
         try:
             config = operator.decode_config(value)
         except operator.BadConfigError as exc:
-            log_event("configuration unreadable", cause=str(exc))
-            return
+            log_event("configuration unreadable", cause=str(exc), source=source)
+            return False
         if not self._fleet.set_config(config):
-            return
+            return True
         self._config = zlib.compress(value)
         self._metrics.set("configuration_version", config.version)
         log_event(
@@ -225,7 +248,9 @@
             version=config.version,
             routes=len(config.routes),
             keys=len(config.keys),
+            source=source,
         )
+        return True
 
     def apply_endpoints(self, entries: dict[str, bytes]) -> None:
         """Applies the complete set of endpoint entries."""
