Leave idle connections to the store after one of them failed

A call that fails now closes the idle connections, so the next one opens a new one. The test failed before: the second call timed out as well.

--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -289,6 +289,9 @@
         except NotSentError as exc:
             raise StoreError(str(exc), refused=True) from exc
         except (HttpError, trio.TooSlowError) as exc:
+            # What broke one connection has often broken the idle ones too;
+            # the next call would wait in vain on each of them.
+            self._pool.close()
             message = f"{target.partition('?')[0]}: {exc or 'timed out'}"
             raise StoreError(message, refused=False) from exc
         self.note_era(_era_of(answer))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from faulty_link import FaultyLink
 from lagoonstair._types import Address
 from lagoonstair.platform import discovery, operator, store
 from lagoonstair.platform.duties import Duties, PromoteAnswer
@@ -198,3 +199,23 @@
 def test_an_invalid_configuration_is_refused(value):
     with pytest.raises(operator.BadConfigError):
         operator.decode_config(value)
+
+
+async def test_one_timeout_is_enough_to_leave_connections_that_went_silent(
+    monkeypatch,
+):
+    """Idle connections of the pool must not each cost a call its timeout."""
+    monkeypatch.setattr(store, "CALL_SECONDS", 0.3)
+    async with _store() as (_, standin), trio.open_nursery() as nursery:
+        port = await nursery.start(standin.serve, HOST, "i2")
+        link = FaultyLink(port)
+        await nursery.start(link.serve)
+        client = Store(Address(HOST, link.port))
+        async with trio.open_nursery() as calls:
+            for _ in range(store.CONNECTIONS):
+                calls.start_soon(client.read_table, "t")
+        link.silence_open()
+        with pytest.raises(StoreError):
+            await client.transact()
+        await client.transact()
+        nursery.cancel_scope.cancel()
