Read the configuration when no proof shows it to be the newest

Callers saw: a change acknowledged by the store was not in force up to 21 s later, without an error or a log line. Cause: a waiting feed call was taken for current as long as it did not fail; on a connection that went silent it waits until its timeout. If that happens to all voters at once, nobody tells the others. The class: the absence of an error taken for a proof.

Now the age of the knowledge is bounded instead: after a third of config_ms without a read of the store, own or told by a peer, one voter reads the row; the limit is drawn at random, so the others get its proof by gossip. The others read it themselves beyond two thirds, and in an outage in proportion to their number.

--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -170,14 +170,37 @@
         for scope in self._feeds:
             scope.cancel()
 
+    async def read_row(
+        self, table: str, key: str, timeout: float = CALL_SECONDS
+    ) -> Rows:
+        """Reads one row of a table.
+
+        Args:
+            table: The name of the table.
+            key: The row's key.
+            timeout: Seconds to wait for the answer.
+        """
+        key_range = {"from": key, "to": _key_after(key)}
+        return await self._read(table, key_range, timeout)
+
     async def read_table(self, table: str) -> Rows:
         """Reads all rows of a table, in several calls if necessary."""
+        return await self._read(table, {}, CALL_SECONDS)
+
+    async def _read(
+        self, table: str, key_range: dict[str, str], timeout: float
+    ) -> Rows:
         asked_at = trio.current_time()
         rows: list[StoredRow] = []
-        query = {"table": table, "part": "", "limit": str(ROWS_PER_CALL)}
+        query = {
+            "table": table,
+            "part": "",
+            "limit": str(ROWS_PER_CALL),
+            **key_range,
+        }
         first_era: int | None = None
         while True:
-            page, era = await self._get("rows-get", query, CALL_SECONDS)
+            page, era = await self._get("rows-get", query, timeout)
             if first_era not in (None, era):
                 message = "the store was restored between two pages"
                 raise StoreError(message, refused=True)
@@ -185,8 +208,7 @@
             rows += [_decode_row(row) for row in page.rows]
             if not (page.has_more and page.rows):
                 break
-            # A range includes its first key; start just after the last one.
-            query["from"] = page.rows[-1].key + "\0"
+            query["from"] = _key_after(page.rows[-1].key)
         now = page.now_ms / 1000
         return Rows(tuple(rows), page.row_version, now, asked_at, era)
 
@@ -304,6 +326,11 @@
     return int(text) if text.isdecimal() else 0
 
 
+def _key_after(key: str) -> str:
+    """Returns the next key; a range includes its first key, not its last."""
+    return key + "\0"
+
+
 def _row_id(table: str, key: str) -> dict[str, str]:
     return {"table": table, "part": "", "key": key}
 
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -1,11 +1,13 @@
 """Follows the store's tables through their change feeds."""
 
+import random
 from collections.abc import Callable
 
 import trio
 
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import (
+    CALL_SECONDS,
     HistoryLostError,
     Rows,
     Store,
@@ -14,7 +16,11 @@
 from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._registry import Registry, UnreconciledError
+from lagoonstair.proxy._registry import (
+    VOTER_COUNT,
+    Registry,
+    UnreconciledError,
+)
 from lagoonstair.proxy._registry_rows import TABLE
 from lagoonstair.proxy._tables import Tables
 
@@ -65,6 +71,15 @@
 CONFIG_WATCH_SECONDS = 0.1
 """Interval (s) at which the age of the known configuration is examined."""
 
+CONFIG_CHECK_FRACTIONS = (0.7, 1.0)
+"""Range of the fraction of the voters' limit on that age, drawn at random for
+each examination, so that one voter reads the store first and the others get its
+knowledge by gossip."""
+
+FIRST_CHECK_SECONDS = 0.5
+"""Timeout (s) of the first call of a check, which may be sent on a connection
+that has broken unnoticed."""
+
 ROLE_CHECK_SECONDS = 0.3
 """Interval (s) between checks of whether this instance must read the store."""
 
@@ -266,7 +281,10 @@
         return True
 
     def _apply_config(self, rows: Rows, is_full_read: bool) -> bool:
-        source = "read" if is_full_read else "feed"
+        self._apply_config_rows(rows, "read" if is_full_read else "feed")
+        return True
+
+    def _apply_config_rows(self, rows: Rows, source: str) -> None:
         is_valid = all(
             self._tables.apply_config(row.value, source=source)
             for row in rows.rows
@@ -274,14 +292,57 @@
         )
         if is_valid:
             self._tables.config_age.note_read(rows.asked_at)
-        return True
 
     async def _watch_config(self) -> None:
-        """Shows how current the known configuration is."""
+        """Reads the configuration when nothing else shows it to be current.
+
+        A feed call on a dead connection waits as if nothing had changed.
+        """
+        config_age = self._tables.config_age
+        attempts = 0
         while True:
-            age = self._tables.config_age.age(trio.current_time())
+            await trio.sleep(jittered(self._check_pause(attempts)))
+            now = trio.current_time()
+            age = config_age.age(now)
             self._metrics.set("configuration_age_seconds", round(age, 3))
-            await trio.sleep(jittered(CONFIG_WATCH_SECONDS))
+            is_voter = self._fleet.name in self._registry.voters()
+            fraction = random.uniform(*CONFIG_CHECK_FRACTIONS)
+            if not config_age.is_check_due(
+                now, is_voter=is_voter, fraction=fraction
+            ):
+                attempts = 0
+                continue
+            attempts += 1
+            try:
+                rows = await self._store.read_row(
+                    operator.TABLE,
+                    operator.KEY,
+                    FIRST_CHECK_SECONDS if attempts == 1 else CALL_SECONDS,
+                )
+            except StoreError as exc:
+                self._note_failure(operator.TABLE, exc)
+            else:
+                self._note_answer(rows)
+                self._apply_config_rows(rows, "check")
+
+    def _check_pause(self, attempts: int) -> float:
+        """Returns the pause before the next check of the configuration.
+
+        In an outage the instances that are not voters together make about as
+        many calls as the voters do.
+
+        Args:
+            attempts: The number of reads since the configuration was last
+                known to be current.
+        """
+        if not attempts:
+            return CONFIG_WATCH_SECONDS
+        pause = min(
+            MAX_RETRY_SECONDS, RETRY_SECONDS * 2.0 ** min(attempts, 8) / 2
+        )
+        if attempts == 1 or self._fleet.name in self._registry.voters():
+            return pause
+        return pause * max(1.0, len(self._registry.members) / VOTER_COUNT)
 
     def _apply_endpoints(self, rows: Rows, is_full_read: bool) -> bool:
         self._tables.endpoints_asked_at = rows.asked_at
--- a/src/lagoonstair/standins/statements/_store.py
+++ b/src/lagoonstair/standins/statements/_store.py
@@ -195,6 +195,7 @@
             for row_key, row in sorted(self._rows.items())
             if row_key[0] == args["table"]
             and row_key[1] >= args.get("from", "")
+            and ("to" not in args or row_key[1] < args["to"])
             and row.value is not None
         ]
         return self._page(rows, 200)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -219,3 +219,11 @@
             await client.transact()
         await client.transact()
         nursery.cancel_scope.cancel()
+
+
+async def test_a_read_of_one_row_leaves_out_its_neighbours():
+    async with _store() as (client, standin):
+        for key in ("config", "config2", "d"):
+            standin.put("op", key, 1)
+        rows = await client.read_row("op", "config")
+        assert [row.key for row in rows.rows] == ["config"]
