Let the first voter read the configuration for all

The first voter now reads after a fifth of the bound, and the others only when its knowledge does not reach them in time.

--- a/src/lagoonstair/proxy/_config_age.py
+++ b/src/lagoonstair/proxy/_config_age.py
@@ -4,11 +4,15 @@
 """Time (s) from the acknowledgement of a configuration until it must be in
 force, unless the settings give another."""
 
-CHECK_FRACTION = 1 / 3
-"""Fraction of the bound after which a voter reads the configuration. The rest
+READ_FRACTION = 0.2
+"""Fraction of the bound after which the first voter reads the configuration.
+The others get its knowledge by gossip."""
+
+TAKEOVER_FRACTION = 0.45
+"""Fraction of the bound after which any voter reads the configuration. The rest
 is left for a failed read and for two rounds of gossip."""
 
-BEHIND_FRACTION = 2 / 3
+BEHIND_FRACTION = 0.7
 """Fraction of the bound beyond which knowledge counts as outdated."""
 
 UNKNOWN_AGE_SECONDS = 1e6
@@ -74,19 +78,23 @@
         """Returns whether a peer's knowledge was outdated when it answered."""
         return name in self._behind_peers
 
-    def is_check_due(
-        self, now: float, *, is_voter: bool, fraction: float
+    def is_read_due(
+        self, now: float, *, rank: int | None, jitter: float
     ) -> bool:
         """Returns whether this instance should read the configuration.
 
         Args:
             now: The current time.
-            is_voter: Whether the instance is a voter. The others leave the
-                reads to the voters while these answer with recent knowledge.
-            fraction: The part of the voters' limit to apply. Drawn anew for
-                each check, it lets one voter read first, so that the others
-                get its knowledge by gossip.
+            rank: The instance's place among the voters; ``None`` if it is not
+                a voter and leaves the reads to them.
+            jitter: The part of the limit to apply, so that not all voters read
+                at once when the first one is gone.
         """
-        if not is_voter:
-            return not self.is_current(now)
-        return self.age(now) > self._bound * CHECK_FRACTION * fraction
+        match rank:
+            case None:
+                return not self.is_current(now)
+            case 0:
+                return self.age(now) > self._bound * READ_FRACTION
+            case _:
+                limit = self._bound * TAKEOVER_FRACTION * jitter
+                return self.age(now) > limit
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -71,10 +71,9 @@
 CONFIG_WATCH_SECONDS = 0.1
 """Interval (s) at which the age of the known configuration is examined."""
 
-CONFIG_CHECK_FRACTIONS = (0.7, 1.0)
+TAKEOVER_JITTER = (0.9, 1.0)
 """Range of the fraction of the voters' limit on that age, drawn at random for
-each examination, so that one voter reads the store first and the others get its
-knowledge by gossip."""
+each examination, so that one of them reads the store first."""
 
 FIRST_CHECK_SECONDS = 0.5
 """Timeout (s) of the first call of a check, which may be sent on a connection
@@ -305,11 +304,11 @@
             now = trio.current_time()
             age = config_age.age(now)
             self._metrics.set("configuration_age_seconds", round(age, 3))
-            is_voter = self._fleet.name in self._registry.voters()
-            fraction = random.uniform(*CONFIG_CHECK_FRACTIONS)
-            if not config_age.is_check_due(
-                now, is_voter=is_voter, fraction=fraction
-            ):
+            voters = self._registry.voters()
+            name = self._fleet.name
+            rank = voters.index(name) if name in voters else None
+            jitter = random.uniform(*TAKEOVER_JITTER)
+            if not config_age.is_read_due(now, rank=rank, jitter=jitter):
                 attempts = 0
                 continue
             attempts += 1
