Do not stay with voters that are behind

An instance that is no voter asked mostly the voters of its own failure domain: 12 rounds in a row (5.4 s) if there are two. If these are cut off from the store and from the other voters, but not from it, it heard of a change only after that. They lose their extra turns now as soon as an answer tells that their own knowledge is old. The test failed before (the age grew to 5.5 s and more).

--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -39,7 +39,8 @@
 SAME_DOMAIN_WEIGHT = 6
 """Extra turns of each voter in the same failure domain in a rotation of asked
 voters, in which every voter has one turn. Traffic between failure domains is
-charged for."""
+charged for. A voter that answers, but has not heard of the store for a while,
+has no extra turns."""
 
 CALL_TIMEOUT_SECONDS = 0.4
 """Time (s) after which a peer's answer counts as missed in this round."""
@@ -208,6 +209,7 @@
             if self._registry.members[name].failure_domain
             == self._fleet.failure_domain
             and not self._missed_rounds.get(name)
+            and not self._tables.config_age.is_peer_behind(name)
         ]
         rotation = [*same_domain * SAME_DOMAIN_WEIGHT, *voters]
         return (
--- a/tests/test_proxy_gossip.py
+++ b/tests/test_proxy_gossip.py
@@ -6,6 +6,10 @@
 import trio
 
 from lagoonstair.peers import PeerLostError, PeerNotSentError
+from lagoonstair.proxy._config_age import (
+    DEFAULT_BOUND_SECONDS,
+    ConfigAge,
+)
 from lagoonstair.proxy._gossip import (
     ROUND_PERIOD_SECONDS,
     SWEEP_PERIOD_SECONDS,
@@ -53,7 +57,9 @@
         name="new", failure_domain="z1", primacy=primacy, pools={}
     )
     tables = SimpleNamespace(
-        is_complete=is_complete, known_versions=lambda: KNOWLEDGE
+        is_complete=is_complete,
+        known_versions=lambda: KNOWLEDGE,
+        config_age=ConfigAge(),
     )
     peers = _Peers()
     handlers = SimpleNamespace(register=lambda message, handler: None)
@@ -225,6 +231,28 @@
     assert trio.current_time() - started_at < ROUND_PERIOD_SECONDS / 2
 
 
+async def test_an_instance_does_not_stay_with_outdated_voters_of_its_domain(
+    autojump_clock,
+):
+    """Voters that answer, but are cut off from the store, are no source.
+
+    Six of seven rounds go to the voters of the same failure domain; a change
+    that only the others know must not wait for their turn.
+    """
+    gossip, _ = _gossip(is_complete=True)
+    gossip._fleet.primacy.has_majority = lambda now, within: True
+    config_age = gossip._tables.config_age
+    oldest = 0.0
+    for number in range(200):
+        now = number * ROUND_PERIOD_SECONDS
+        (name,) = gossip._round_targets()
+        is_cut_off = name in ("i1", "i4")
+        config_age.note_peer(name, now, 30.0 if is_cut_off else 0.1)
+        if number >= VOTERS * 3:
+            oldest = max(oldest, config_age.age(now))
+    assert oldest < DEFAULT_BOUND_SECONDS
+
+
 @pytest.mark.parametrize(
     ("is_complete", "confirmed_by", "is_confirmed"),
     [
