Read the configuration at a start when the majority may be behind

A process that had just started served as soon as a majority of the voters had confirmed its data. Voters that are all cut off from the store agree too, on a configuration with a key that was withdrawn meanwhile, although the new process reaches the store.

--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -186,7 +186,11 @@
         version = era = 0
         pause = RETRY_SECONDS
         was_rewriting = False
-        started = self._tables.is_confirmed
+        # A majority that is cut off from the store agrees on what is outdated.
+        started = self._tables.is_confirmed and (
+            table != operator.TABLE
+            or self._tables.config_age.is_current(trio.current_time())
+        )
         if started:
             task_status.started()
         while True:
