Let an odd entry name no endpoint instead of ending the process

Another writer's entry that is deeply nested raised RecursionError, one with a large port OverflowError at connecting, one that is not base64 binascii.Error. None of them was caught between the decoder and the nursery: with three real processes all ended, and again at each start, as the entry stayed in the list. Ports out of range, host names, numbers of 30 digits and names with line breaks named endpoints; the last are sent as fields of a line.

The class is a value of another writer that is trusted in type, size, depth or range. Decoding now has one boundary (platform/decoding.py) with ranges in the types. An odd entry names nothing, is counted, and is logged once a name; the others hold.

--- a/src/lagoonstair/platform/discovery.py
+++ b/src/lagoonstair/platform/discovery.py
@@ -1,49 +1,63 @@
 """Decoding of the discovery entries that endpoints write into the store."""
 
+import ipaddress
+from typing import Annotated, Literal
+
 import msgspec
 
 from lagoonstair._types import Address
+from lagoonstair.platform.decoding import (
+    Name,
+    Number,
+    UnreadableError,
+    decode_json,
+)
 from lagoonstair.routing import Endpoint
 
 TABLE = "servers"
 """The store table that holds the discovery entries, keyed by endpoint name."""
 
-STATES = ("ready", "draining")
-"""The states of usable endpoints; entries in any other state are ignored."""
+MAX_PORT = 65535
+"""The highest TCP port."""
+
+MAX_SLOTS = 1_000_000
+"""Limit on the slots that an entry may claim; real ones have a few."""
+
 
-ROLES = ("primary", "replica")
-"""The roles of usable endpoints; entries with any other role are ignored."""
+class _WireName(msgspec.Struct):
+    name: Name
 
 
 class _WireServer(msgspec.Struct):
-    service: str
+    service: Name
     address: str
-    zone: str
-    state: str
-    db_role: str
-    slots: int
-    seq_no: int
+    zone: Annotated[str, msgspec.Meta(max_length=200)]
+    state: Literal["ready", "draining"]
+    db_role: Literal["primary", "replica"]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    seq_no: Number
     # Distinguishes successive processes with the same id. Some deployments
     # lack it.
-    born: int = 0
+    born: Number = 0
 
 
 def decode_endpoint(key: str, value: bytes) -> Endpoint | None:
     """Decodes a discovery entry.
 
+    Any writer may have stored it, so nothing about it is taken for granted.
+
     Returns:
         The endpoint, or ``None`` if the entry is malformed or names no usable
         endpoint.
     """
     try:
-        wire = msgspec.json.decode(value, type=_WireServer)
+        name = msgspec.convert({"name": key}, _WireName).name
+        wire = decode_json(value, _WireServer)
         address = parse_address(wire.address)
-    except (msgspec.MsgspecError, ValueError):
-        return None
-    if wire.state not in STATES or wire.db_role not in ROLES or wire.slots < 1:
+    except (UnreadableError, msgspec.ValidationError, ValueError):
         return None
     return Endpoint(
-        name=key,
+        name=name,
         group=wire.service,
         address=address,
         failure_domain=wire.zone,
@@ -59,9 +73,11 @@
     """Parses ``IP:PORT``.
 
     Raises:
-        ValueError: The text is not of this form.
+        ValueError: The text is not of this form, or the port is out of range.
     """
-    host, colon, port = text.rpartition(":")
-    if not (host and colon and port.isdecimal()):
-        raise ValueError(f"not an IP:PORT address: {text!r}")
-    return Address(host, int(port))
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and len(port) <= 5):
+        raise ValueError(f"not an IP:PORT address: {text[:100]!r}")
+    if not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return Address(str(ipaddress.ip_address(host)), int(port))
--- a/src/lagoonstair/platform/operator.py
+++ b/src/lagoonstair/platform/operator.py
@@ -2,6 +2,11 @@
 
 import msgspec
 
+from lagoonstair.platform.decoding import (
+    Number,
+    UnreadableError,
+    decode_json,
+)
 from lagoonstair.routing import (
     Consistency,
     GroupConfig,
@@ -55,7 +60,7 @@
 
 
 class _WireConfig(msgspec.Struct):
-    version: int
+    version: Number
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -74,7 +79,7 @@
             field.
     """
     try:
-        wire = msgspec.json.decode(value, type=_WireConfig)
+        wire = decode_json(value, _WireConfig)
         return RoutingConfig(
             version=wire.version,
             # Here ``database`` is the name that callers request, not an
@@ -101,7 +106,7 @@
             },
             transaction_idle=wire.limits.tx_idle_ms / 1000,
         )
-    except (msgspec.MsgspecError, KeyError) as exc:
+    except (UnreadableError, KeyError) as exc:
         raise BadConfigError(str(exc)) from exc
 
 
--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -10,6 +10,7 @@
 import trio
 
 from lagoonstair._types import Address
+from lagoonstair.platform.decoding import UnreadableError, decode_json
 from lagoonstair.wire import (
     ClientResponse,
     ConnectionPool,
@@ -35,6 +36,11 @@
 each time the store is restored from an older copy."""
 
 
+MAX_ERA_DIGITS = 6
+"""Greatest number of digits of a history's number; larger ones do not fit into
+the versions, epochs and fencing tokens that are derived from it."""
+
+
 class StoreError(Exception):
     """A store call failed.
 
@@ -323,7 +329,8 @@
 def _era_of(answer: ClientResponse) -> int:
     """Returns the history number of an answer; 0 from a store without one."""
     text = answer.headers.get(ERA_HEADER, "")
-    return int(text) if text.isdecimal() else 0
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= MAX_ERA_DIGITS else 0
 
 
 def _key_after(key: str) -> str:
@@ -336,9 +343,13 @@
 
 
 def _decode_row(row: _WireRow) -> StoredRow:
+    """Decodes a row; one whose value is not base64 has an empty value."""
     value = None
     if not row.deleted and row.value is not None:
-        value = base64.b64decode(row.value)
+        try:
+            value = base64.b64decode(row.value, validate=True)
+        except ValueError:
+            value = b""
     return StoredRow(row.key, value, row.row_version)
 
 
@@ -346,8 +357,8 @@
     if answer.status != HTTPStatus.OK:
         raise StoreError(f"the store answered {answer.status}", refused=True)
     try:
-        body = msgspec.json.decode(answer.body, type=_WireRows)
+        body = decode_json(answer.body, _WireRows)
         return _Page(body, _era_of(answer))
-    except msgspec.MsgspecError as exc:
+    except UnreadableError as exc:
         message = f"the store's answer is malformed: {exc}"
         raise StoreError(message, refused=False) from exc
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -93,6 +93,7 @@
         self._metrics = metrics
         self._config = b""
         self._entries: dict[str, bytes] = {}
+        self._unreadable: set[str] = set()
         self._checksum = 0
         self._ages: dict[str, tuple[int, int]] = {}
         self._restored_at = float("-inf")
@@ -258,6 +259,7 @@
         for name, value in entries.items():
             if self._apply_endpoint(name, value):
                 present.add(name)
+        self._unreadable &= entries.keys()
         now = trio.current_time()
         for name in self._fleet.endpoints.keys() - present:
             self._fleet.missing_since.setdefault(name, now)
@@ -268,6 +270,8 @@
     def apply_endpoint_change(self, name: str, value: bytes | None) -> None:
         """Applies one endpoint's entry; ``None`` if it was removed."""
         is_usable = value is not None and self._apply_endpoint(name, value)
+        if value is None:
+            self._unreadable.discard(name)
         if not is_usable:
             self._entries.pop(name, None)
             if name in self._fleet.endpoints:
@@ -278,8 +282,9 @@
     def _apply_endpoint(self, name: str, value: bytes) -> bool:
         endpoint = discovery.decode_endpoint(name, value)
         if endpoint is None:
-            self._metrics.count("entries_unreadable")
+            self._note_unreadable(name)
             return False
+        self._unreadable.discard(name)
         age = (endpoint.started, endpoint.sequence)
         if self.awaits_rewrites and age < self._ages.get(name, age):
             # The copy's entry is older than the known one.
@@ -291,6 +296,14 @@
         self._fleet.set_endpoint(endpoint)
         return True
 
+    def _note_unreadable(self, name: str) -> None:
+        """Counts an entry that names no endpoint, and logs it once."""
+        self._metrics.count("entries_unreadable")
+        if name not in self._unreadable:
+            self._unreadable.add(name)
+            printable = name.encode("ascii", "backslashreplace").decode()
+            log_event("endpoint entry unreadable", endpoint=printable)
+
     def _update_checksum(self) -> None:
         fields = sorted(
             repr(_checksum_fields(self._fleet.endpoints[name]))
--- a/src/lagoonstair/standins/statements/_store.py
+++ b/src/lagoonstair/standins/statements/_store.py
@@ -106,7 +106,11 @@
             value: The row's value; encoded as JSON unless it is ``bytes``.
         """
         raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
-        self._apply({(table, key): base64.b64encode(raw).decode()})
+        self.put_encoded(table, key, base64.b64encode(raw).decode())
+
+    def put_encoded(self, table: str, key: str, value: str) -> None:
+        """Writes a row whose value is already encoded in base64, or badly."""
+        self._apply({(table, key): value})
 
     def delete(self, table: str, key: str) -> None:
         """Deletes a row."""
