Check the values of endpoints, peers, settings and own rows at the boundary

The cause of the odd entries, looked for elsewhere: an endpoint's position with 30 digits was taken and could not be encoded for the peers, one with 9,000 raised ValueError in the task that probes; a nested frame of a peer raised RecursionError, also before it had authenticated; a reply of another type and an address that no socket takes raised out of the round of gossip; a row of the registry that is not ours ended every process that read it; a settings file with a bad address ended the process at each start. A name with a line break could add lines to what is sent to an endpoint.

--- a/src/lagoonstair/peers/_client.py
+++ b/src/lagoonstair/peers/_client.py
@@ -19,7 +19,7 @@
     verify_mac,
 )
 from lagoonstair.peers._send_queue import CONNECTION_ERRORS, SendQueue
-from lagoonstair.wire import FrameReader, FrameTooLargeError, write_frame
+from lagoonstair.wire import FrameReader, write_frame
 
 NONCE_BYTES = 16
 """Bytes in the nonce that the server signs."""
@@ -164,7 +164,8 @@
 
         Raises:
             LagoonstairError: The peer replied with an error.
-            PeerLostError: The call may have been sent; no reply arrived.
+            PeerLostError: The call may have been sent; no reply arrived, or
+                none that can be read.
             PeerNotSentError: The call was not sent.
         """
         conn = await self._connect(address)
@@ -176,7 +177,10 @@
                 reply.failure.retry_after,
             )
             raise LagoonstairError(kind, error_message, retry_after=retry_after)
-        return msgspec.msgpack.decode(reply.body, type=answer)
+        try:
+            return msgspec.msgpack.decode(reply.body, type=answer)
+        except (msgspec.MsgspecError, RecursionError) as exc:
+            raise PeerLostError(f"malformed reply: {exc}") from exc
 
     async def _connect(self, address: Address) -> _Connection:
         lock = self._locks.setdefault(address, trio.Lock())
@@ -196,11 +200,11 @@
                 reader = FrameReader(stream)
                 await self._authenticate(stream, reader)
         except (
-            OSError,
-            trio.BrokenResourceError,
+            *CONNECTION_ERRORS,
             trio.TooSlowError,
-            msgspec.MsgspecError,
-            FrameTooLargeError,
+            # The address is not one that a socket takes.
+            OverflowError,
+            ValueError,
         ) as exc:
             if stream is not None:
                 stream.socket.close()
--- a/src/lagoonstair/peers/_send_queue.py
+++ b/src/lagoonstair/peers/_send_queue.py
@@ -11,6 +11,7 @@
     trio.ClosedResourceError,
     FrameTooLargeError,
     msgspec.MsgspecError,
+    RecursionError,
     OSError,
 )
 """Errors that end a connection: it broke, or a frame is invalid."""
--- a/src/lagoonstair/peers/_server.py
+++ b/src/lagoonstair/peers/_server.py
@@ -157,7 +157,7 @@
             return None
         try:
             hello = msgspec.msgpack.decode(body, type=Hello)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return None
         if not verify_mac(self._secret, "client", hello.name, nonce, hello.mac):
             return None
--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -31,6 +31,10 @@
 MAX_LINE_BYTES = 1024 * 1024
 """Size limit (bytes) that the protocol sets for one message."""
 
+MAX_NUMBER_DIGITS = 18
+"""Greatest number of digits of a term or an offset, so that both fit into
+messages between instances."""
+
 INTERNAL_REQUEST_ID = "-"
 """Request id of statements that the instance itself issues."""
 
@@ -259,8 +263,20 @@
 
 
 def encode_start(group: str, workspace: str, endpoint: str) -> bytes:
-    """Encodes the START line for an endpoint, which checks its own id."""
-    return f"START {group} {workspace} {endpoint}\r\n".encode("latin-1")
+    """Encodes the START line for an endpoint, which checks its own id.
+
+    Raises:
+        BadLineError: One of the names cannot be a field of a line.
+    """
+    fields = (group, workspace, endpoint)
+    if not all(map(is_field, fields)):
+        raise BadLineError(ErrorCode.MALFORMED, "a name is not a field")
+    return " ".join(("START", *fields)).encode() + b"\r\n"
+
+
+def is_field(text: str) -> bool:
+    """Returns whether a text can be a field of a line."""
+    return bool(text) and text.isprintable() and " " not in text
 
 
 def encode_caller_start(database: str, key: str) -> bytes:
@@ -402,10 +418,20 @@
     """
     if text in ("", "-"):
         return None
-    term, dot, offset = text.partition(".")
-    if not (dot and term.isdecimal() and offset.isdecimal()):
-        raise BadLineError(ErrorCode.MALFORMED, "not a position")
-    return Position(int(term), int(offset))
+    term, _, offset = text.partition(".")
+    return Position(_parse_number(term), _parse_number(offset))
+
+
+def _parse_number(text: str) -> int:
+    """Parses a number of a position.
+
+    Raises:
+        BadLineError: The text is not a number, or it has too many digits.
+    """
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or len(text) > MAX_NUMBER_DIGITS:
+        raise BadLineError(ErrorCode.MALFORMED, "not a number")
+    return int(text)
 
 
 @dataclass(frozen=True, slots=True)
@@ -431,10 +457,10 @@
     """
     fields = rows[0].decode("latin-1").split(" ")[1:] if rows else []
     match fields:
-        case ["primary" | "replica" as role, term, position, *_] if (
-            term.isdecimal()
-        ):
+        case ["primary" | "replica" as role, term, position, *_]:
             received = parse_position(position) or Position(0, 0)
-            return EndpointStatus(role == "primary", int(term), received)
+            return EndpointStatus(
+                role == "primary", _parse_number(term), received
+            )
         case _:
             raise BadLineError(ErrorCode.MALFORMED, "not a status")
--- a/src/lagoonstair/platform/operator.py
+++ b/src/lagoonstair/platform/operator.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from lagoonstair.platform import lines
 from lagoonstair.platform.decoding import (
     Number,
     UnreadableError,
@@ -80,6 +81,8 @@
     """
     try:
         wire = decode_json(value, _WireConfig)
+        # The workspace's name is told to the endpoints as a field of a line.
+        tenants = [row for row in wire.tenants if lines.is_field(row.name)]
         return RoutingConfig(
             version=wire.version,
             # Here ``database`` is the name that callers request, not an
@@ -99,11 +102,9 @@
                     rate=row.rate_per_s,
                     burst=row.burst,
                 )
-                for row in wire.tenants
-            },
-            keys={
-                key: row.name for row in wire.tenants for key in row.api_keys
+                for row in tenants
             },
+            keys={key: row.name for row in tenants for key in row.api_keys},
             transaction_idle=wire.limits.tx_idle_ms / 1000,
         )
     except (UnreadableError, KeyError) as exc:
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -82,14 +82,14 @@
             LinkError: The endpoint is unreachable or refused.
         """
         try:
+            start = lines.encode_start(endpoint.group, workspace, endpoint.name)
             stream = await trio.open_tcp_stream(*endpoint.address)
-        except OSError as exc:
+        except (OSError, lines.BadLineError) as exc:
             raise LinkError(f"{endpoint.name}: {exc}") from exc
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
         link = cls(stream, endpoint, workspace)
-        start = lines.encode_start(endpoint.group, workspace, endpoint.name)
         try:
             (reply,) = await link._exchange([start])
         except BaseException:
--- a/src/lagoonstair/proxy/_reconcile.py
+++ b/src/lagoonstair/proxy/_reconcile.py
@@ -22,10 +22,9 @@
     DUTY_KEY,
     ERA_PREFIX,
     GROUP_PREFIX,
-    ROWS_BY_PREFIX,
-    SINGLE_ROWS,
     Era,
     RowValue,
+    decode_row,
     era_key,
     floor_of,
 )
@@ -38,15 +37,9 @@
 
     @classmethod
     def from_values(cls, values: Mapping[str, bytes | None]) -> "RegistryRows":
-        """Decodes rows; removed ones and those of other kinds are left out."""
-        kinds = {key: _kind_of(key) for key in values}
-        return cls(
-            {
-                key: msgspec.json.decode(value, type=kind)
-                for key, value in values.items()
-                if value is not None and (kind := kinds[key]) is not None
-            }
-        )
+        """Decodes rows; removed and unreadable ones are left out."""
+        rows = {key: decode_row(key, value) for key, value in values.items()}
+        return cls({key: row for key, row in rows.items() if row is not None})
 
     def group(self, key: str) -> GroupRecord | None:
         """Returns a group's record by its key."""
@@ -171,14 +164,6 @@
     return Changes(puts, removals, last)
 
 
-def _kind_of(key: str) -> type[RowValue] | None:
-    """Returns the type of a row; ``None`` for an unknown kind."""
-    if key in SINGLE_ROWS:
-        return SINGLE_ROWS[key]
-    prefix, slash, _ = key.partition("/")
-    return ROWS_BY_PREFIX.get(prefix + slash)
-
-
 def _unmarked_eras(restored: RegistryRows, era: int) -> range:
     """Returns the histories after the newest marked one, up to the present.
 
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -7,7 +7,6 @@
 import random
 import secrets
 from collections.abc import Iterable, Mapping
-from typing import TypeVar
 
 import msgspec
 import trio
@@ -26,7 +25,6 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._reconcile import RegistryRows, reconcile
 from lagoonstair.proxy._registry_rows import (
-    DUTY_KEY,
     FOUNDING_KEY,
     GROUP_PREFIX,
     MEMBER_PREFIX,
@@ -36,6 +34,7 @@
     Founding,
     Member,
     RowValue,
+    decode_row,
     era_key,
 )
 from lagoonstair.proxy._settings import InstanceSettings
@@ -77,9 +76,6 @@
         super().__init__("the restored store is not reconciled", refused=False)
 
 
-_RowT = TypeVar("_RowT", Founding, Member, GroupRecord, Duty, Era)
-
-
 class Registry:
     """Local copy of the system's own store table.
 
@@ -119,8 +115,7 @@
         It is in seconds on the store's clock, and negative infinity before the
         first restore.
         """
-        value = self._values.get(era_key(self.era))
-        mark = None if value is None else _decode(value, Era)
+        mark = _decode_mark(self.era, self._values.get(era_key(self.era)))
         return mark.at if mark and mark.floor else float("-inf")
 
     def load(self, rows: Rows) -> bool:
@@ -136,7 +131,8 @@
             return False
         present = {row.key: row for row in rows.rows}
         if rows.era > self.era:
-            mark = present.get(era_key(rows.era))
+            row = present.get(era_key(rows.era))
+            mark = _decode_mark(rows.era, None if row is None else row.value)
             if mark is None and (present or self.era):
                 self.unreconciled = rows
                 return False
@@ -159,12 +155,12 @@
             self.version = max(self.version, row.version)
         return True
 
-    def _start_era(self, era: int, mark: StoredRow | None) -> None:
+    def _start_era(self, era: int, mark: Era | None) -> None:
         """Starts a history of the store, whose versions are compared anew."""
         self._store.note_era(era)
         self._versions.clear()
         self._version_base = 0
-        if mark is not None and mark.value and _decode(mark.value, Era).floor:
+        if mark is not None and mark.floor:
             self._version_base = era << VERSION_BITS
         self.era = era
         self.version = 0
@@ -203,17 +199,26 @@
             self._values.pop(row.key, None)
         else:
             self._values[row.key] = row.value
+        name = row.key.removeprefix(MEMBER_PREFIX)
         if row.key.startswith(MEMBER_PREFIX):
-            self._apply_member(row)
-        elif row.value is None:
-            return
-        elif row.key.startswith(GROUP_PREFIX):
-            group = row.key.removeprefix(GROUP_PREFIX)
-            self.groups[group] = _decode(row.value, GroupRecord)
-        elif row.key == DUTY_KEY:
-            self.duty = _decode(row.value, Duty)
-        elif row.key == FOUNDING_KEY:
-            self.founding = _decode(row.value, Founding)
+            self.members_version = max(
+                self.members_version, self._version_base + row.version
+            )
+            if row.value is None:
+                self.members.pop(name, None)
+        match decode_row(row.key, row.value):
+            case Member() as member:
+                self.members[name] = member
+            case GroupRecord() as record:
+                group = row.key.removeprefix(GROUP_PREFIX)
+                self.groups[group] = record
+            case Duty() as duty:
+                self.duty = duty
+            case Founding() as founding:
+                self.founding = founding
+            case _:
+                # Removed, unreadable, or of a kind that is read elsewhere.
+                return
 
     def unchanged_condition(self, key: str) -> Precondition:
         """Returns the precondition that a row is unchanged in the store."""
@@ -453,16 +458,8 @@
             )
         return missing
 
-    def _apply_member(self, row: StoredRow) -> None:
-        name = row.key.removeprefix(MEMBER_PREFIX)
-        self.members_version = max(
-            self.members_version, self._version_base + row.version
-        )
-        if row.value is None:
-            self.members.pop(name, None)
-        else:
-            self.members[name] = _decode(row.value, Member)
-
 
-def _decode(value: bytes, kind: type[_RowT]) -> _RowT:
-    return msgspec.json.decode(value, type=kind)
+def _decode_mark(era: int, value: bytes | None) -> Era | None:
+    """Decodes the row that marks the registry as complete in a history."""
+    row = decode_row(era_key(era), value)
+    return row if isinstance(row, Era) else None
--- a/src/lagoonstair/proxy/_registry_rows.py
+++ b/src/lagoonstair/proxy/_registry_rows.py
@@ -1,9 +1,14 @@
 """Rows of the registry, the system's own store table."""
 
+from typing import Annotated
+
 import msgspec
 
 from lagoonstair._types import Address
+from lagoonstair.platform.decoding import UnreadableError, decode_json
+from lagoonstair.platform.discovery import MAX_PORT
 from lagoonstair.primacy import Duty, GroupRecord
+from lagoonstair.proxy._log import log_event
 
 TABLE = "lagoonstair"
 """The store table of the registry."""
@@ -60,7 +65,7 @@
     """
 
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
     failure_domain: str
     since: float
     capacity: float = 1.0
@@ -112,3 +117,41 @@
 def floor_of(era: int) -> int:
     """Returns the floor of a history that follows a restore."""
     return era << FLOOR_BITS
+
+
+def decode_row(key: str, value: bytes | None) -> RowValue | None:
+    """Decodes a row of the registry.
+
+    Returns:
+        The row; ``None`` if it was removed, is of an unknown kind, or cannot
+        be read, which is logged.
+    """
+    kind = _kind_of(key)
+    if value is None or kind is None:
+        return None
+    try:
+        return decode_json(value, kind)
+    except UnreadableError as exc:
+        log_event("registry row unreadable", key=key, cause=str(exc))
+        return None
+
+
+def _kind_of(key: str) -> type[RowValue] | None:
+    """Returns the type of a row by its key; ``None`` if it is unknown."""
+    if key in SINGLE_ROWS:
+        return SINGLE_ROWS[key]
+    if key.startswith(ERA_PREFIX) and not _is_era_key(key):
+        return None
+    return next(
+        (
+            kind
+            for prefix, kind in ROWS_BY_PREFIX.items()
+            if key.startswith(prefix)
+        ),
+        None,
+    )
+
+
+def _is_era_key(key: str) -> bool:
+    number = key.removeprefix(ERA_PREFIX)
+    return number.isascii() and number.isdecimal()
--- a/src/lagoonstair/proxy/_settings.py
+++ b/src/lagoonstair/proxy/_settings.py
@@ -7,11 +7,17 @@
 import msgspec
 
 from lagoonstair._types import Address
+from lagoonstair.platform.decoding import UnreadableError, decode_json
+from lagoonstair.platform.discovery import MAX_PORT, parse_address
 
 SETTINGS_VARIABLE = "LAGOONSTAIR_SETTINGS"
 """Environment variable with the path of the settings file."""
 
 
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+"""A TCP port."""
+
+
 class SettingsError(Exception):
     """The settings are missing or invalid; the message names the field."""
 
@@ -27,6 +33,10 @@
     entry: str
     ready: str
 
+    def __post_init__(self) -> None:
+        for address in (self.entry, self.ready):
+            parse_address(address)
+
 
 class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Content of the settings file, in JSON.
@@ -67,7 +77,7 @@
     failure_domain: str
     host: str
     listen: Listen
-    peer_ports: tuple[int, int]
+    peer_ports: tuple[Port, Port]
     store: str
     duties: str
     first_start: bool = False
@@ -84,6 +94,10 @@
     quota_excess: float = 0
     quota_slack: float = 0
 
+    def __post_init__(self) -> None:
+        for address in (self.store, self.duties):
+            parse_address(address)
+
     @property
     def capacity(self) -> float:
         """Processor time per second, in seconds of the reference processor."""
@@ -118,6 +132,6 @@
         SettingsError: A field is missing or invalid; the message names it.
     """
     try:
-        return msgspec.json.decode(text, type=InstanceSettings)
-    except msgspec.MsgspecError as exc:
+        return decode_json(text, InstanceSettings)
+    except UnreadableError as exc:
         raise SettingsError(str(exc)) from exc
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -210,3 +210,13 @@
         for line in fleet.log(name)
         if line["event"] == "configuration in force" and line["version"] == 2
     ]
+
+
+@pytest.mark.parametrize("name", ["", "a b", "a\r\nQUERY - RESET", "a\tb"])
+def test_a_workspace_whose_name_fits_into_no_line_is_left_out(name):
+    """The other workspaces keep their keys."""
+    cfg = config()
+    cfg["tenants"][0]["name"] = name
+    decoded = operator.decode_config(msgspec.json.encode(cfg))
+    assert decoded.keys == {"key-w2": "w2"}
+    assert list(decoded.workspaces) == ["w2"]
