Count the logged entries of one process in its test

Its log goes on across restarts of an instance, and the process before had read the odd entries too before it was killed. The check that each is logged once holds for a process, so only the lines of the newest are counted.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -190,9 +190,15 @@
             caller = await fleet.caller(instance=name)
             answer = await caller.ask(f"q-{name}", "WRITE z 1")
             assert answer[-1].startswith("READY I"), answer
+            log = fleet.log(name)
+            started = max(
+                number
+                for number, line in enumerate(log)
+                if line["event"] == "starting"
+            )
             logged = [
                 line["endpoint"]
-                for line in fleet.log(name)
+                for line in log[started:]
                 if line["event"] == "endpoint entry unreadable"
             ]
             # Some instances get the list from others, without the odd ones.
