Send each promotion on a connection of its own

After open connections had gone silent, the next promotion was sent on an idle one: no answer in 1 s, then 3 s of waiting for its effect before it was called again, for a call that costs one round trip more on a new connection. Found when looking for the cause of the late configurations elsewhere; the test failed before (UNKNOWN instead of ACCEPTED).

--- a/src/lagoonstair/platform/duties.py
+++ b/src/lagoonstair/platform/duties.py
@@ -7,7 +7,7 @@
 import trio
 
 from lagoonstair._types import Address
-from lagoonstair.wire import ConnectionPool, HttpError, NotSentError
+from lagoonstair.wire import HttpConnection, HttpError, NotSentError
 
 HOLDER_HEADER = "X-Lagoonstair-Duty-Holder"
 """Header with the name of the instance that holds the promotion duty."""
@@ -40,13 +40,16 @@
     """Client for the platform's exclusive calls, which carry fencing tokens."""
 
     def __init__(self, address: Address) -> None:
-        self._pool = ConnectionPool(address, size=2)
+        self._address = address
 
     async def promote(
         self, group: str, endpoint: str, *, holder: str, fence: int
     ) -> PromoteAnswer:
         """Asks the platform to make an endpoint the group's next primary.
 
+        Each of these rare calls has a connection of its own: an idle one may
+        have broken unnoticed, and a call without an answer costs seconds.
+
         Args:
             group: The name of the group.
             endpoint: The name of the endpoint to promote.
@@ -61,10 +64,13 @@
         )
         try:
             with trio.fail_after(CALL_SECONDS):
-                async with self._pool.acquire() as conn:
+                conn = await HttpConnection.open(self._address)
+                try:
                     answer = await conn.call(
                         "POST", "/promotion", body, headers=headers
                     )
+                finally:
+                    conn.close()
         except NotSentError:
             return PromoteAnswer.REFUSED
         except (HttpError, trio.TooSlowError):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -227,3 +227,21 @@
             standin.put("op", key, 1)
         rows = await client.read_row("op", "config")
         assert [row.key for row in rows.rows] == ["config"]
+
+
+async def test_a_promotion_is_sent_although_earlier_connections_went_silent():
+    """A call without an answer would put the promotion off by seconds."""
+    group = Group("g", lambda database: None)
+    for name in ("d1", "d2"):
+        group.add(name, slots=1, max_connections=9)
+    standin = DutiesStandin({"g": group})
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(standin.serve, HOST)
+        link = FaultyLink(port)
+        await nursery.start(link.serve)
+        duties = Duties(Address(HOST, link.port))
+        for endpoint in ("d2", "d1"):
+            answer = await duties.promote("g", endpoint, holder="i", fence=1)
+            assert answer is PromoteAnswer.ACCEPTED
+            link.silence_open()
+        nursery.cancel_scope.cancel()
