--- a/src/lagoonstair/proxy/__main__.py
+++ b/src/lagoonstair/proxy/__main__.py
@@ -5,6 +5,7 @@
 import trio
 from loguru import logger
 
+from lagoonstair.proxy._clock import BootClock
 from lagoonstair.proxy._daemon import Instance
 from lagoonstair.proxy._log import log_event, set_up_logging
 from lagoonstair.proxy._metrics import Metrics
@@ -47,7 +48,7 @@
 def main() -> None:
     """Runs an instance until it receives a signal to stop."""
     try:
-        trio.run(_run)
+        trio.run(_run, clock=BootClock())
     except KeyboardInterrupt:
         sys.exit(130)
     except BaseException:
