--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -14,6 +14,7 @@
 from lagoonstair.platform.store import Store, StoreError
 from lagoonstair.primacy import PROOF_SECONDS
 from lagoonstair.proxy._config_age import ConfigAge
+from lagoonstair.proxy._config_watch import ConfigWatcher
 from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._follower import Follower
@@ -154,6 +155,14 @@
             await nursery.start(server.serve, *settings.peer_address)
             nursery.start_soon(gossip.run)
             await nursery.start(self._follower.run)
+            watcher = ConfigWatcher(
+                self._fleet,
+                self._registry,
+                tables.config_age,
+                self._follower,
+                self._metrics,
+            )
+            nursery.start_soon(watcher.run)
             nursery.start_soon(quota.run)
             commands = EndpointCommands(self._fleet)
             prober = Prober(self._fleet, gossip, commands)
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -1,13 +1,11 @@
 """Follows the store's tables through their change feeds."""
 
-import random
 from collections.abc import Callable
 
 import trio
 
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import (
-    CALL_SECONDS,
     HistoryLostError,
     Rows,
     Store,
@@ -16,11 +14,7 @@
 from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._registry import (
-    VOTER_COUNT,
-    Registry,
-    UnreconciledError,
-)
+from lagoonstair.proxy._registry import Registry, UnreconciledError
 from lagoonstair.proxy._registry_rows import TABLE
 from lagoonstair.proxy._tables import Tables
 
@@ -68,17 +62,6 @@
 """Interval (s) between checks of whether a newly started instance's data is
 confirmed."""
 
-CONFIG_WATCH_SECONDS = 0.1
-"""Interval (s) at which the age of the known configuration is examined."""
-
-TAKEOVER_JITTER = (0.9, 1.0)
-"""Range of the fraction of the voters' limit on that age, drawn at random for
-each examination, so that one of them reads the store first."""
-
-FIRST_CHECK_SECONDS = 0.5
-"""Timeout (s) of the first call of a check, which may be sent on a connection
-that has broken unnoticed."""
-
 ROLE_CHECK_SECONDS = 0.3
 """Interval (s) between checks of whether this instance must read the store."""
 
@@ -142,7 +125,6 @@
                     self._follow, table, apply, is_needed, period
                 )
             nursery.start_soon(self._expire_endpoints)
-            nursery.start_soon(self._watch_config)
             task_status.started()
 
     def apply_registration(self, rows: Rows) -> None:
@@ -164,6 +146,25 @@
         if not self._apply_registry(rows, True):
             raise UnreconciledError
 
+    async def read_config(self, timeout: float) -> None:
+        """Reads the configuration from the store now.
+
+        Args:
+            timeout: Seconds to wait for the answer.
+
+        Raises:
+            StoreError: The store did not answer or refused the call.
+        """
+        try:
+            rows = await self._store.read_row(
+                operator.TABLE, operator.KEY, timeout
+            )
+        except StoreError as exc:
+            self._note_failure(operator.TABLE, exc)
+            raise
+        self._note_answer(rows)
+        self._apply_config_rows(rows, "check")
+
     @property
     def endpoints_age(self) -> float:
         """Seconds since any instance read the known endpoint entries."""
@@ -296,57 +297,6 @@
         if is_valid:
             self._tables.config_age.note_read(rows.asked_at)
 
-    async def _watch_config(self) -> None:
-        """Reads the configuration when nothing else shows it to be current.
-
-        A feed call on a dead connection waits as if nothing had changed.
-        """
-        config_age = self._tables.config_age
-        attempts = 0
-        while True:
-            await trio.sleep(jittered(self._check_pause(attempts)))
-            now = trio.current_time()
-            age = config_age.age(now)
-            self._metrics.set("configuration_age_seconds", round(age, 3))
-            voters = self._registry.voters()
-            name = self._fleet.name
-            rank = voters.index(name) if name in voters else None
-            jitter = random.uniform(*TAKEOVER_JITTER)
-            if not config_age.is_read_due(now, rank=rank, jitter=jitter):
-                attempts = 0
-                continue
-            attempts += 1
-            try:
-                rows = await self._store.read_row(
-                    operator.TABLE,
-                    operator.KEY,
-                    FIRST_CHECK_SECONDS if attempts == 1 else CALL_SECONDS,
-                )
-            except StoreError as exc:
-                self._note_failure(operator.TABLE, exc)
-            else:
-                self._note_answer(rows)
-                self._apply_config_rows(rows, "check")
-
-    def _check_pause(self, attempts: int) -> float:
-        """Returns the pause before the next check of the configuration.
-
-        In an outage the instances that are not voters together make about as
-        many calls as the voters do.
-
-        Args:
-            attempts: The number of reads since the configuration was last
-                known to be current.
-        """
-        if not attempts:
-            return CONFIG_WATCH_SECONDS
-        pause = min(
-            MAX_RETRY_SECONDS, RETRY_SECONDS * 2.0 ** min(attempts, 8) / 2
-        )
-        if attempts == 1 or self._fleet.name in self._registry.voters():
-            return pause
-        return pause * max(1.0, len(self._registry.members) / VOTER_COUNT)
-
     def _apply_endpoints(self, rows: Rows, is_full_read: bool) -> bool:
         self._tables.endpoints_asked_at = rows.asked_at
         if is_full_read:
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -199,19 +199,13 @@
             self._values.pop(row.key, None)
         else:
             self._values[row.key] = row.value
-        name = row.key.removeprefix(MEMBER_PREFIX)
         if row.key.startswith(MEMBER_PREFIX):
-            self.members_version = max(
-                self.members_version, self._version_base + row.version
-            )
-            if row.value is None:
-                self.members.pop(name, None)
+            self._note_member_change(row)
         match decode_row(row.key, row.value):
             case Member() as member:
-                self.members[name] = member
+                self.members[row.key.removeprefix(MEMBER_PREFIX)] = member
             case GroupRecord() as record:
-                group = row.key.removeprefix(GROUP_PREFIX)
-                self.groups[group] = record
+                self.groups[row.key.removeprefix(GROUP_PREFIX)] = record
             case Duty() as duty:
                 self.duty = duty
             case Founding() as founding:
@@ -220,6 +214,12 @@
                 # Removed, unreadable, or of a kind that is read elsewhere.
                 return
 
+    def _note_member_change(self, row: StoredRow) -> None:
+        version = self._version_base + row.version
+        self.members_version = max(self.members_version, version)
+        if row.value is None:
+            self.members.pop(row.key.removeprefix(MEMBER_PREFIX), None)
+
     def unchanged_condition(self, key: str) -> Precondition:
         """Returns the precondition that a row is unchanged in the store."""
         present = key in self._values
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -92,6 +92,7 @@
         self._registry = registry
         self._metrics = metrics
         self._config = b""
+        self._unreadable_config = b""
         self._entries: dict[str, bytes] = {}
         self._unreadable: set[str] = set()
         self._checksum = 0
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,8 @@
 
 import ipaddress
 import signal
+import zlib
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -15,6 +17,9 @@
 
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import _decode_row, _WireRow
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._tables import KnownVersions, Tables
 from proxy_fleet import ANSWER_SECONDS, config, proxy_fleet
 
 DEPTH = 10_000
@@ -226,3 +231,20 @@
     decoded = operator.decode_config(msgspec.json.encode(cfg))
     assert decoded.keys == {"key-w2": "w2"}
     assert list(decoded.workspaces) == ["w2"]
+
+
+async def test_an_odd_configuration_leaves_the_one_before_in_force():
+    """It does not count as known, so the age of the knowledge tells of it."""
+    fleet = Fleet("i1", "a", Metrics())
+    registry = SimpleNamespace(
+        version=0, era=0, changes_since=lambda era, version: ()
+    )
+    tables = Tables(fleet, registry, Metrics())
+    valid = msgspec.json.encode(config())
+    assert tables.apply_config(valid, source="feed")
+    for _ in range(2):
+        odd = b'{"version":2,"routes":' + b"[" * DEPTH
+        assert not tables.apply_config(odd, source="check")
+    assert fleet.config.version == 1
+    update = tables.update_for(KnownVersions(0, 0, 0))
+    assert zlib.decompress(update.config) == valid
