Let the soak silence connections, write odd entries and check the last change

Open connections to the store and the databases go silent for good at one to three moments of a seed, each with an odd entry among the endpoints'. After the recovery all connections to the store go silent once more, and a last change must be in force at all instances within 3 s. The other seeds keep their faults.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -79,6 +79,21 @@
 """How long after a restore the operator and the databases write their rows
 again at least and at most, in seconds."""
 
+SILENCES = 3
+"""How many times at most a seed makes open connections silent for good."""
+
+ODD_ENTRIES = (
+    b"[" * 60_000,
+    b'{"more":' + b'{"a":' * 10_000 + b"1" + b"}" * 10_001,
+    b'{"service":"g","address":"127.0.0.1:99999","zone":"a","slots":4,'
+    b'"state":"ready","db_role":"primary","seq_no":' + b"9" * 30 + b"}",
+)
+"""Entries of another writer among those of the databases."""
+
+CONFIG_SECONDS = 3.0
+"""How long after its acknowledgement a configuration may not be in force, in
+seconds."""
+
 RECOVERY_SECONDS = 20
 """How long all instances may take to serve again after the faults have ended,
 in seconds."""
@@ -220,6 +235,16 @@
         self._publish_entry(database)
         return database
 
+    def versions(self, name):
+        """Returns the versions that came into force at the newest process."""
+        log = self.log(name)
+        starts = [n for n, e in enumerate(log) if e["event"] == "starting"]
+        return [
+            line["version"]
+            for line in log[starts[-1] :]
+            if line["event"] == "configuration in force"
+        ]
+
     def entry_of(self, database):
         entry = database.entry(HOST)
         link = self.database_links.get(database.name)
@@ -355,13 +380,14 @@
 
     Attributes:
         schedule: Each fault with the seconds left when it began.
+        version: The version of the newest configuration.
     """
 
     def __init__(self, fleet, rng, nursery):
         self._fleet = fleet
         self._rng = rng
         self._nursery = nursery
-        self._version = 1
+        self.version = 1
         self._down = set()
         self.schedule = []
 
@@ -455,13 +481,13 @@
         self._fleet.group.publish_entry(primary)
 
     async def _change_config(self, pause):
-        self._version += 1
+        self.version += 1
         self.write_config()
 
     def write_config(self):
         """Writes the newest configuration, also after the store lost it."""
-        cfg = config(version=self._version)
-        cfg["limits"]["tx_idle_ms"] = 2000 + self._version
+        cfg = config(version=self.version)
+        cfg["limits"]["tx_idle_ms"] = 2000 + self.version
         self._fleet.store.put("op", "config", cfg)
 
 
@@ -514,6 +540,54 @@
             self._fleet.group.publish_entry(database)
 
 
+class Intruder:
+    """Makes open connections silent and writes odd entries of endpoints.
+
+    It draws from a stream of its own, so that a seed keeps its other faults.
+    """
+
+    def __init__(self, fleet, rng, schedule):
+        self._fleet = fleet
+        self._rng = rng
+        self._schedule = schedule
+
+    async def run(self, seconds):
+        times = sorted(
+            self._rng.uniform(0, seconds)
+            for _ in range(self._rng.randint(1, SILENCES))
+        )
+        began = trio.current_time()
+        for number, at in enumerate(times):
+            await trio.sleep(max(0, began + at - trio.current_time()))
+            self._schedule.append((round(seconds - at, 2), "silence"))
+            links = [
+                *self._fleet.store_links.values(),
+                *self._fleet.database_links.values(),
+            ]
+            count = self._rng.randint(1, len(links))
+            for link in self._rng.sample(links, count):
+                link.silence_open()
+            entry = self._rng.choice(ODD_ENTRIES)
+            self._fleet.store.put("servers", f"odd{number}", entry)
+
+
+async def _check_config(fleet, injector):
+    """Returns the instances that do not apply a last change in time.
+
+    All connections to the store go silent just before it.
+    """
+    for link in fleet.store_links.values():
+        link.silence_open()
+    await injector._change_config(0)
+    version = injector.version
+    late = set(fleet.processes)
+    with trio.move_on_after(CONFIG_SECONDS):
+        while late:
+            await trio.sleep(0.05)
+            late = {n for n in late if fleet.versions(n)[-1:] != [version]}
+    return [f"{n} lacks version {version} after its bound" for n in late]
+
+
 def _promotion_seconds(rng, count=100):
     """Draws how long each promotion of a run takes, in seconds."""
     return [
@@ -524,7 +598,9 @@
     ]
 
 
-async def run_seed(seed, tmp_path, *, seconds=FAULT_SECONDS, restores=True):
+async def run_seed(
+    seed, tmp_path, *, seconds=FAULT_SECONDS, restores=True, intrudes=True
+):
     """Runs one seed.
 
     Args:
@@ -532,6 +608,7 @@
         tmp_path: The directory for settings and logs.
         seconds: How long faults are injected, in seconds.
         restores: Whether the store is restored from older copies too.
+        intrudes: Whether connections go silent and odd entries appear too.
 
     Returns:
         The violations, the schedule of faults and the number of operations.
@@ -561,9 +638,17 @@
                             fleet, random.Random(f"{seed}/restores"), injector
                         )
                         faults.start_soon(restorer.run, seconds)
+                    if intrudes:
+                        intruder = Intruder(
+                            fleet,
+                            random.Random(f"{seed}/intruder"),
+                            injector.schedule,
+                        )
+                        faults.start_soon(intruder.run, seconds)
                 await _wait_recovered(fleet)
+                late = await _check_config(fleet, injector) if intrudes else []
                 stop.set()
-            violations = check_results(fleet, callers)
+            violations = check_results(fleet, callers) + late
         finally:
             fleet.stop()
             nursery.cancel_scope.cancel()
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -23,21 +23,30 @@
 """Seeds that also restore the store from older copies; seed 5 does so three
 times."""
 
+INTRUDER_SEEDS = (6, 7)
+"""Seeds in which connections go silent and odd entries appear; seed 7 also
+restores the store."""
+
 SECONDS = 5.0
 """How long a seed injects faults, in seconds; about ten faults."""
 
 
 @pytest.mark.parametrize(
-    ("seed", "restores"),
+    ("seed", "restores", "intrudes"),
     [
-        *((seed, False) for seed in (*CI_SEEDS, *REGRESSIONS)),
-        *((seed, True) for seed in RESTORE_SEEDS),
+        *((seed, False, False) for seed in (*CI_SEEDS, *REGRESSIONS)),
+        *((seed, True, False) for seed in RESTORE_SEEDS),
+        *((seed, seed == 7, True) for seed in INTRUDER_SEEDS),
     ],
 )
-async def test_guarantees_hold_under_faults(seed, restores, tmp_path):
+async def test_guarantees_hold_under_faults(seed, restores, intrudes, tmp_path):
     with logs_kept_on_error(seed, tmp_path):
         violations, schedule, count = await run_seed(
-            seed, tmp_path, seconds=SECONDS, restores=restores
+            seed,
+            tmp_path,
+            seconds=SECONDS,
+            restores=restores,
+            intrudes=intrudes,
         )
         assert violations == [], schedule
     assert count > 0
