Give up silent connections to peers that are asked seldom

The connections between instances had gone silent too. A call waits for 0.4 s, the check for silence looked every 0.5 s and only while a call waited: whoever asks a peer less often than that never found out.

A call that was given up counts as unanswered now until something is received, so the pings go on and the connection ends after about 1 s. The test failed before (never given up).

--- a/src/lagoonstair/peers/_client.py
+++ b/src/lagoonstair/peers/_client.py
@@ -28,7 +28,7 @@
 """Seconds allowed for the TCP connection and the handshake together."""
 
 KEEPALIVE_INTERVAL_SECONDS = 0.5
-"""Seconds between two checks for received frames while calls wait."""
+"""Seconds between two checks for received frames after a call."""
 
 MAX_SILENT_CHECKS = 2
 """Consecutive checks without a received frame that end a connection."""
@@ -69,6 +69,7 @@
         self._pending: dict[int, _PendingCall] = {}
         self._next_id = PING_ID
         self._received = 0
+        self._expects_frame = False
         self._call_added = trio.Event()
         self._encoder = msgspec.msgpack.Encoder()
         self._replies = msgspec.msgpack.Decoder(Reply)
@@ -97,6 +98,7 @@
         call_id = self._next_id
         pending = _PendingCall()
         self._pending[call_id] = pending
+        self._expects_frame = True
         self._call_added.set()
         body = msgspec.Raw(self._encoder.encode(message))
         call = Call(call_id, type(message).__name__, body)
@@ -110,13 +112,17 @@
         return pending.reply
 
     async def _keep_alive(self) -> None:
-        """Ends the connection if the peer is silent while calls wait."""
+        """Ends the connection if calls get no answer and pings neither.
+
+        A caller may give up before that; its call still counts, or calls that
+        are rare and wait for a short time would never find out.
+        """
         while True:
-            if not self._pending:
+            if not self._expects_frame:
                 self._call_added = trio.Event()
                 await self._call_added.wait()
             silent_checks = 0
-            while self._pending:
+            while self._expects_frame:
                 received = self._received
                 if silent_checks:
                     # Most calls get their reply before the first check; a ping
@@ -128,17 +134,18 @@
                 )
                 if silent_checks >= MAX_SILENT_CHECKS:
                     raise trio.BrokenResourceError(
-                        "the peer sent nothing while calls were waiting"
+                        "the peer sent nothing after it was called"
                     )
 
     async def _read(self) -> None:
         while (body := await self._reader.read()) is not None:
             self._received += 1
             reply = self._replies.decode(body)
-            pending = self._pending.get(reply.call_id)
+            pending = self._pending.pop(reply.call_id, None)
             if pending is not None:
                 pending.reply = reply
                 pending.event.set()
+            self._expects_frame = bool(self._pending)
 
     def _close(self) -> None:
         self.closed = True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 import pytest
 import trio
 
+from faulty_link import FaultyLink
 from lagoonstair._types import Address
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.peers import (
@@ -119,6 +120,32 @@
         await client.call(address, Ask(1), Answer)
 
 
+async def test_rare_calls_find_out_that_their_connection_went_silent(nursery):
+    """A caller that gives up early, and asks seldom, must reach the peer again.
+
+    An instance asks most of its peers only now and then, for 0.4 s each time.
+    """
+
+    async def answer(message, ctx):
+        return Answer(message.number)
+
+    _, address = await _start(nursery, answer)
+    link = FaultyLink(address.port)
+    await nursery.start(link.serve)
+    client = PeerClient("a", SECRET, nursery)
+    target = Address("127.0.0.1", link.port)
+    assert await client.call(target, Ask(0), Answer) == Answer(0)
+    link.silence_open()
+    for number in range(1, 4):
+        with trio.move_on_after(0.4):
+            reply = await client.call(target, Ask(number), Answer)
+            assert reply == Answer(number)
+            break
+        await trio.sleep(1.2)
+    else:
+        pytest.fail("the connection is not given up")
+
+
 async def test_only_calls_that_wait_long_bring_a_ping(nursery):
     pinged = trio.Event()
 
