--- a/src/lagoonstair/standins/statements/_store.py
+++ b/src/lagoonstair/standins/statements/_store.py
@@ -67,6 +67,7 @@
         era: The number of the history; rises with each restore.
         fault: The injected fault.
         refused_callers: The callers whose calls are answered with 503.
+        feeds_hang: Whether waiting feed calls miss all changes.
         calls: The number of calls received.
     """
 
@@ -78,6 +79,7 @@
         self.era = 1
         self.fault = StoreFault.NONE
         self.refused_callers: set[str] = set()
+        self.feeds_hang = False
         self.calls = 0
 
     async def serve(
@@ -217,11 +219,11 @@
                     for row_key, row in self._rows.items()
                     if row_key[0] == args["table"] and row.version > after
                 ]
-                if rows:
+                if rows and not self.feeds_hang:
                     break
                 await self._changed.wait()
         rows.sort(key=lambda row: int(row["row_version"]))
-        return self._page(rows, 200)
+        return self._page([] if self.feeds_hang else rows, 200)
 
     def _encode_row(
         self, row_key: tuple[str, str], row: _Row
--- a/tests/test_config_currency.py
+++ b/tests/test_config_currency.py
@@ -69,6 +69,19 @@
                 break
 
 
+async def test_a_change_is_in_force_in_time_although_the_feeds_miss_it(
+    tmp_path,
+):
+    """The store answers every call, but its feeds hear of no change."""
+    async with _fleet(tmp_path, instances=3) as fleet:
+        fleet.store.feeds_hang = True
+        fleet.store.put("op", "config", config(version=2))
+        await fleet.until(
+            lambda: all(_version(fleet, name) == 2 for name in fleet.processes),
+            CONFIG_SECONDS,
+        )
+
+
 async def test_a_new_process_reads_what_a_majority_that_is_cut_off_lacks(
     tmp_path,
 ):
