Ask the store for its version before reading the configuration again

One voter read the whole row 1.4 times a second to show that it was the newest. With a row of 64 KB that is some 120 KB/s in base64, where a node has 23 KB/s for control (by the sizes; today's rows are small). An empty range is answered with the store's newest version alone, and while that is the one of the last read, nothing has been written since. An empty answer of a feed no longer counts as a read: a feed that misses changes would tell the same. A read that is answered with 410 is a failed call now and not a lost history, which nobody expects of it.

--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -31,6 +31,11 @@
 ROWS_PER_CALL = 500
 """Row limit of one answer, set by the store."""
 
+FEED_CALL = "rows-feed"
+
+NO_KEY = "~"
+"""A key that no row has; a range of it alone is empty."""
+
 ERA_HEADER = "store-era"
 """Header of every answer with the number of the store's history, which rises
 each time the store is restored from an older copy."""
@@ -189,6 +194,16 @@
         key_range = {"from": key, "to": _key_after(key)}
         return await self._read(table, key_range, timeout)
 
+    async def read_version(self, table: str, timeout: float) -> Rows:
+        """Reads the store's newest version alone, without any row.
+
+        Args:
+            table: The name of a table, which need not exist.
+            timeout: Seconds to wait for the answer.
+        """
+        empty_range = {"from": NO_KEY, "to": _key_after(NO_KEY)}
+        return await self._read(table, empty_range, timeout)
+
     async def read_table(self, table: str) -> Rows:
         """Reads all rows of a table, in several calls if necessary."""
         return await self._read(table, {}, CALL_SECONDS)
@@ -246,7 +261,7 @@
             self._feeds.add(scope)
             try:
                 page, answer_era = await self._get(
-                    "rows-feed", query, wait + FEED_MARGIN_SECONDS
+                    FEED_CALL, query, wait + FEED_MARGIN_SECONDS
                 )
             finally:
                 self._feeds.discard(scope)
@@ -299,7 +314,7 @@
     ) -> _Page:
         target = f"/-/{call}?{urllib.parse.urlencode(query)}"
         answer = await self._call("GET", target, b"", timeout)
-        if answer.status == HTTPStatus.GONE:
+        if answer.status == HTTPStatus.GONE and call == FEED_CALL:
             raise HistoryLostError
         return _decode_page(answer)
 
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -95,6 +95,7 @@
         self._store_now = 0.0
         self._answered_at = 0.0
         self._era = 0
+        self._config_read_at: tuple[int, int] | None = None
         self.reached_at = float("-inf")
 
     async def run(
@@ -149,21 +150,26 @@
     async def read_config(self, timeout: float) -> None:
         """Reads the configuration from the store now.
 
+        The row, which may be large, is left out if nothing has been written
+        since it was last read.
+
         Args:
-            timeout: Seconds to wait for the answer.
+            timeout: Seconds to wait for each answer.
 
         Raises:
             StoreError: The store did not answer or refused the call.
         """
         try:
-            rows = await self._store.read_row(
-                operator.TABLE, operator.KEY, timeout
-            )
+            rows = await self._store.read_version(operator.TABLE, timeout)
+            if (rows.era, rows.version) != self._config_read_at:
+                rows = await self._store.read_row(
+                    operator.TABLE, operator.KEY, timeout
+                )
         except StoreError as exc:
             self._note_failure(operator.TABLE, exc)
             raise
         self._note_answer(rows)
-        self._apply_config_rows(rows, "check")
+        self._apply_config_read(rows, "check")
 
     @property
     def endpoints_age(self) -> float:
@@ -285,17 +291,25 @@
         return True
 
     def _apply_config(self, rows: Rows, is_full_read: bool) -> bool:
-        self._apply_config_rows(rows, "read" if is_full_read else "feed")
+        if is_full_read:
+            self._apply_config_read(rows, "read")
+        else:
+            self._apply_config_rows(rows, "feed")
         return True
 
-    def _apply_config_rows(self, rows: Rows, source: str) -> None:
-        is_valid = all(
+    def _apply_config_read(self, rows: Rows, source: str) -> None:
+        """Applies a read, which shows what is newest; a feed does not."""
+        if self._apply_config_rows(rows, source):
+            self._config_read_at = rows.era, rows.version
+            self._tables.config_age.note_read(rows.asked_at)
+
+    def _apply_config_rows(self, rows: Rows, source: str) -> bool:
+        """Applies the configuration; returns whether it is valid."""
+        return all(
             self._tables.apply_config(row.value, source=source)
             for row in rows.rows
             if row.key == operator.KEY and row.value is not None
         )
-        if is_valid:
-            self._tables.config_age.note_read(rows.asked_at)
 
     def _apply_endpoints(self, rows: Rows, is_full_read: bool) -> bool:
         self._tables.endpoints_asked_at = rows.asked_at
--- a/tests/test_config_currency.py
+++ b/tests/test_config_currency.py
@@ -11,8 +11,15 @@
 
 from fault_soak import SoakFleet
 from faulty_link import Mode
-from lagoonstair.proxy._registry import VOTER_COUNT
-from proxy_fleet import config
+from lagoonstair._types import Address
+from lagoonstair.platform.store import Store
+from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._follower import Follower
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._registry import VOTER_COUNT, Registry
+from lagoonstair.proxy._tables import Tables
+from lagoonstair.standins.statements import StoreStandin
+from proxy_fleet import HOST, config
 
 CONFIG_SECONDS = 3.0
 """Bound (s) on the time from the store's acknowledgement of a configuration
@@ -99,3 +106,39 @@
         await fleet.wait_ready("new")
         greeting = (await fleet.caller(instance="new")).greeting
         assert greeting[0].startswith("ERROR NOAUTH"), greeting
+
+
+async def test_load_pattern_a_large_configuration_is_read_once(monkeypatch):
+    """The reads that show it to be the newest do not carry it each time."""
+    standin = StoreStandin()
+    cfg = config()
+    cfg["services"] += [{"name": f"g{n}"} for n in range(900)]
+    standin.put("op", "config", cfg)
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(standin.serve, HOST, "i1")
+        store = Store(Address(HOST, port))
+        fleet = Fleet("i1", "a", Metrics())
+        registry = Registry(store)
+        tables = Tables(fleet, registry, Metrics())
+        follower = Follower(store, fleet, registry, tables, Metrics())
+        reads = []
+        read_row = store.read_row
+
+        def count_read(*args):
+            reads.append(args)
+            return read_row(*args)
+
+        monkeypatch.setattr(store, "read_row", count_read)
+        for _ in range(5):
+            asked_at = trio.current_time()
+            await follower.read_config(1.0)
+            assert tables.config_age.read_at >= asked_at
+        assert len(reads) == 1
+        # Any write may have been one of the configuration.
+        standin.put("t", "k", 1)
+        standin.put("op", "config", {**cfg, "version": 2})
+        for _ in range(2):
+            await follower.read_config(1.0)
+        assert len(reads) == 2
+        assert fleet.config.version == 2
+        nursery.cancel_scope.cancel()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -24,6 +24,7 @@
     StoreStandin,
 )
 from lagoonstair.standins.statements._store import StoreFault
+from lagoonstair.wire import ClientResponse
 from proxy_fleet import config
 
 HOST = "127.0.0.1"
@@ -245,3 +246,19 @@
             assert answer is PromoteAnswer.ACCEPTED
             link.silence_open()
         nursery.cancel_scope.cancel()
+
+
+async def test_a_read_that_is_answered_as_gone_is_a_failed_call(monkeypatch):
+    """Only a feed has a history to lose; nobody expects that of a read."""
+    client = Store(Address(HOST, 1))
+
+    async def answer_gone(*args):
+        await trio.lowlevel.checkpoint()
+        return ClientResponse(410, {}, b"")
+
+    monkeypatch.setattr(client, "_call", answer_gone)
+    for read in (client.read_table("t"), client.read_row("t", "k")):
+        with pytest.raises(StoreError):
+            await read
+    with pytest.raises(HistoryLostError):
+        await client.follow("t", 1, 0.1, era=0)
