--- a/tests/test_config_currency.py
+++ b/tests/test_config_currency.py
@@ -102,6 +102,7 @@
         cfg = config(version=2)
         cfg["tenants"][0]["api_keys"] = []
         fleet.store.put("op", "config", cfg)
+        await trio.sleep(CONFIG_SECONDS)
         await fleet.start_instance("new")
         await fleet.wait_ready("new")
         greeting = (await fleet.caller(instance="new")).greeting
