--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,13 +18,28 @@
 END_SECONDS = 12.0
 
 ROUTES = [
-    {"database": "hold", "service": SERVICE, "route_type": "primary",
-     "timeout_ms": 1000, "target_latency_ms": 120, "priority": 1},
-    {"database": "lookup", "service": SERVICE, "route_type": "bounded",
-     "timeout_ms": 3000, "max_staleness_ms": 1500},
-    {"database": "dispatch", "service": SERVICE,
-     "route_type": "read_your_writes", "timeout_ms": 1000,
-     "max_staleness_ms": 2500},
+    {
+        "database": "hold",
+        "service": SERVICE,
+        "route_type": "primary",
+        "timeout_ms": 1000,
+        "target_latency_ms": 120,
+        "priority": 1,
+    },
+    {
+        "database": "lookup",
+        "service": SERVICE,
+        "route_type": "bounded",
+        "timeout_ms": 3000,
+        "max_staleness_ms": 1500,
+    },
+    {
+        "database": "dispatch",
+        "service": SERVICE,
+        "route_type": "read_your_writes",
+        "timeout_ms": 1000,
+        "max_staleness_ms": 2500,
+    },
 ]
 # The share of each route in the requests and the share of writes on it.
 MIX = [("hold", 0.15, 0.2), ("lookup", 0.15, 0.0), ("dispatch", 0.7, 0.12)]
@@ -48,7 +63,9 @@
         request = fleet.request_id()
         if rng.random() < writes:
             answer = await session.ask(request, f"WRITE item{number} data")
-            fleet.note("write", id=request, answer=answer.kind, text=answer.text)
+            fleet.note(
+                "write", id=request, answer=answer.kind, text=answer.text
+            )
             if answer.kind == "COMPLETE":
                 service.acknowledged[request] = answer.text
         else:
@@ -82,7 +99,12 @@
     services = {SERVICE: {"max_conns": 30, "sync_replicas": 1}}
     fleet.store.put("op", "config", configuration(1, ROUTES, services))
     service = await fleet.add_service(
-        SERVICE, slots=2, connections=30, lag_s=0.06, promote_s=1.0, sync=1,
+        SERVICE,
+        slots=2,
+        connections=30,
+        lag_s=0.06,
+        promote_s=1.0,
+        sync=1,
         work_s=0.015,
     )
     await fleet.start()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,12 +19,21 @@
 UNREADABLE_ADDRESS = "fe80::1%" + "x" * 70 + ":8080"
 
 ROUTES = [
-    {"database": f"lookup-{service}", "service": service,
-     "route_type": "bounded", "timeout_ms": 3000, "max_staleness_ms": 1500}
+    {
+        "database": f"lookup-{service}",
+        "service": service,
+        "route_type": "bounded",
+        "timeout_ms": 3000,
+        "max_staleness_ms": 1500,
+    }
     for service in SERVICES
 ] + [
-    {"database": f"order-{service}", "service": service,
-     "route_type": "primary", "timeout_ms": 1000}
+    {
+        "database": f"order-{service}",
+        "service": service,
+        "route_type": "primary",
+        "timeout_ms": 1000,
+    }
     for service in SERVICES
 ]
 
@@ -49,8 +58,9 @@
         writes = number % 2 and rng.random() < 0.2
         text = f"WRITE item{number} data" if writes else f"READ item{number}"
         answer = await session.ask(request, text)
-        fleet.note("statement", id=request, answer=answer.kind,
-                   text=answer.text)
+        fleet.note(
+            "statement", id=request, answer=answer.kind, text=answer.text
+        )
         if answer.kind == "CUT":
             session = None
 
@@ -58,18 +68,22 @@
 def write_entries(fleet):
     """Writes one entry for each service, as another writer would."""
     for name in SERVICES:
-        fleet.store.put("servers", f"i-other-{name}", {
-            "service": name,
-            "address": UNREADABLE_ADDRESS,
-            "zone": "z-a",
-            "version": "v1",
-            "slots": 5,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "seq_no": 1,
-            "born": 1700000000000,
-            "db_role": "replica",
-        })
+        fleet.store.put(
+            "servers",
+            f"i-other-{name}",
+            {
+                "service": name,
+                "address": UNREADABLE_ADDRESS,
+                "zone": "z-a",
+                "version": "v1",
+                "slots": 5,
+                "state": "ready",
+                "cold_left_ms": 0,
+                "seq_no": 1,
+                "born": 1700000000000,
+                "db_role": "replica",
+            },
+        )
         fleet.note("entry written", service=name, address=UNREADABLE_ADDRESS)
 
 
@@ -82,7 +96,12 @@
     fleet.store.put("op", "config", configuration(1, ROUTES, services))
     for name in SERVICES:
         await fleet.add_service(
-            name, slots=5, connections=33, lag_s=0.02, promote_s=0.6, sync=0,
+            name,
+            slots=5,
+            connections=33,
+            lag_s=0.02,
+            promote_s=0.6,
+            sync=0,
             work_s=0.02,
         )
     await fleet.start()
@@ -104,8 +123,11 @@
     await asyncio.gather(*leaving)
     for task in clients:
         task.cancel()
-    fleet.note("summary", ends=dict(fleet.exits),
-               promotions=[len(s.promotions) for s in fleet.services.values()])
+    fleet.note(
+        "summary",
+        ends=dict(fleet.exits),
+        promotions=[len(s.promotions) for s in fleet.services.values()],
+    )
     often = [name for name, ends in fleet.exits.items() if ends >= FEWEST_ENDS]
     return len(often) < FEWEST_PROCESSES
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -25,9 +25,12 @@
 def routes(service):
     """Returns the routes; ``note`` goes to the given service."""
     return [
-        {"database": "note", "service": service,
-         "route_type": "read_your_writes",
-         "max_staleness_ms": MAX_STALENESS_MS},
+        {
+            "database": "note",
+            "service": service,
+            "route_type": "read_your_writes",
+            "max_staleness_ms": MAX_STALENESS_MS,
+        },
         {"database": "order-g", "service": "g", "route_type": "primary"},
         {"database": "order-h", "service": "h", "route_type": "primary"},
     ]
@@ -46,8 +49,13 @@
     while True:
         request = fleet.request_id()
         answer = await session.ask(request, f"WRITE item{number} data")
-        fleet.note("write", session=number, id=request, answer=answer.kind,
-                   text=answer.text)
+        fleet.note(
+            "write",
+            session=number,
+            id=request,
+            answer=answer.kind,
+            text=answer.text,
+        )
         if answer.kind == "COMPLETE":
             return request, time.monotonic()
         if answer.kind == "CUT":
@@ -78,9 +86,15 @@
         if answer.kind == "COMPLETE":
             name, has = find_run(fleet, request)
             is_stale = own not in has
-            fleet.note("read", session=number, id=request, at=name,
-                       own_write=own, stale=is_stale,
-                       age=round(sent_at - acknowledged_at, 3))
+            fleet.note(
+                "read",
+                session=number,
+                id=request,
+                at=name,
+                own_write=own,
+                stale=is_stale,
+                age=round(sent_at - acknowledged_at, 3),
+            )
             if is_stale:
                 stale.append(request)
         await asyncio.sleep(READ_PAUSE_SECONDS)
@@ -88,8 +102,9 @@
 
 async def move(fleet, version, service, event):
     """Puts a configuration in force that moves the route."""
-    fleet.store.put("op", "config",
-                    configuration(version, routes(service), SERVICES))
+    fleet.store.put(
+        "op", "config", configuration(version, routes(service), SERVICES)
+    )
     fleet.note("configuration", version=version, note_goes_to=service)
     await asyncio.sleep(STEP_SECONDS)
     event.set()
@@ -101,7 +116,12 @@
     fleet.store.put("op", "config", configuration(1, routes("g"), SERVICES))
     for name in SERVICES:
         await fleet.add_service(
-            name, slots=5, connections=33, lag_s=0.02, promote_s=0.6, sync=0,
+            name,
+            slots=5,
+            connections=33,
+            lag_s=0.02,
+            promote_s=0.6,
+            sync=0,
             work_s=0.01,
         )
     await fleet.start()
@@ -112,15 +132,17 @@
         for database in ("order-g", "order-h")
     ]
     sessions = [
-        await Session.open(ports[number % len(ports)], "note",
-                           f"key-{number % 8}")
+        await Session.open(
+            ports[number % len(ports)], "note", f"key-{number % 8}"
+        )
         for number in range(SESSIONS)
     ]
     await asyncio.sleep(2)
     stale = []
     version = 1
-    replicas = [db for db in fleet.services["g"].databases.values()
-                if not db.is_primary]
+    replicas = [
+        db for db in fleet.services["g"].databases.values() if not db.is_primary
+    ]
     for _ in range(ROUNDS):
         if trouble():
             for replica in replicas[:1]:
--- a/review/standins/databases.py
+++ b/review/standins/databases.py
@@ -21,8 +21,19 @@
 class Service:
     """A service: one primary and its replicas."""
 
-    def __init__(self, name, store, note, *, slots, connections, lag_s,
-                 promote_s, sync, work_s):
+    def __init__(
+        self,
+        name,
+        store,
+        note,
+        *,
+        slots,
+        connections,
+        lag_s,
+        promote_s,
+        sync,
+        work_s,
+    ):
         self.name = name
         self.store = store
         self.note = note
@@ -78,7 +89,9 @@
             other.suspended = False
             if other is not database and not other.is_primary:
                 other.follow(database)
-        has = {request for _, _, requests in database.log for request in requests}
+        has = {
+            request for _, _, requests in database.log for request in requests
+        }
         missing = [key for key in self.acknowledged if key not in has]
         self.promotions.append((time.monotonic(), database.name, missing))
         self.note(
@@ -162,18 +175,22 @@
     def publish(self):
         """Writes the entry into the store."""
         self._sequence += 1
-        self.service.store.put("servers", self.name, {
-            "service": self.service.name,
-            "address": f"{HOST}:{self.port}",
-            "zone": self.zone,
-            "version": "v1",
-            "slots": self.service.slots,
-            "state": "draining" if self.draining else "ready",
-            "cold_left_ms": 0,
-            "seq_no": self._sequence,
-            "born": 1700000000000,
-            "db_role": "primary" if self.is_primary else "replica",
-        })
+        self.service.store.put(
+            "servers",
+            self.name,
+            {
+                "service": self.service.name,
+                "address": f"{HOST}:{self.port}",
+                "zone": self.zone,
+                "version": "v1",
+                "slots": self.service.slots,
+                "state": "draining" if self.draining else "ready",
+                "cold_left_ms": 0,
+                "seq_no": self._sequence,
+                "born": 1700000000000,
+                "db_role": "primary" if self.is_primary else "replica",
+            },
+        )
 
     async def _beat(self):
         while True:
@@ -260,8 +277,12 @@
         self._writers.add(writer)
         try:
             await Connection(self, reader, writer).run()
-        except (ConnectionError, asyncio.IncompleteReadError,
-                asyncio.CancelledError, ValueError):
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ValueError,
+        ):
             pass
         finally:
             self._writers.discard(writer)
@@ -308,7 +329,10 @@
     async def run(self):
         line = (await self._reader.readuntil(b"\n")).decode().split()
         service, names = line[1], line[3:]
-        if service != self._db.service.name or names not in ([], [self._db.name]):
+        if service != self._db.service.name or names not in (
+            [],
+            [self._db.name],
+        ):
             self._writer.write(b"ERROR MISROUTED no\r\n")
             return
         if self._db.connections > self._db.service.connections:
@@ -329,7 +353,9 @@
 
     def _send(self, answer):
         position = self._db.position(self._db.applied)
-        self._writer.write(f"{answer}READY {self._state} {position}\r\n".encode())
+        self._writer.write(
+            f"{answer}READY {self._state} {position}\r\n".encode()
+        )
 
     def _error(self, text):
         if self._state == "T":
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -253,7 +253,7 @@
             )
             line = await asyncio.wait_for(reader.readline(), 1)
             writer.close()
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return False
         return b" 200 " in line
 
@@ -278,8 +278,12 @@
                 for _, request, kind, _ in database.runs:
                     runs[kind].append(request)
                 for kind, requests in runs.items():
-                    self.note("ran", by=database.name, kind=kind,
-                              ids=",".join(requests))
+                    self.note(
+                        "ran",
+                        by=database.name,
+                        kind=kind,
+                        ids=",".join(requests),
+                    )
 
     async def stop(self):
         """Ends all processes and removes the temporary folder."""
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -139,7 +139,9 @@
             return 403, []
         conditions = call.get("precondition", [])
         for row in conditions:
-            value, version = self.rows.get((row["table"], row["key"]), (None, 0))
+            value, version = self.rows.get(
+                (row["table"], row["key"]), (None, 0)
+            )
             if row["row_version"] != (0 if value is None else version):
                 keys = [(row["table"], row["key"]) for row in conditions]
                 return 412, [self._row(key) for key in keys if key in self.rows]
@@ -179,12 +181,17 @@
                 return 200, [self._row(key) for key in keys]
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 continue
 
     def _row(self, key):
         value, version = self.rows[key]
-        row = {"table": key[0], "part": "", "key": key[1], "row_version": version}
+        row = {
+            "table": key[0],
+            "part": "",
+            "key": key[1],
+            "row_version": version,
+        }
         return row | ({"deleted": True} if value is None else {"value": value})
 
 
