--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -288,11 +288,12 @@
     async def stop(self):
         """Ends all processes and removes the temporary folder."""
         self._closing = True
-        for process in self._processes.values():
-            if process.returncode is None:
-                process.kill()
-        for process in self._processes.values():
-            await process.wait()
+        # A process may just be starting again; its task adds it to the others.
+        while waiting := [task for task in self._restarts if not task.done()]:
+            for process in self._processes.values():
+                if process.returncode is None:
+                    process.kill()
+            await asyncio.wait(waiting, timeout=0.1)
         for sock in self._reserved:
             sock.close()
         if os.environ.get("KEEP_LOGS"):
@@ -315,16 +316,23 @@
     async def main():
         fleet = Fleet(folder, instances)
         code = 2
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             held = await asyncio.wait_for(play(fleet), 110)
             code = 0 if held else 1
         except Exception as exc:
             fleet.note("could not run", cause=repr(exc))
             print(f"could not run: {exc!r}", file=sys.stderr)
+        except asyncio.CancelledError:
+            fleet.note("ended by a signal")
         finally:
-            fleet.note_runs()
-            fleet.note("result", exit=code)
-            await fleet.stop()
+            try:
+                fleet.note_runs()
+                fleet.note("result", exit=code)
+            finally:
+                await fleet.stop()
         os._exit(code)
 
     asyncio.run(main())
