Decode addresses to what a socket takes, and contain unexpected exceptions

What callers saw: with one discovery entry whose address was "fe80::1%" and 70 letters, the process that was to replace a primary ended, resumed the promotion after its restart and ended again, 35 times in 39 s.

Cause: the decoder took every text that ipaddress.ip_address takes, and the scope of an IPv6 address may be any text. Its use parsed it a second time, in the resolver, which raised UnicodeError. No caller of a connection expects that, so it reached the nursery of the instance. It is the third value of another writer that ended processes, each by another family of exceptions.

Change: an address is decoded once, to the canonical IP address without a scope and the port. Behind that, an unexpected exception costs the endpoint, peer, group, row, listener or session that it concerns: it is logged and counted, and what failed is tried again after a backoff. Each long-running task of an instance is supervised. The follower of a table that fails does not keep an instance from serving. A statement that fails is answered before its session ends.

Evidence: on the code before, host-scope, host-scope-long, host-scope-odd and test_a_decoded_address_is_used_without_a_lookup fail with UnicodeError; the injected exceptions of test_proxy_supervisor.py ended the process. The soak fails now if an instance logs such an exception.

Tests that changed: the fakes of test_proxy_gossip.py got a supervisor that contains nothing, so a failure in a round still fails them; the members of test_proxy_reconcile.py got an IP address, as a row with another host is not read.

--- a/src/lagoonstair/_faults.py
+++ b/src/lagoonstair/_faults.py
@@ -8,7 +8,10 @@
     """Returns an exception's type and the file and line that raised it.
 
     The message is omitted, since it may contain a key or a statement's values.
+    Of an exception group, the first exception that is no group is described.
     """
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
     frames = traceback.extract_tb(exc.__traceback__)
     if not frames:
         return type(exc).__name__
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -5,7 +5,9 @@
 from typing import TypedDict
 
 import trio
+from loguru import logger
 
+from lagoonstair._faults import describe_exception
 from lagoonstair._types import Address
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.limits._limiter import Admit, Effect, Limiter, Refuse, SendAsk
@@ -255,12 +257,20 @@
 
     async def _send(self, send: SendAsk) -> None:
         self._counts["sent"] += 1
-        grant = await self._call(send)
-        now = self._clock()
+        grant = None
+        try:
+            grant = await self._call(send)
+        finally:
+            # Also when it is cancelled: the lender is not asked again while
+            # an ask is outstanding.
+            if grant is None:
+                self._counts["lost"] += 1
+                self._limiter.handle_lost_ask(
+                    self._clock(), send.lender, send.ask.seq
+                )
         if grant is None:
-            self._counts["lost"] += 1
-            self._limiter.handle_lost_ask(now, send.lender, send.ask.seq)
             return
+        now = self._clock()
         fresh = self._fresh(now)
         effects = self._limiter.handle_grant(
             now, send.lender, grant, fresh=fresh
@@ -277,6 +287,13 @@
                 return await self._peers.call(address, send.ask, TokenGrant)
             except (LagoonstairError, PeerLostError, PeerNotSentError):
                 return None
+            except Exception as exc:
+                logger.error(
+                    "ask to {} failed: {}",
+                    send.lender,
+                    describe_exception(exc),
+                )
+                return None
         return None
 
     async def _answer(self, ask: TokenAsk, ctx: PeerContext) -> TokenGrant:
--- a/src/lagoonstair/peers/_client.py
+++ b/src/lagoonstair/peers/_client.py
@@ -5,7 +5,9 @@
 
 import msgspec
 import trio
+from loguru import logger
 
+from lagoonstair._faults import describe_exception
 from lagoonstair._types import Address
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.peers._messages import (
@@ -85,6 +87,8 @@
                 nursery.cancel_scope.cancel()
         except* CONNECTION_ERRORS:
             pass
+        except* Exception as exc:
+            logger.error("peer connection failed: {}", describe_exception(exc))
         finally:
             self._close()
 
--- a/src/lagoonstair/peers/_server.py
+++ b/src/lagoonstair/peers/_server.py
@@ -143,6 +143,8 @@
             await self._serve_calls(stream, reader, ctx)
         except* CONNECTION_ERRORS:
             pass
+        except* Exception as exc:
+            logger.error("peer connection failed: {}", describe_exception(exc))
         finally:
             with trio.CancelScope(shield=True), trio.move_on_after(1):
                 await stream.aclose()
--- a/src/lagoonstair/platform/discovery.py
+++ b/src/lagoonstair/platform/discovery.py
@@ -72,12 +72,29 @@
 def parse_address(text: str) -> Address:
     """Parses ``IP:PORT``.
 
+    Returns:
+        The address as the operating system takes it, so that no later use has
+        to parse or resolve a text: the IP address is in canonical form.
+
     Raises:
-        ValueError: The text is not of this form, or the port is out of range.
+        ValueError: The text is not of this form, the port is out of range, or
+            the IP address has a scope, whose name only one host knows.
     """
     host, _, port = text.rpartition(":")
     if not (port.isascii() and port.isdecimal() and len(port) <= 5):
         raise ValueError(f"not an IP:PORT address: {text[:100]!r}")
     if not 1 <= int(port) <= MAX_PORT:
         raise ValueError(f"port {port} is out of range")
-    return Address(str(ipaddress.ip_address(host)), int(port))
+    return Address(parse_host(host), int(port))
+
+
+def parse_host(text: str) -> str:
+    """Returns an IP address in canonical form.
+
+    Raises:
+        ValueError: The text is no IP address, or one with a scope.
+    """
+    ip = ipaddress.ip_address(text)
+    if isinstance(ip, ipaddress.IPv6Address) and ip.scope_id is not None:
+        raise ValueError(f"an address with a scope: {text[:100]!r}")
+    return str(ip)
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -1,5 +1,6 @@
 """Assembles and runs the components of an instance."""
 
+import functools
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -115,6 +116,7 @@
         founding = self._registry.founding
         assert founding is not None
         secret = bytes.fromhex(founding.secret)
+        supervise = self._fleet.supervisor.run
         async with trio.open_nursery() as nursery:
             peers = PeerClient(settings.instance, secret, nursery)
             quota = Quota(
@@ -153,7 +155,7 @@
             server = PeerServer(settings.instance, secret, self._handlers)
             self._follower.apply_registration(rows)
             await nursery.start(server.serve, *settings.peer_address)
-            nursery.start_soon(gossip.run)
+            nursery.start_soon(supervise, "gossip rounds", gossip.run)
             await nursery.start(self._follower.run)
             watcher = ConfigWatcher(
                 self._fleet,
@@ -162,11 +164,11 @@
                 self._follower,
                 self._metrics,
             )
-            nursery.start_soon(watcher.run)
-            nursery.start_soon(quota.run)
+            nursery.start_soon(supervise, "configuration watcher", watcher.run)
+            nursery.start_soon(supervise, "quota", quota.run)
             commands = EndpointCommands(self._fleet)
             prober = Prober(self._fleet, gossip, commands)
-            nursery.start_soon(prober.run)
+            nursery.start_soon(supervise, "prober", prober.run)
             promoter = Promoter(
                 self._fleet,
                 self._registry,
@@ -178,19 +180,21 @@
                 self._metrics,
                 drain_seconds=settings.drain_ms / 1000,
             )
-            nursery.start_soon(promoter.run)
+            nursery.start_soon(supervise, "promoter", promoter.run)
             reaper = Reaper(self._fleet, self._registry, self._follower, gossip)
-            nursery.start_soon(reaper.run, settings)
+            nursery.start_soon(
+                supervise, "reaper", functools.partial(reaper.run, settings)
+            )
             reconciler = Reconciler(self._fleet, self._registry, self._follower)
-            nursery.start_soon(reconciler.run)
-            nursery.start_soon(self._renew_proof)
+            nursery.start_soon(supervise, "reconciler", reconciler.run)
+            nursery.start_soon(supervise, "proof renewal", self._renew_proof)
             relays = HomeRouter(
                 self._fleet,
                 self._metrics,
                 self._home_address,
                 gossip.reaches,
             )
-            nursery.start_soon(relays.end_silent_sessions)
+            nursery.start_soon(supervise, "relays", relays.end_silent_sessions)
             front = CallerServer(
                 self._fleet,
                 executor,
@@ -348,7 +352,8 @@
             task_status.started()
             async for signal_number in signals:
                 if signal_number == signal.SIGHUP:
-                    self._reload()
+                    with self._fleet.supervisor.contain("reload"):
+                        self._reload()
                     continue
                 log_event("stopping")
                 if not self._ready:
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -12,6 +12,7 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
+from lagoonstair.proxy._supervisor import Supervisor
 from lagoonstair.routing import (
     Endpoint,
     EndpointLoad,
@@ -59,6 +60,7 @@
             group's primary, by group.
         config_listeners: Called when the configuration or the set of
             instances changes.
+        supervisor: Contains unexpected exceptions.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self.primary_uses: dict[str, int] = {}
         self.places: dict[str, InstanceResources] = {}
         self.config_listeners: list[Callable[[], None]] = []
+        self.supervisor = Supervisor(metrics)
 
     def set_config(self, config: RoutingConfig) -> bool:
         """Applies a configuration.
@@ -94,11 +97,17 @@
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
-        self.update_budgets()
-        for notify in self.config_listeners:
-            notify()
+        with self.supervisor.contain("connection budgets"):
+            self.update_budgets()
+        self.notify_config_listeners()
         return True
 
+    def notify_config_listeners(self) -> None:
+        """Tells all listeners of a new configuration or set of instances."""
+        for notify in self.config_listeners:
+            with self.supervisor.contain("configuration listener"):
+                notify()
+
     def set_endpoint(self, endpoint: Endpoint) -> None:
         """Adds or updates an endpoint from its discovery entry."""
         known = self.endpoints.get(endpoint.name)
@@ -112,7 +121,10 @@
                 pool.close()
             budget = self._budget(endpoint)
             self.pools[endpoint.name] = EndpointPool(
-                endpoint, budget, self._note_endpoint_position
+                endpoint,
+                budget,
+                self._note_endpoint_position,
+                self.supervisor,
             )
         else:
             pool.endpoint = endpoint
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -1,5 +1,6 @@
 """Follows the store's tables through their change feeds."""
 
+import functools
 from collections.abc import Callable
 
 import trio
@@ -107,6 +108,7 @@
                 self._is_store_behind() or not self._must_read_store()
             ):
                 await trio.sleep(CONFIRMATION_CHECK_SECONDS)
+        supervise = self._fleet.supervisor.run
         async with trio.open_nursery() as nursery:
             for table, apply, period in (
                 (TABLE, self._apply_registry, 0.0),
@@ -122,10 +124,20 @@
                     if table == discovery.TABLE
                     else self._must_read_store
                 )
-                await nursery.start(
-                    self._follow, table, apply, is_needed, period
+                started = trio.Event()
+                follow = functools.partial(
+                    self._follow_or_fail,
+                    table,
+                    apply,
+                    is_needed,
+                    period,
+                    started,
                 )
-            nursery.start_soon(self._expire_endpoints)
+                nursery.start_soon(supervise, f"follower of {table}", follow)
+                await started.wait()
+            nursery.start_soon(
+                supervise, "endpoint expiry", self._expire_endpoints
+            )
             task_status.started()
 
     def apply_registration(self, rows: Rows) -> None:
@@ -181,27 +193,49 @@
         """Estimate of the store's clock, in seconds."""
         return self._store_now + trio.current_time() - self._answered_at
 
+    async def _follow_or_fail(
+        self,
+        table: str,
+        apply: Callable[[Rows, bool], bool],
+        is_needed: Callable[[], bool],
+        period: float,
+        started: trio.Event,
+    ) -> None:
+        """Follows a table until cancelled or until it fails unexpectedly.
+
+        Args:
+            table: The name of the table.
+            apply: Applies rows; told whether they are the whole table.
+            is_needed: Returns whether this instance is to read the table.
+            period: Least interval between calls, in seconds.
+            started: Set once the table is known, and when this fails: what
+                could be applied is in use, and an instance that waited for the
+                rest would do so at each start.
+        """
+        try:
+            await self._follow(table, apply, is_needed, period, started)
+        finally:
+            started.set()
+
     async def _follow(
         self,
         table: str,
         apply: Callable[[Rows, bool], bool],
         is_needed: Callable[[], bool],
         period: float,
-        *,
-        task_status: trio.TaskStatus[None],
+        started: trio.Event,
     ) -> None:
         version = era = 0
         pause = RETRY_SECONDS
         was_rewriting = False
         # A majority that is cut off from the store agrees on what is outdated.
-        started = self._tables.is_confirmed and (
+        if self._tables.is_confirmed and (
             table != operator.TABLE
             or self._tables.config_age.is_current(trio.current_time())
-        )
-        if started:
-            task_status.started()
+        ):
+            started.set()
         while True:
-            if started and not is_needed():
+            if started.is_set() and not is_needed():
                 await trio.sleep(ROLE_CHECK_SECONDS)
                 version = 0
                 continue
@@ -224,9 +258,8 @@
                 continue
             except StoreError as exc:
                 self._note_failure(table, exc)
-                if not started and self._tables.is_confirmed:
-                    started = True
-                    task_status.started()
+                if self._tables.is_confirmed:
+                    started.set()
                 await trio.sleep(jittered(pause))
                 pause = min(MAX_RETRY_SECONDS, pause * 2)
                 continue
@@ -241,9 +274,7 @@
                 await trio.sleep(jittered(RETRY_SECONDS))
                 continue
             version, era = rows.version, rows.era
-            if not started:
-                started = True
-                task_status.started()
+            started.set()
             remaining = rows.asked_at + period - trio.current_time()
             if remaining > 0:
                 await trio.sleep(remaining)
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -32,6 +32,7 @@
     Run,
     Success,
     TransactionState,
+    failure_without_answer,
 )
 
 START_TIMEOUT_SECONDS = 10.0
@@ -130,10 +131,19 @@
         """Serves a connection, and cleans up after it whatever happens."""
         connection = CallerConnection(stream, lines.LineSplitter())
         self._connections[id(connection)] = connection
-        stream.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
+        with self._fleet.supervisor.contain("session end"):
+            await self._serve_connection(connection, run_session)
+
+    async def _serve_connection(
+        self,
+        connection: CallerConnection,
+        run_session: Callable[[CallerConnection], Awaitable[None]],
+    ) -> None:
+        stream = connection.stream
         try:
+            stream.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+            )
             if await self._open_session(connection):
                 await run_session(connection)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
@@ -277,7 +287,24 @@
     ) -> bool:
         """Answers a statement and returns whether the session continues."""
         started_at = trio.current_time()
-        result = await self._execute(connection, query)
+        state = connection.session.state
+        try:
+            result = await self._execute(connection, query)
+        except Exception as exc:
+            # Its transaction is rolled back with the end of the session.
+            self._fleet.supervisor.report(
+                "statement", exc, request=query.request_id
+            )
+            failure = failure_without_answer(
+                query.statement,
+                in_transaction=state is not TransactionState.IDLE,
+                message="internal error",
+            )
+            await connection.send_final_result(failure, state)
+            self._log_answer(
+                connection, query, failure, trio.current_time() - started_at
+            )
+            return False
         state = connection.session.state
         await connection.stream.send_all(lines.encode_result(result, state))
         self._log_answer(
--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -1,5 +1,6 @@
 """Gossip between instances: proofs, group reports and store updates."""
 
+import functools
 import itertools
 import random
 from collections.abc import Callable, Sequence
@@ -135,12 +136,14 @@
     async def run(self) -> None:
         """Runs regular rounds and sweeps until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._run_rounds, self._round_targets, ROUND_PERIOD_SECONDS
-            )
-            nursery.start_soon(
-                self._run_rounds, self._sweep_targets, SWEEP_PERIOD_SECONDS
-            )
+            for task, select_targets, period in (
+                ("gossip", self._round_targets, ROUND_PERIOD_SECONDS),
+                ("sweep", self._sweep_targets, SWEEP_PERIOD_SECONDS),
+            ):
+                run = functools.partial(
+                    self._run_rounds, select_targets, period
+                )
+                nursery.start_soon(self._fleet.supervisor.run, task, run)
 
     def start_urgent_rounds(self, group: str) -> None:
         """Starts frequent rounds to all instances on behalf of a group."""
@@ -248,7 +251,7 @@
                     wants_update = self._tables.is_complete or name == source
                     if member is not None:
                         nursery.start_soon(
-                            self._ask, name, member.address, wants_update
+                            self._ask_peer, name, member.address, wants_update
                         )
                 pause = URGENT_PERIOD_SECONDS if self.urgent_groups else period
                 with trio.move_on_after(pause):
@@ -284,6 +287,13 @@
         ]
         return random.choice(same_domain or list(targets))
 
+    async def _ask_peer(
+        self, name: str, address: Address, wants_update: bool
+    ) -> None:
+        """Asks a peer; its answer costs nothing but itself."""
+        with self._fleet.supervisor.contain("peer", peer=name):
+            await self._ask(name, address, wants_update)
+
     async def _ask(
         self, name: str, address: Address, wants_update: bool
     ) -> None:
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -9,6 +9,8 @@
 
 from lagoonstair._types import Position
 from lagoonstair.platform import lines
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._supervisor import Supervisor
 from lagoonstair.routing import Endpoint
 from lagoonstair.statements import (
     Failure,
@@ -33,11 +35,20 @@
 
     Attributes:
         refusal: The endpoint's refusal to open the session, if it sent one.
+        is_fault: Whether an unexpected exception, which has been reported, is
+            the cause.
     """
 
-    def __init__(self, message: str, refusal: Failure | None = None) -> None:
+    def __init__(
+        self,
+        message: str,
+        refusal: Failure | None = None,
+        *,
+        is_fault: bool = False,
+    ) -> None:
         super().__init__(message)
         self.refusal = refusal
+        self.is_fault = is_fault
 
 
 class Link:
@@ -56,9 +67,14 @@
     """
 
     def __init__(
-        self, stream: trio.SocketStream, endpoint: Endpoint, workspace: str
+        self,
+        stream: trio.SocketStream,
+        endpoint: Endpoint,
+        workspace: str,
+        supervisor: Supervisor,
     ) -> None:
         self._stream = stream
+        self._supervisor = supervisor
         self._reader = lines.ReplyReader()
         self._values: dict[str, str] = {}
         self._prepared: dict[PreparedStatement, str] = {}
@@ -71,25 +87,35 @@
         self.last_used_at = trio.current_time()
 
     @classmethod
-    async def open(cls, endpoint: Endpoint, workspace: str) -> "Link":
+    async def open(
+        cls,
+        endpoint: Endpoint,
+        workspace: str,
+        supervisor: Supervisor | None = None,
+    ) -> "Link":
         """Opens a connection.
 
         Args:
             endpoint: The endpoint.
             workspace: The workspace on whose behalf it is opened.
+            supervisor: Counts unexpected exceptions.
 
         Raises:
-            LinkError: The endpoint is unreachable or refused.
+            LinkError: The endpoint is unreachable or refused, or its use
+                raised an unexpected exception.
         """
+        supervisor = supervisor or Supervisor(Metrics())
         try:
             start = lines.encode_start(endpoint.group, workspace, endpoint.name)
             stream = await trio.open_tcp_stream(*endpoint.address)
         except (OSError, lines.BadLineError) as exc:
             raise LinkError(f"{endpoint.name}: {exc}") from exc
+        except Exception as exc:
+            raise _report_fault(supervisor, endpoint, exc) from exc
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
-        link = cls(stream, endpoint, workspace)
+        link = cls(stream, endpoint, workspace, supervisor)
         try:
             (reply,) = await link._exchange([start])
         except BaseException:
@@ -207,6 +233,8 @@
             lines.BadLineError,
         ) as exc:
             raise LinkError(f"{self.endpoint.name}: {exc}") from exc
+        except Exception as exc:
+            raise _report_fault(self._supervisor, self.endpoint, exc) from exc
         self.is_usable = True
         self.last_used_at = trio.current_time()
         self.state = replies[-1].state
@@ -220,3 +248,11 @@
                 raise trio.BrokenResourceError("closed by the endpoint")
             self._reader.feed(chunk)
         return reply
+
+
+def _report_fault(
+    supervisor: Supervisor, endpoint: Endpoint, exc: Exception
+) -> LinkError:
+    """Reports an unexpected exception, which costs one connection alone."""
+    supervisor.report("endpoint", exc, endpoint=endpoint.name)
+    return LinkError(f"{endpoint.name}: internal error", is_fault=True)
--- a/src/lagoonstair/proxy/_orders.py
+++ b/src/lagoonstair/proxy/_orders.py
@@ -6,7 +6,7 @@
 
 from lagoonstair.platform import lines
 from lagoonstair.proxy._fleet import Fleet
-from lagoonstair.proxy._link import Link, LinkError
+from lagoonstair.proxy._link import LinkError
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._pool import EndpointPool
 from lagoonstair.statements import Success
@@ -145,7 +145,7 @@
         with trio.move_on_after(COMMAND_TIMEOUT_SECONDS):
             link = None
             try:
-                link = await Link.open(pool.endpoint, self.any_workspace())
+                link = await pool.open_link(self.any_workspace())
                 reply = await link.run_internal(text)
                 pool.record_reachable()
                 if isinstance(reply.result, Success):
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -10,6 +10,8 @@
 
 from lagoonstair._types import Position
 from lagoonstair.proxy._link import Link, LinkError
+from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._supervisor import Supervisor
 from lagoonstair.queueing import QueueSettings, SlotScheduler
 from lagoonstair.routing import Endpoint, EndpointLoad
 from lagoonstair.statements import ErrorCode, Failure
@@ -29,6 +31,10 @@
 """Delay in seconds before an endpoint that refused a connection is probed
 again."""
 
+FAULT_RETRY_SECONDS = 2.0
+"""Delay in seconds before an endpoint whose use raised an unexpected exception
+is probed again."""
+
 CONGESTED_SECONDS = 0.5
 """Time in seconds for which no further connection is opened at an endpoint
 that has none left; endpoints close those of dead instances after 3 s."""
@@ -79,6 +85,7 @@
         endpoint: Endpoint,
         budget: int,
         on_position: Callable[["EndpointPool", float], None] | None = None,
+        supervisor: Supervisor | None = None,
     ) -> None:
         """Creates a pool without connections.
 
@@ -87,8 +94,10 @@
             budget: Maximum number of connections of this instance.
             on_position: Called with the pool and the time of the request, in
                 seconds, when the endpoint has reported its log position.
+            supervisor: Counts unexpected exceptions.
         """
         self._on_position = on_position
+        self._supervisor = supervisor or Supervisor(Metrics())
         self.endpoint = endpoint
         self.budget = budget
         self.slots = SlotScheduler(
@@ -137,6 +146,17 @@
         """Moving average of the duration of a statement, in seconds."""
         return self._latency
 
+    async def open_link(self, workspace: str) -> Link:
+        """Opens a connection that the pool does not keep.
+
+        Args:
+            workspace: The workspace on whose behalf it is opened.
+
+        Raises:
+            LinkError: The endpoint is unreachable or refused.
+        """
+        return await Link.open(self.endpoint, workspace, self._supervisor)
+
     async def acquire(
         self, workspace: str, *, deadline: float, priority: int
     ) -> Link:
@@ -272,16 +292,32 @@
     async def probe(self, workspace: str) -> None:
         """Opens a connection to find out whether the endpoint is reachable.
 
+        An unexpected exception counts as a failure of this endpoint alone.
+
         Args:
             workspace: The workspace on whose behalf it is opened; the
                 connection is kept in the pool if there is room.
         """
         started_at = trio.current_time()
         self.is_probing = True
+        try:
+            await self._probe(workspace, started_at)
+        except Exception as exc:
+            self._supervisor.report("probe", exc, endpoint=self.endpoint.name)
+            self.record_failure(started_at)
+            await trio.sleep(FAULT_RETRY_SECONDS)
+        finally:
+            self.is_probing = False
+
+    async def _probe(self, workspace: str, started_at: float) -> None:
         try:
             with trio.fail_after(OPEN_TIMEOUT_SECONDS):
-                link = await Link.open(self.endpoint, workspace)
+                link = await self.open_link(workspace)
         except LinkError as exc:
+            if exc.is_fault:
+                self.record_failure(started_at)
+                await trio.sleep(FAULT_RETRY_SECONDS)
+                return
             await trio.sleep(PROBE_RETRY_SECONDS)
             if exc.refusal is None or exc.refusal.code is ErrorCode.MISROUTED:
                 self.record_failure(started_at)
@@ -294,8 +330,6 @@
             self.record_reachable()
             self._record_position(link, started_at)
             self._add_idle(link)
-        finally:
-            self.is_probing = False
 
     def close_excess_idle(self, now: float) -> None:
         """Closes connections that were idle for long, down to half the budget.
@@ -374,7 +408,7 @@
         seconds = min(OPEN_TIMEOUT_SECONDS, max(0.0, deadline - started_at))
         try:
             with trio.fail_after(seconds):
-                link = await Link.open(self.endpoint, workspace)
+                link = await self.open_link(workspace)
         except LinkError as exc:
             if exc.refusal is None:
                 self.record_failure(started_at)
--- a/src/lagoonstair/proxy/_prober.py
+++ b/src/lagoonstair/proxy/_prober.py
@@ -42,13 +42,14 @@
                 suspects = self._suspected_primaries(now)
                 suspects |= self._idle_primaries(now)
                 for name, pool in [*self._fleet.pools.items()]:
-                    pool.close_excess_idle(now)
                     is_suspect = (
                         pool.unreachable_since is not None or name in suspects
                     )
                     if is_suspect and not pool.is_probing:
                         workspace = self._commands.any_workspace()
                         nursery.start_soon(pool.probe, workspace)
+                for pool in self._fleet.pools.values():
+                    pool.close_excess_idle(now)
 
     def _suspected_primaries(self, now: float) -> set[str]:
         suspects = set()
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -51,6 +51,10 @@
 """Time (s) for which an instance that could not reach the store leaves
 promotions to others, whose attempts are due within 2 s."""
 
+FAULT_BACKOFF_SECONDS = 2.0
+"""Time (s) for which an instance leaves a group's promotion to others after an
+unexpected exception."""
+
 HANDOVER_WAIT_FRACTION = 0.45
 """Fraction of the time for which a leaving endpoint accepts work that a
 handover may wait for unresponsive instances. A promotion takes up to 4 s
@@ -103,6 +107,7 @@
         self._scheduled: dict[str, tuple[Cause, float]] = {}
         self._running_groups: set[str] = set()
         self._changed_at: dict[str, tuple[int, float]] = {}
+        self._faulty_until: dict[str, float] = {}
         self._calls_in_flight = 0
         self._is_renewing = False
         self._started_at = trio.current_time()
@@ -112,38 +117,53 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(CHECK_PERIOD_SECONDS)
-                self._release_primaries()
                 for group in self._groups():
-                    if group in self._running_groups:
+                    try:
+                        self._release_primary(group)
+                        is_due = self._may_run(group) and self._is_due(group)
+                    except Exception as exc:
+                        self._note_fault(group, exc)
                         continue
-                    if self._is_due(group):
+                    if is_due:
                         self._running_groups.add(group)
                         nursery.start_soon(self._run_promotion, group)
 
+    def _may_run(self, group: str) -> bool:
+        """Returns whether no promotion of a group runs or has just failed."""
+        return (
+            group not in self._running_groups
+            and trio.current_time() >= self._faulty_until.get(group, 0.0)
+        )
+
+    def _note_fault(self, group: str, exc: Exception) -> None:
+        """Reports an unexpected exception and leaves a group to others."""
+        self._fleet.supervisor.report("promotion", exc, group=group)
+        until = trio.current_time() + FAULT_BACKOFF_SECONDS
+        self._faulty_until[group] = until
+
     def _groups(self) -> set[str]:
         return {
             endpoint.group for endpoint in self._fleet.endpoints.values()
         } | self._fleet.primacy.records.keys()
 
-    def _release_primaries(self) -> None:
-        """Aborts work on primaries whose replacement has started."""
+    def _release_primary(self, group: str) -> None:
+        """Aborts work on a primary whose replacement has started."""
         now = trio.current_time()
         primacy = self._fleet.primacy
-        for group in self._groups():
-            record = primacy.records.get(group)
-            epoch = primacy.epoch(group)
-            changed = self._changed_at.get(group)
-            if changed is None or changed[0] != epoch:
-                self._changed_at[group] = changed = (epoch, now)
-            is_replaced = record is not None and (
-                record.promoting or epoch > record.epoch
+        record = primacy.records.get(group)
+        epoch = primacy.epoch(group)
+        changed = self._changed_at.get(group)
+        if changed is None or changed[0] != epoch:
+            self._changed_at[group] = changed = (epoch, now)
+        is_replaced = record is not None and (
+            record.promoting or epoch > record.epoch
+        )
+        if is_replaced and self._fleet.primary_uses.get(group):
+            is_unreachable = (
+                self._primary_view(group, record).unreachable_for > 0
             )
-            if is_replaced and self._fleet.primary_uses.get(group):
-                is_unreachable = (
-                    self._primary_view(group, record).unreachable_for > 0
-                )
-                if is_unreachable or now - changed[1] > DRAIN_SECONDS:
-                    self._transactions.abandon_group(group)
+            if is_unreachable or now - changed[1] > DRAIN_SECONDS:
+                self._transactions.abandon_group(group)
 
     def _is_due(self, group: str) -> bool:
         cause = self._cause(group)
@@ -254,6 +274,8 @@
             self._backoff_until = (
                 trio.current_time() + STORE_FAILURE_BACKOFF_SECONDS
             )
+        except Exception as exc:
+            self._note_fault(group, exc)
         finally:
             self._scheduled.pop(group, None)
             self._gossip.stop_urgent_rounds(group)
--- a/src/lagoonstair/proxy/_registry_rows.py
+++ b/src/lagoonstair/proxy/_registry_rows.py
@@ -6,7 +6,7 @@
 
 from lagoonstair._types import Address
 from lagoonstair.platform.decoding import UnreadableError, decode_json
-from lagoonstair.platform.discovery import MAX_PORT
+from lagoonstair.platform.discovery import MAX_PORT, parse_host
 from lagoonstair.primacy import Duty, GroupRecord
 from lagoonstair.proxy._log import log_event
 
@@ -46,7 +46,7 @@
         at: When the row was written, in seconds on the store's clock.
     """
 
-    secret: str
+    secret: Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{2})+\Z")]
     at: float
 
 
@@ -68,9 +68,12 @@
     port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
     failure_domain: str
     since: float
-    capacity: float = 1.0
+    capacity: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     suspected: float = 0.0
 
+    def __post_init__(self) -> None:
+        parse_host(self.host)
+
     @property
     def address(self) -> Address:
         """Address at which other instances call it."""
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -7,16 +7,9 @@
 from lagoonstair._types import Address
 from lagoonstair.platform import lines
 from lagoonstair.statements import (
-    Begin,
-    Commit,
-    Deallocate,
-    ErrorCode,
     Failure,
-    Prepare,
-    Read,
-    Rollback,
-    SetValue,
     TransactionState,
+    failure_without_answer,
 )
 
 READ_BYTES = 64 * 1024
@@ -32,9 +25,6 @@
 
 HOME_LOST_MESSAGE = "the instance that ran the session was lost"
 
-NO_LASTING_EFFECT = Read | Begin | Rollback | SetValue | Prepare | Deallocate
-"""Statements without an effect that outlasts their session."""
-
 
 class HomeLostError(Exception):
     """The home is unreachable, or did not open the session.
@@ -246,11 +236,9 @@
         """
         query = self.outstanding_query()
         statement = None if query is None else query.statement
-        in_transaction = (
-            self.state is not TransactionState.IDLE and query is not None
+        return failure_without_answer(
+            statement,
+            in_transaction=self.state is not TransactionState.IDLE
+            and query is not None,
+            message=HOME_LOST_MESSAGE,
         )
-        if isinstance(statement, NO_LASTING_EFFECT) or (
-            in_transaction and not isinstance(statement, Commit)
-        ):
-            return Failure(ErrorCode.ABORTED, HOME_LOST_MESSAGE)
-        return Failure(ErrorCode.IN_DOUBT, HOME_LOST_MESSAGE)
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -148,6 +148,10 @@
             )
             self.mark_lost(name, str(exc), seconds)
             return None
+        except Exception as exc:
+            self._fleet.supervisor.report("home", exc, peer=name)
+            self.mark_lost(name, "internal error")
+            return None
         if not lines.is_authorization_refusal(session.greeting):
             return session
         session.close()
@@ -227,12 +231,13 @@
     async def _check_home(self, name: str) -> None:
         """Ends the sessions at a home if it does not answer a call either."""
         try:
-            if await self._is_reachable(name):
-                return
-            self.mark_lost(name, "silent")
-            for session in self._sessions_at(name):
-                if session.is_idle or session.outstanding:
-                    session.cancel()
+            with self._fleet.supervisor.contain("home check", peer=name):
+                if await self._is_reachable(name):
+                    return
+                self.mark_lost(name, "silent")
+                for session in self._sessions_at(name):
+                    if session.is_idle or session.outstanding:
+                        session.cancel()
         finally:
             self._being_checked.discard(name)
 
--- a/src/lagoonstair/proxy/_settings.py
+++ b/src/lagoonstair/proxy/_settings.py
@@ -8,7 +8,11 @@
 
 from lagoonstair._types import Address
 from lagoonstair.platform.decoding import UnreadableError, decode_json
-from lagoonstair.platform.discovery import MAX_PORT, parse_address
+from lagoonstair.platform.discovery import (
+    MAX_PORT,
+    parse_address,
+    parse_host,
+)
 
 SETTINGS_VARIABLE = "LAGOONSTAIR_SETTINGS"
 """Environment variable with the path of the settings file."""
@@ -82,8 +86,8 @@
     duties: str
     first_start: bool = False
     memory_mb: float = 300
-    processor_share: float = 1.0
-    processor_speed: float = 1.0
+    processor_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    processor_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     max_descriptors: int = 1024
     heartbeat_ms: float = 1200
     drain_ms: float = 7000
@@ -95,6 +99,7 @@
     quota_slack: float = 0
 
     def __post_init__(self) -> None:
+        parse_host(self.host)
         for address in (self.store, self.duties):
             parse_address(address)
 
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -205,7 +205,10 @@
     def apply_registry(self) -> None:
         """Applies the registry's records and instances to the local state."""
         for group, record in self._registry.groups.items():
-            self._fleet.set_record(group, record)
+            try:
+                self._fleet.set_record(group, record)
+            except Exception as exc:
+                self._fleet.supervisor.report("group record", exc, group=group)
         self._fleet.primacy.set_voters(
             self._registry.voters(), self._registry.members_version
         )
@@ -215,15 +218,15 @@
         }
         if places != self._fleet.places:
             self._fleet.places = places
-            self._fleet.update_budgets()
+            with self._fleet.supervisor.contain("connection budgets"):
+                self._fleet.update_budgets()
             log_event(
                 "instances changed",
                 members=len(places),
                 is_direct=self._fleet.homes.is_direct,
                 homes=len(self._fleet.homes.names),
             )
-        for notify in self._fleet.config_listeners:
-            notify()
+        self._fleet.notify_config_listeners()
 
     def apply_config(self, value: bytes, *, source: str) -> bool:
         """Applies a stored configuration if it is valid and newer.
@@ -281,6 +284,21 @@
         self._update_checksum()
 
     def _apply_endpoint(self, name: str, value: bytes) -> bool:
+        """Applies one endpoint's entry; returns whether it names one.
+
+        An entry that cannot be used must not keep the others from being used.
+        """
+        try:
+            return self._use_entry(name, value)
+        except Exception as exc:
+            if name not in self._unreadable:
+                self._fleet.supervisor.report(
+                    "endpoint entry", exc, endpoint=name
+                )
+            self._note_unreadable(name)
+            return False
+
+    def _use_entry(self, name: str, value: bytes) -> bool:
         endpoint = discovery.decode_endpoint(name, value)
         if endpoint is None:
             self._note_unreadable(name)
--- a/src/lagoonstair/statements/__init__.py
+++ b/src/lagoonstair/statements/__init__.py
@@ -24,6 +24,7 @@
     DeliveryStatus,
     OperationKind,
     failure_for_caller,
+    failure_without_answer,
     is_busy,
 )
 from lagoonstair.statements._session import (
@@ -63,5 +64,6 @@
     "TransactionState",
     "Write",
     "failure_for_caller",
+    "failure_without_answer",
     "is_busy",
 ]
--- a/src/lagoonstair/statements/_outcomes.py
+++ b/src/lagoonstair/statements/_outcomes.py
@@ -7,7 +7,22 @@
 
 import enum
 
-from lagoonstair.statements._model import NOT_RUN_CODES, ErrorCode, Failure
+from lagoonstair.statements._model import (
+    NOT_RUN_CODES,
+    Begin,
+    Commit,
+    Deallocate,
+    ErrorCode,
+    Failure,
+    Prepare,
+    Read,
+    Rollback,
+    SetValue,
+    Statement,
+)
+
+NO_LASTING_EFFECT = Read | Begin | Rollback | SetValue | Prepare | Deallocate
+"""Statements without an effect that outlasts their session."""
 
 
 class OperationKind(enum.Enum):
@@ -34,6 +49,25 @@
     )
 
 
+def failure_without_answer(
+    statement: Statement | None, *, in_transaction: bool, message: str
+) -> Failure:
+    """Returns the failure to report for a statement whose fate is unknown.
+
+    Args:
+        statement: The statement; ``None`` if its text is not valid, or if
+            nobody knows which one it is.
+        in_transaction: Whether it certainly belongs to an open transaction,
+            which is rolled back unless the statement commits it.
+        message: The reason, for the caller.
+    """
+    if isinstance(statement, NO_LASTING_EFFECT) or (
+        in_transaction and not isinstance(statement, Commit)
+    ):
+        return Failure(ErrorCode.ABORTED, message)
+    return Failure(ErrorCode.IN_DOUBT, message)
+
+
 def failure_for_caller(
     operation: OperationKind, delivery: DeliveryStatus, failure: Failure
 ) -> Failure:
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -87,9 +87,14 @@
     b'{"more":' + b'{"a":' * 10_000 + b"1" + b"}" * 10_001,
     b'{"service":"g","address":"127.0.0.1:99999","zone":"a","slots":4,'
     b'"state":"ready","db_role":"primary","seq_no":' + b"9" * 30 + b"}",
+    b'{"service":"g","address":"fe80::1%' + b"x" * 70 + b':80","zone":"a",'
+    b'"slots":4,"state":"ready","db_role":"replica","seq_no":1}',
 )
 """Entries of another writer among those of the databases."""
 
+FAULT_EVENTS = ("task failed", "session failed")
+"""Log events of exceptions that nobody expects."""
+
 CONFIG_SECONDS = 3.0
 """How long after its acknowledgement a configuration may not be in force, in
 seconds."""
@@ -712,6 +717,11 @@
             violations.append(
                 f"{name} ended by itself with {process.returncode}"
             )
+        violations += [
+            f"{name}: {line['event']}: {line['fault']}"
+            for line in fleet.log(name)
+            if line["event"] in FAULT_EVENTS
+        ]
     return violations
 
 
--- a/tests/mixed_builds.py
+++ b/tests/mixed_builds.py
@@ -76,6 +76,7 @@
 FAULT_EVENTS = frozenset(
     {
         "session failed",
+        "task failed",
         "settings refused",
         "settings invalid",
         "configuration unreadable",
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -210,7 +210,8 @@
     def entry_of(self, database):
         return database.entry(HOST)
 
-    async def start_instance(self, name):
+    async def write_settings(self, name):
+        """Writes an instance's settings and returns the file's path."""
         store_port = await self.store_port_of(name)
         if name not in self._first_ports:
             self._first_ports[name] = free_ports(self._reserved_sockets)
@@ -232,6 +233,10 @@
         }
         path = self._tmp_path / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
+        return path
+
+    async def start_instance(self, name):
+        path = await self.write_settings(name)
         log = open(self._tmp_path / f"{name}.log", "ab")  # noqa: SIM115
         self.processes[name] = subprocess.Popen(
             [sys.executable, "-m", "lagoonstair.proxy"],
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 import ipaddress
 import signal
+import socket
 import zlib
 from types import SimpleNamespace
 
@@ -25,6 +26,9 @@
 DEPTH = 10_000
 """Levels of nesting that fit into the size limit of a row."""
 
+PROMOTION_SECONDS = 10
+"""Time limit of a promotion in seconds, also on a busy machine."""
+
 ENTRY = {
     "service": "g",
     "address": "10.0.0.1:80",
@@ -57,6 +61,10 @@
     "port-digits": _with_raw("address", '"10.0.0.1:٨٠"'.encode()),
     "host-long": _with_raw("address", b'"' + b"a" * 300 + b':80"'),
     "host-name": _with_raw("address", b'"db.example:80"'),
+    "host-scope": _with_raw("address", b'"fe80::1%eth0:80"'),
+    "host-scope-long": _with_raw("address", b'"fe80::1%' + b"x" * 70 + b':80"'),
+    "host-scope-odd": _with_raw("address", '"fe80::1%.é:80"'.encode()),
+    "host-brackets": _with_raw("address", b'"[::1]:80"'),
     "slots-large": _with_raw("slots", b"9" * 30),
     "slots-huge": _with_raw("slots", b"9" * 9000),
     "slots-exponent": _with_raw("slots", b"1e300"),
@@ -138,6 +146,30 @@
             assert " " not in text
 
 
+HOSTS = st.ip_addresses().map(str)
+ADDRESSES = st.builds(
+    "{}{}:{}".format,
+    HOSTS,
+    st.just("") | st.text(max_size=70).map("%{}".format),
+    st.integers(min_value=0, max_value=70_000),
+)
+
+
+@given(ADDRESSES)
+def test_a_decoded_address_is_used_without_a_lookup(text):
+    """A scope once passed as an address, and raised when it was used."""
+    try:
+        host, port = discovery.parse_address(text)
+    except ValueError:
+        return
+    flags = socket.AI_NUMERICHOST | socket.AI_NUMERICSERV
+    found = socket.getaddrinfo(host, port, flags=flags)
+    resolved = {
+        (ipaddress.ip_address(address[0]), address[1]) for *_, address in found
+    }
+    assert resolved == {(ipaddress.ip_address(host), port)}
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_end_no_decoder(value):
     discovery.decode_endpoint("i-7", value)
@@ -248,3 +280,21 @@
     assert fleet.config.version == 1
     update = tables.update_for(KnownVersions(0, 0, 0))
     assert zlib.decompress(update.config) == valid
+
+
+async def test_a_primary_is_replaced_beside_an_entry_with_a_scope(tmp_path):
+    """The instance that promoted ended with each attempt, at each start."""
+    async with proxy_fleet(tmp_path, instances=2) as fleet:
+        for number, kind in enumerate(ODD):
+            fleet.store.put("servers", f"odd-{number}", ODD[kind])
+        old = fleet.group.primary
+        old.draining = True
+        fleet.group.publish_entry(old)
+        await fleet.until(
+            lambda: fleet.group.primary is not old, PROMOTION_SECONDS
+        )
+        for name, process in fleet.processes.items():
+            assert process.poll() is None, fleet.log(name)[-3:]
+            caller = await fleet.caller(instance=name)
+            answer = await caller.ask(f"q-{name}", "WRITE z 1")
+            assert answer[-1].startswith("READY I"), answer
--- a/tests/test_proxy_gossip.py
+++ b/tests/test_proxy_gossip.py
@@ -1,5 +1,6 @@
 """Choice of the gossip targets, with peer calls recorded by a fake."""
 
+from contextlib import nullcontext
 from types import SimpleNamespace
 
 import pytest
@@ -54,7 +55,15 @@
         records={},
     )
     fleet = SimpleNamespace(
-        name="new", failure_domain="z1", primacy=primacy, pools={}
+        name="new",
+        failure_domain="z1",
+        primacy=primacy,
+        pools={},
+        # Contains nothing, so that a failure in a round fails the test.
+        supervisor=SimpleNamespace(
+            contain=lambda *args, **kwargs: nullcontext(),
+            run=lambda task, serve: serve(),
+        ),
     )
     tables = SimpleNamespace(
         is_complete=is_complete,
--- a/tests/test_proxy_reconcile.py
+++ b/tests/test_proxy_reconcile.py
@@ -28,8 +28,8 @@
 from soak import examples
 
 FOUNDING = Founding(secret="00", at=1.0)
-MEMBER = Member(host="h", port=1, failure_domain="a", since=1.0)
-ADDED = Member(host="h", port=2, failure_domain="a", since=5.0)
+MEMBER = Member(host="10.0.0.1", port=1, failure_domain="a", since=1.0)
+ADDED = Member(host="10.0.0.1", port=2, failure_domain="a", since=5.0)
 OLD = GroupRecord(epoch=1, primary="d1", term=1)
 NEW = GroupRecord(epoch=4, primary="d2", term=2)
 COPY = {
