Keep the position of a session's last write in each group

What callers saw: a session wrote to one group, its route moved to another, where it wrote again, and back.

Cause: a session had one slot of memory for what is a set. The write to the second group displaced the position in the first, so a replica that lagged passed for one that holds everything.

A write whose position is not kept is known by the time of its acknowledgement: until a later position of the primary covers it, reads run on the primary. Only what was acknowledged is recorded; the position in a refusal may lack earlier writes.

--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -199,8 +199,14 @@
                             ErrorCode.TIMEOUT, "no answer in time"
                         )
                         reply = await link.run(request_id, text)
+                        is_done = isinstance(reply.result, Success)
                         self._targets.record_answer(
-                            caller, route, pool, link, started_at, run.writes
+                            caller,
+                            route,
+                            pool,
+                            link,
+                            started_at,
+                            run.writes and is_done,
                         )
                         if isinstance(reply.result, Failure):
                             self._targets.record_refusal(pool, reply.result)
--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -11,7 +11,12 @@
 from lagoonstair.proxy._link import Link
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
-from lagoonstair.routing import Consistency, Route, order_for_read
+from lagoonstair.routing import (
+    Consistency,
+    Route,
+    SessionWrites,
+    order_for_read,
+)
 from lagoonstair.statements import ErrorCode, Failure, Session
 
 MAX_ATTEMPTS = 4
@@ -49,13 +54,12 @@
     Attributes:
         workspace: The workspace that the caller belongs to.
         session: The values and prepared statements of the caller's session.
-        last_write: The group and the log position of the session's last
-            acknowledged write; ``None`` before the first.
+        writes: The session's acknowledged writes.
     """
 
     workspace: str
     session: Session
-    last_write: tuple[str, Position] | None = None
+    writes: SessionWrites = field(default_factory=SessionWrites)
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,15 +165,15 @@
             pool: The endpoint that answered.
             link: The connection on which it answered.
             started_at: When the statement was sent, in seconds.
-            wrote: Whether the statement wrote, or committed writes.
+            wrote: Whether it acknowledged a write, or a commit of writes. The
+                position in a refusal may lack earlier writes.
         """
-        pool.record_answer(link, trio.current_time() - started_at)
-        if link.position is None:
-            return
+        now = trio.current_time()
+        pool.record_answer(link, now - started_at)
         if wrote:
             # Recorded even if the primary's proof has expired meanwhile: the
             # write was acknowledged, so the session's reads must see it.
-            caller.last_write = (route.group, link.position)
+            caller.writes.record(route.group, link.position, now)
 
     def record_refusal(self, pool: EndpointPool, failure: Failure) -> None:
         """Counts a refusal by an endpoint."""
@@ -239,18 +243,14 @@
         """Returns the log position that a replica must hold for a read.
 
         It covers the staleness bound of the route and, unless the route is
-        only bounded, also the session's last write.
+        only bounded, also the session's own writes. It is ``None`` if only the
+        primary certainly holds all that.
         """
         since = arrived_at - route.max_staleness + STALENESS_MARGIN_SECONDS
         position = self._fleet.covering(route.group, since)
         if position is None or route.consistency is Consistency.BOUNDED:
             return position
-        if (
-            caller.last_write is not None
-            and caller.last_write[0] == route.group
-        ):
-            return max(position, caller.last_write[1])
-        return position
+        return caller.writes.required_position(route.group, position, since)
 
     async def _wait_primary(
         self, route: Route, deadline: float
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -369,7 +369,11 @@
             except LinkError:
                 tx.pool.record_failure(started_at)
                 raise
-            commits_writes = tx.has_written and text == "COMMIT"
+            commits_writes = (
+                tx.has_written
+                and text == "COMMIT"
+                and isinstance(reply.result, Success)
+            )
             self._targets.record_answer(
                 caller, tx.route, tx.pool, tx.link, started_at, commits_writes
             )
--- a/src/lagoonstair/routing/__init__.py
+++ b/src/lagoonstair/routing/__init__.py
@@ -10,6 +10,7 @@
     Workspace,
 )
 from lagoonstair.routing._positions import PositionHistory
+from lagoonstair.routing._writes import SessionWrites
 
 __all__ = [
     "Candidate",
@@ -20,6 +21,7 @@
     "PositionHistory",
     "Route",
     "RoutingConfig",
+    "SessionWrites",
     "Workspace",
     "order_for_read",
 ]
--- a/tests/test_proxy_transactions.py
+++ b/tests/test_proxy_transactions.py
@@ -59,7 +59,8 @@
         await link.run("q1", "WRITE a 1")
         fleet.primacy.note_promotion("g", 2)
         targets.record_answer(caller, ROUTE, pool, link, started_at, True)
-        assert caller.last_write == ("g", Position(1, 1))
+        required = caller.writes.required_position("g", Position(1, 0), 0.0)
+        assert required == Position(1, 1)
         # The primary was proven only when the connection was opened, before
         # the write.
         assert fleet.covering("g", started_at) is None
