Promote only a log that certainly holds every acknowledged commit

Cause: the promotion counted who answered, not who was missing. It took the longest log among the candidates that had answered within 0.5 s, and SUSPEND was sent without a look at its answer.

Change: with s synchronous of n replicas, a log is complete if it is the longest of n - s + 1 answers, or holds all that the previous primary held; only such a one is promoted. n counts leaving replicas, and for 20 s those whose entries have lapsed, which are asked at their last address. The endpoints are asked on one connection each until that is decided, after all instances have released the primary. A confirmation that arrives after the last proof leaves its write in doubt, so no commit is acknowledged after the logs were read, and SUSPEND is not needed: it kept a leaving primary's replicas from catching up and had no RESUME. The wait for a promotion's effect asks in the same way; half a second was too short for a busy endpoint. While a promotion is overdue, statements are refused at once.

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -66,7 +66,6 @@
 STATUS = "STATUS"
 RESET = "RESET"
 ROLLBACK = "ROLLBACK"
-RESUME = "RESUME"
 
 
 class BadLineError(Exception):
@@ -332,15 +331,6 @@
     return run.text if run.shape is None else execute_text(name, run.arguments)
 
 
-def suspend_text(term: int) -> str:
-    """Returns the command that stops a replica from receiving the log.
-
-    Args:
-        term: The term of the next primary.
-    """
-    return f"SUSPEND {term}"
-
-
 def demote_text(term: int) -> str:
     """Returns the command that turns a primary of a lower term into a replica.
 
--- a/src/lagoonstair/primacy/__init__.py
+++ b/src/lagoonstair/primacy/__init__.py
@@ -24,6 +24,7 @@
     GroupReport,
     PendingPromotion,
 )
+from lagoonstair.primacy._survey import LogSurvey
 
 __all__ = [
     "CLOCK_MARGIN",
@@ -32,6 +33,7 @@
     "Duty",
     "GroupRecord",
     "GroupReport",
+    "LogSurvey",
     "PendingPromotion",
     "Primacy",
     "PrimaryView",
--- a/src/lagoonstair/primacy/_primacy.py
+++ b/src/lagoonstair/primacy/_primacy.py
@@ -26,6 +26,7 @@
 The same proof shows that the known set of registered instances is current.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -71,6 +72,7 @@
         self._epochs: dict[str, int] = {}
         self._own_promotions: dict[str, int] = {}
         self._relayed_proof_at = float("-inf")
+        self._last_proofs: dict[str, tuple[int, float]] = {}
         self.records: dict[str, GroupRecord] = {}
         self.voters: frozenset[str] = frozenset()
         self.members_version = 0
@@ -85,8 +87,8 @@
         known = self.records.get(group)
         if known is not None and record.epoch <= known.epoch:
             return False
+        self._raise_epoch(group, record.epoch)
         self.records[group] = record
-        self._epochs[group] = max(self.epoch(group), record.epoch)
         if self._own_promotions.get(group, 0) <= record.epoch:
             self._own_promotions.pop(group, None)
         return True
@@ -123,11 +125,10 @@
             epochs: The newest epoch that the peer knows, by group.
             proof_age: The age of the peer's own proof, in seconds.
         """
+        for group, epoch in epochs.items():
+            self._raise_epoch(group, epoch)
         self._reports[member] = _PeerReport(asked_at, members_version)
         has_newer_members = members_version > self.members_version
-        for group, epoch in epochs.items():
-            if epoch > self.epoch(group):
-                self._epochs[group] = epoch
         if not has_newer_members and not any(map(self._is_behind, epochs)):
             self._relayed_proof_at = max(
                 self._relayed_proof_at, asked_at - proof_age
@@ -137,7 +138,7 @@
         """Starts a promotion run by this instance and returns its epoch."""
         epoch = self.epoch(group) + 1
         self._own_promotions[group] = epoch
-        self._epochs[group] = epoch
+        self._raise_epoch(group, epoch)
         return epoch
 
     def abandon_promotion(self, group: str) -> None:
@@ -172,6 +173,24 @@
             return None
         return record.primary if self.is_proved(now) else None
 
+    def holds_until(self, group: str, epoch: int) -> float:
+        """Returns until when an answer of a primary may be passed on.
+
+        From then on, other instances may count it as released, and may have
+        read the logs among which the next primary is chosen.
+
+        Args:
+            group: The name of the group.
+            epoch: The epoch in which the primary was used.
+
+        Returns:
+            The time in seconds; negative infinity if nothing proved it.
+        """
+        if self.epoch(group) == epoch:
+            return self._newest_proof() + PROOF_SECONDS
+        last_epoch, proved_at = self._last_proofs.get(group, (0, -math.inf))
+        return proved_at + PROOF_SECONDS if last_epoch == epoch else -math.inf
+
     def responsive_voters(self, now: float, within: float) -> set[str]:
         """Returns the other voters that answered a recent request.
 
@@ -201,12 +220,30 @@
 
     def note_promotion(self, group: str, epoch: int) -> None:
         """Records a promotion that its promoter announced."""
-        self._epochs[group] = max(self.epoch(group), epoch)
+        self._raise_epoch(group, epoch)
 
     def own_promotions(self) -> dict[str, int]:
         """Returns the epochs of the promotions that this instance started."""
         return dict(self._own_promotions)
 
+    def _raise_epoch(self, group: str, epoch: int) -> None:
+        """Notes a newer epoch, and how long the proof of the last one holds."""
+        known = self.epoch(group)
+        if epoch <= known:
+            return
+        record = self.records.get(group)
+        is_usable = record is not None and not record.promoting
+        if is_usable and not self._is_behind(group):
+            self._last_proofs[group] = known, self._newest_proof()
+        self._epochs[group] = epoch
+
+    def _newest_proof(self) -> float:
+        """Returns when the newest proof was requested, in seconds.
+
+        The report of this instance itself is always new.
+        """
+        return self.proved_at(math.inf)
+
     def _is_behind(self, group: str) -> bool:
         record = self.records.get(group)
         return self.epoch(group) > (record.epoch if record else 0)
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -18,6 +18,7 @@
     refusal_failure,
 )
 from lagoonstair.proxy._targets import (
+    CONFIRMED_LATE_MESSAGE,
     MAX_ATTEMPTS,
     MIN_STATEMENT_SECONDS,
     NO_PRIMARY_MESSAGE,
@@ -193,6 +194,7 @@
                             )
                         text = lines.run_text(run, prepared_name)
                         text = lines.after_text(target.after, text)
+                        epoch = self._targets.epoch(route.group)
                         started_at = trio.current_time()
                         sent = DeliveryStatus.UNANSWERED
                         failure = Failure(
@@ -210,6 +212,12 @@
                         )
                         if isinstance(reply.result, Failure):
                             self._targets.record_refusal(pool, reply.result)
+                        elif run.writes and not self._targets.may_acknowledge(
+                            route.group, epoch
+                        ):
+                            return sent, Failure(
+                                ErrorCode.IN_DOUBT, CONFIRMED_LATE_MESSAGE
+                            )
                         return DeliveryStatus.ANSWERED, reply.result
         except LinkError as exc:
             pool.record_failure(started_at)
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import NamedTuple
 
 import trio
 
@@ -16,6 +17,7 @@
 from lagoonstair.routing import (
     Endpoint,
     EndpointLoad,
+    Observation,
     PositionHistory,
     RoutingConfig,
 )
@@ -35,11 +37,33 @@
 """Expected duration (s) of a promotion, of which the platform takes 0.6 s to
 1 s."""
 
+OVERDUE_SECONDS = 4.2
+"""Duration (s) of a promotion from which on its end is not foreseeable. With an
+unresponsive instance, whose proofs must expire, it takes up to 3.5 s."""
+
 UNKNOWN_RECOVERY_SECONDS = 3.0
 """Retry delay (s) given to a caller when this instance does not know why the
 primary is unusable."""
 
 
+DEPARTED_SECONDS = 20.0
+"""Time (s) for which an endpoint that is not registered any more counts as one
+that may hold commits. Entries lapse after some seconds of silence; a database
+that crashed is back with its log within ten."""
+
+
+class DepartedEndpoint(NamedTuple):
+    """A process of an endpoint that is not registered any more.
+
+    Attributes:
+        endpoint: The endpoint as it was last registered.
+        since: When its entry was first missed, in seconds.
+    """
+
+    endpoint: Endpoint
+    since: float
+
+
 class Fleet:
     """State shared by the components of one instance.
 
@@ -71,6 +95,8 @@
         self._histories: dict[str, PositionHistory] = {}
         self._promoting_since: dict[str, float] = {}
         self._released_epochs: dict[str, int] = {}
+        self._departed: dict[tuple[str, int], DepartedEndpoint] = {}
+        self._former_synchronous: dict[str, tuple[int, float]] = {}
         self.name = name
         self.failure_domain = failure_domain
         self.config: RoutingConfig | None = None
@@ -96,12 +122,42 @@
         """
         if self.config is not None and config.version <= self.config.version:
             return False
+        self._note_former_synchronous(config)
         self.config = config
         with self.supervisor.contain("connection budgets"):
             self.update_budgets()
         self.notify_config_listeners()
         return True
 
+    def synchronous_replicas(self, group: str) -> int:
+        """Returns how many replicas hold each acknowledged commit of a group.
+
+        Commits that were acknowledged before a change of the configuration
+        count too.
+
+        Returns:
+            The number; 0 if a commit may be on the primary alone.
+        """
+        counts = [_synchronous_replicas(self.config, group)]
+        former, changed_at = self._former_synchronous.get(group, (0, 0.0))
+        if former and trio.current_time() - changed_at < DEPARTED_SECONDS:
+            counts.append(former)
+        return min(filter(None, counts), default=0)
+
+    def departed(self, group: str) -> list[DepartedEndpoint]:
+        """Returns a group's processes that left the registered ones lately."""
+        oldest = trio.current_time() - DEPARTED_SECONDS
+        self._departed = {
+            key: departed
+            for key, departed in self._departed.items()
+            if departed.since > oldest
+        }
+        return [
+            departed
+            for departed in self._departed.values()
+            if departed.endpoint.group == group
+        ]
+
     def notify_config_listeners(self) -> None:
         """Tells all listeners of a new configuration or set of instances."""
         for notify in self.config_listeners:
@@ -111,9 +167,12 @@
     def set_endpoint(self, endpoint: Endpoint) -> None:
         """Adds or updates an endpoint from its discovery entry."""
         known = self.endpoints.get(endpoint.name)
-        self.missing_since.pop(endpoint.name, None)
+        missing_since = self.missing_since.pop(endpoint.name, None)
         if known == endpoint:
             return
+        if known is not None and _is_different_process(known, endpoint):
+            self._note_departed(known, missing_since)
+        self._departed.pop((endpoint.name, endpoint.started), None)
         self.endpoints[endpoint.name] = endpoint
         pool = self.pools.get(endpoint.name)
         if pool is None or _is_different_process(pool.endpoint, endpoint):
@@ -140,7 +199,9 @@
     def drop_endpoint(self, name: str) -> None:
         """Removes an endpoint and closes its connections."""
         endpoint = self.endpoints.pop(name, None)
-        self.missing_since.pop(name, None)
+        missing_since = self.missing_since.pop(name, None)
+        if endpoint is not None:
+            self._note_departed(endpoint, missing_since)
         pool = self.pools.pop(name, None)
         if pool is not None:
             pool.close()
@@ -153,7 +214,8 @@
         if not self.primacy.apply(group, record):
             return
         if record.promoting:
-            self._promoting_since[group] = trio.current_time()
+            # An attempt that begins again goes on with the same promotion.
+            self._promoting_since.setdefault(group, trio.current_time())
         else:
             self._promoting_since.pop(group, None)
         log_event(
@@ -258,8 +320,11 @@
         """Estimates the seconds until the group has a usable primary."""
         now = trio.current_time()
         since = self._promoting_since.get(group)
-        if since is not None:
+        if since is not None and now - since < OVERDUE_SECONDS:
             return max(0.05, since + PROMOTION_SECONDS - now)
+        if since is not None:
+            # It waits for a database, the platform or the store.
+            return UNKNOWN_RECOVERY_SECONDS
         record = self.primacy.records.get(group)
         pool = None if record is None else self.pools.get(record.primary)
         unreachable_for = (
@@ -297,6 +362,26 @@
             position = Position(report.term, report.offset)
             self.note_position(report.group, reported_at, position)
 
+    def latest_position(self, group: str) -> Observation | None:
+        """Returns the newest known position of a group's primary."""
+        history = self._histories.get(group)
+        return None if history is None else history.latest()
+
+    def _note_departed(self, endpoint: Endpoint, since: float | None) -> None:
+        departed = DepartedEndpoint(
+            endpoint, trio.current_time() if since is None else since
+        )
+        self._departed[endpoint.name, endpoint.started] = departed
+
+    def _note_former_synchronous(self, config: RoutingConfig) -> None:
+        """Remembers the numbers of synchronous replicas that change."""
+        if self.config is None:
+            return
+        for group in self.config.groups:
+            former = self.synchronous_replicas(group)
+            if former and former != _synchronous_replicas(config, group):
+                self._former_synchronous[group] = former, trio.current_time()
+
     def _note_endpoint_position(
         self, pool: EndpointPool, asked_at: float
     ) -> None:
@@ -344,6 +429,11 @@
         return max(MIN_CONNECTION_BUDGET, int(group.max_connections * share))
 
 
+def _synchronous_replicas(config: RoutingConfig | None, group: str) -> int:
+    settings = None if config is None else config.groups.get(group)
+    return 0 if settings is None else max(0, settings.synchronous_replicas)
+
+
 def _is_different_process(known: Endpoint, new: Endpoint) -> bool:
     """Returns whether an entry describes a different process than before."""
     return (known.address, known.started, known.group) != (
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -144,8 +144,8 @@
         """Applies the registry rows that were read during registration."""
         self._registered_at = trio.current_time()
         self._note_answer(rows)
-        self._fleet.primacy.note_store_read(rows.asked_at)
         self._tables.apply_registry()
+        self._fleet.primacy.note_store_read(rows.asked_at)
 
     async def read_registry(self) -> None:
         """Reads the whole registry from the store now.
@@ -316,9 +316,10 @@
         )
         if not apply(rows):
             return False
-        self._fleet.primacy.note_store_read(rows.asked_at)
         if is_full_read or rows.rows:
             self._tables.apply_registry()
+        # A proof of what has been applied; until then it may be older.
+        self._fleet.primacy.note_store_read(rows.asked_at)
         return True
 
     def _apply_config(self, rows: Rows, is_full_read: bool) -> bool:
--- a/src/lagoonstair/proxy/_orders.py
+++ b/src/lagoonstair/proxy/_orders.py
@@ -1,6 +1,8 @@
 """Administrative commands and status queries to endpoints."""
 
-from collections.abc import Iterable
+import contextlib
+import functools
+from collections.abc import Callable, Iterable, Mapping
 
 import trio
 
@@ -31,7 +33,6 @@
 
     async def statuses(
         self,
-        group: str,
         candidates: list[EndpointPool],
         *,
         old: EndpointPool | None,
@@ -39,11 +40,9 @@
         """Returns the candidates' statuses after letting them catch up.
 
         The wait ends once a candidate has the previous primary's whole log, or
-        after ``CATCH_UP_SECONDS``. In a group with synchronous replicas, the
-        candidates are suspended first.
+        after ``CATCH_UP_SECONDS``.
 
         Args:
-            group: The name of the group.
             candidates: The endpoints that may be promoted.
             old: The previous primary, if it may still answer.
 
@@ -53,10 +52,6 @@
         deadline = trio.current_time() + CATCH_UP_SECONDS
         old_status = None if old is None else await self.status(old)
         required = None if old_status is None else old_status.received
-        config = self._fleet.config
-        settings = None if config is None else config.groups.get(group)
-        if settings is not None and settings.synchronous_replicas:
-            await self._suspend(candidates)
         while True:
             statuses = await self._collect_statuses(candidates)
             best = max((s.received for s in statuses.values()), default=None)
@@ -82,17 +77,6 @@
                 nursery.start_soon(collect, pool)
         return statuses
 
-    async def _suspend(self, candidates: list[EndpointPool]) -> None:
-        """Stops replicas from receiving until one of them becomes primary.
-
-        The previous primary, if it is still running, can then acknowledge no
-        write that the new one lacks.
-        """
-        statuses = [await self.status(pool) for pool in candidates]
-        term = max((s.term for s in statuses if s is not None), default=0) + 1
-        for pool in candidates:
-            await self._command(pool, lines.suspend_text(term))
-
     async def led_terms(self, names: Iterable[str]) -> dict[str, int]:
         """Returns the term of each endpoint that regards itself as primary.
 
@@ -101,11 +85,7 @@
         """
         pools = [self._fleet.pools.get(name) for name in names]
         statuses = await self._collect_statuses(filter(None, pools))
-        return {
-            name: status.term
-            for name, status in statuses.items()
-            if status.is_primary
-        }
+        return led_terms(statuses)
 
     async def demote(self, old: str, target: str, term: int) -> None:
         """Turns the previous primary into a replica if it is reachable.
@@ -123,15 +103,73 @@
     async def status(self, pool: EndpointPool) -> lines.EndpointStatus | None:
         """Returns an endpoint's status, or ``None`` if it does not answer."""
         rows = await self._command(pool, lines.STATUS)
-        if rows is None:
-            return None
-        try:
-            return lines.parse_status(rows)
-        except lines.BadLineError as exc:
-            log_event(
-                "status unreadable", endpoint=pool.endpoint.name, cause=str(exc)
-            )
-            return None
+        return None if rows is None else _parse_status(pool, rows)
+
+    async def follow_statuses(
+        self,
+        pools: Iterable[EndpointPool],
+        is_enough: Callable[[dict[str, lines.EndpointStatus]], bool],
+        seconds: float,
+    ) -> dict[str, lines.EndpointStatus]:
+        """Asks endpoints for their statuses until the answers are enough.
+
+        Args:
+            pools: The endpoints.
+            is_enough: Told the newest status of each endpoint that has
+                answered, by name, after each answer.
+            seconds: Time limit.
+
+        Returns:
+            These statuses.
+        """
+        statuses: dict[str, lines.EndpointStatus] = {}
+
+        def note(name: str, status: lines.EndpointStatus) -> None:
+            statuses[name] = status
+            if is_enough(statuses):
+                nursery.cancel_scope.cancel()
+
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                for pool in pools:
+                    nursery.start_soon(self._follow_contained, pool, note)
+        return statuses
+
+    async def _follow_contained(
+        self,
+        pool: EndpointPool,
+        note: Callable[[str, lines.EndpointStatus], None],
+    ) -> None:
+        name = pool.endpoint.name
+        with self._fleet.supervisor.contain("status", endpoint=name):
+            await self._follow_status(pool, functools.partial(note, name))
+
+    async def _follow_status(
+        self, pool: EndpointPool, note: Callable[[lines.EndpointStatus], None]
+    ) -> None:
+        """Asks an endpoint for its status again and again until cancelled.
+
+        An endpoint that refuses or fails is asked again after a short pause:
+        one that reads keep busy may have no slot for seconds.
+
+        Args:
+            pool: The endpoint.
+            note: Called with each status.
+        """
+        while True:
+            with contextlib.suppress(LinkError):
+                link = await pool.open_link(self.any_workspace())
+                try:
+                    while True:
+                        reply = await link.run_internal(lines.STATUS)
+                        if isinstance(reply.result, Success):
+                            status = _parse_status(pool, reply.result.rows)
+                            if status is not None:
+                                note(status)
+                        await trio.sleep(POLL_SECONDS)
+                finally:
+                    link.close()
+            await trio.sleep(POLL_SECONDS)
 
     async def _command(
         self, pool: EndpointPool, text: str
@@ -170,3 +208,25 @@
         config = self._fleet.config
         names = () if config is None else config.workspaces
         return next(iter(names), self._fleet.name)
+
+
+def led_terms(statuses: Mapping[str, lines.EndpointStatus]) -> dict[str, int]:
+    """Returns the term of each endpoint that regards itself as primary."""
+    return {
+        name: status.term
+        for name, status in statuses.items()
+        if status.is_primary
+    }
+
+
+def _parse_status(
+    pool: EndpointPool, rows: tuple[bytes, ...]
+) -> lines.EndpointStatus | None:
+    """Parses a status; ``None`` if it cannot be read, which is logged."""
+    try:
+        return lines.parse_status(rows)
+    except lines.BadLineError as exc:
+        log_event(
+            "status unreadable", endpoint=pool.endpoint.name, cause=str(exc)
+        )
+        return None
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -29,10 +29,11 @@
 from lagoonstair.proxy._gossip import ALIVE_SECONDS, Gossip
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._orders import EndpointCommands
+from lagoonstair.proxy._orders import EndpointCommands, led_terms
 from lagoonstair.proxy._pool import EndpointPool
 from lagoonstair.proxy._registry import Registry, UnreconciledError
 from lagoonstair.proxy._registry_rows import DUTY_KEY, GROUP_PREFIX, RowValue
+from lagoonstair.proxy._surveyor import CompleteLogs, LogSurveyor
 from lagoonstair.proxy._transactions import TransactionManager
 from lagoonstair.routing import Endpoint
 
@@ -104,6 +105,7 @@
         self._commands = commands
         self._duties = duties
         self._metrics = metrics
+        self._surveyor = LogSurveyor(fleet, commands, metrics)
         self._scheduled: dict[str, tuple[Cause, float]] = {}
         self._running_groups: set[str] = set()
         self._changed_at: dict[str, tuple[int, float]] = {}
@@ -477,13 +479,7 @@
             and await self._find_unrecorded(group, record)
         ):
             return
-        candidates = self._candidates(group, record, cause)
-        # A failed primary may answer late, so the candidates wait for its log
-        # only when it left or is gone.
-        is_leaving = cause in (Cause.LEAVING, Cause.GONE)
-        old = self._fleet.pools.get(record.primary) if is_leaving else None
-        statuses = await self._commands.statuses(group, candidates, old=old)
-        received = {name: s.received for name, s in statuses.items()}
+        received, terms = await self._find_logs(group, record, cause)
         target = choose_target(
             received,
             previous=record.primary,
@@ -498,11 +494,33 @@
             record,
             pending,
             PendingPromotion(endpoint=target, started=endpoint.started),
-            (status.term for status in statuses.values()),
+            terms,
         )
         if await self._call(group, called, target, received[target]):
             await self._wait_effect(group, called)
 
+    async def _find_logs(
+        self, group: str, record: GroupRecord, cause: Cause
+    ) -> CompleteLogs:
+        """Returns the logs of the endpoints that may be promoted.
+
+        In a group with synchronous replicas, these are only the ones that hold
+        every acknowledged commit.
+        """
+        candidates = self._candidates(group, record, cause)
+        if self._fleet.synchronous_replicas(group):
+            names = [pool.endpoint.name for pool in candidates]
+            return await self._surveyor.survey(group, record, names)
+        # A failed primary may answer late, so the candidates wait for its log
+        # only when it left or is gone.
+        is_leaving = cause in (Cause.LEAVING, Cause.GONE)
+        old = self._fleet.pools.get(record.primary) if is_leaving else None
+        statuses = await self._commands.statuses(candidates, old=old)
+        return CompleteLogs(
+            {name: status.received for name, status in statuses.items()},
+            tuple(status.term for status in statuses.values()),
+        )
+
     def _unresolved(self, record: GroupRecord) -> tuple[PendingPromotion, ...]:
         """Returns the pending promotions that may still take effect.
 
@@ -566,15 +584,24 @@
         Without an effect the record stays as it is: the promotion is taken
         over, and its endpoint remains the first choice.
         """
-        deadline = trio.current_time() + EFFECT_SECONDS
-        while trio.current_time() < deadline:
-            if await self._finish(group, record, record.pending):
-                return
-            await trio.sleep(POLL_SECONDS)
+        names = [promotion.endpoint for promotion in record.pending]
+        pools = (self._fleet.pools.get(name) for name in names)
+        statuses = await self._commands.follow_statuses(
+            filter(None, pools),
+            lambda statuses: bool(
+                promoted_endpoint(record, record.pending, led_terms(statuses))
+            ),
+            EFFECT_SECONDS,
+        )
+        terms = led_terms(statuses)
+        leader = promoted_endpoint(record, record.pending, terms)
+        if leader is not None:
+            await self._end_promotion(group, record, leader, terms[leader])
+            return
         log_event(
             "promoted endpoint did not become primary",
             group=group,
-            pending=[promotion.endpoint for promotion in record.pending],
+            pending=names,
         )
 
     async def _finish(
@@ -593,8 +620,7 @@
         leader = promoted_endpoint(record, pending, terms)
         if leader is None:
             return False
-        await self._record_primary(group, record, leader, terms[leader])
-        await self._commands.demote(record.primary, leader, terms[leader])
+        await self._end_promotion(group, record, leader, terms[leader])
         return True
 
     async def _find_unrecorded(self, group: str, record: GroupRecord) -> bool:
@@ -614,10 +640,16 @@
             primary=leader,
             term=terms[leader],
         )
-        await self._record_primary(group, record, leader, terms[leader])
-        await self._commands.demote(record.primary, leader, terms[leader])
+        await self._end_promotion(group, record, leader, terms[leader])
         return True
 
+    async def _end_promotion(
+        self, group: str, record: GroupRecord, leader: str, term: int
+    ) -> None:
+        """Records the new primary and demotes the previous one."""
+        await self._record_primary(group, record, leader, term)
+        await self._commands.demote(record.primary, leader, term)
+
     async def _record_primary(
         self, group: str, started: GroupRecord, target: str, term: int
     ) -> None:
--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -46,6 +46,8 @@
 
 NO_PRIMARY_MESSAGE = "no primary can be used"
 
+CONFIRMED_LATE_MESSAGE = "the primary may have been replaced meanwhile"
+
 
 @dataclass(slots=True, kw_only=True)
 class Caller:
@@ -189,6 +191,29 @@
         """Returns whether a target chosen as primary still is the primary."""
         return not target.is_primary or self.is_primary(target.pool)
 
+    def epoch(self, group: str) -> int:
+        """Returns the newest known epoch of a group's primary."""
+        return self._fleet.primacy.epoch(group)
+
+    def may_acknowledge(self, group: str, epoch: int) -> bool:
+        """Returns whether a write that a primary has just confirmed is kept.
+
+        Only groups with synchronous replicas promise that of every write. A
+        confirmation that comes when another instance may already choose the
+        next primary, such as after a suspension, leaves its write in doubt.
+
+        Args:
+            group: The group.
+            epoch: The epoch in which the write was sent.
+        """
+        if not self._fleet.synchronous_replicas(group):
+            return True
+        holds_until = self._fleet.primacy.holds_until(group, epoch)
+        if trio.current_time() < holds_until:
+            return True
+        self._metrics.count("writes_confirmed_late")
+        return False
+
     @contextmanager
     def primary_use(self, group: str, is_primary: bool) -> Iterator[None]:
         """Counts the block as a use of the group's primary.
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -17,6 +17,7 @@
     refusal_failure,
 )
 from lagoonstair.proxy._targets import (
+    CONFIRMED_LATE_MESSAGE,
     MAX_ATTEMPTS,
     MIN_STATEMENT_SECONDS,
     NO_PRIMARY_MESSAGE,
@@ -198,6 +199,12 @@
                 )
                 if isinstance(result, Success):
                     self._release_link(tx)
+                    if tx.has_written and not self._targets.may_acknowledge(
+                        tx.route.group, tx.epoch
+                    ):
+                        return Failure(
+                            ErrorCode.IN_DOUBT, CONFIRMED_LATE_MESSAGE
+                        )
                     return result
                 sent = DeliveryStatus.ANSWERED
                 failure = result
--- a/src/lagoonstair/routing/__init__.py
+++ b/src/lagoonstair/routing/__init__.py
@@ -9,7 +9,7 @@
     RoutingConfig,
     Workspace,
 )
-from lagoonstair.routing._positions import PositionHistory
+from lagoonstair.routing._positions import Observation, PositionHistory
 from lagoonstair.routing._writes import SessionWrites
 
 __all__ = [
@@ -18,6 +18,7 @@
     "Endpoint",
     "EndpointLoad",
     "GroupConfig",
+    "Observation",
     "PositionHistory",
     "Route",
     "RoutingConfig",
--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -28,6 +28,11 @@
 """The most that is read from a connection at once, in bytes."""
 
 
+REPLICATION_CHECK_SECONDS = 0.005
+"""Interval at which a primary checks which commits were received, in
+seconds."""
+
+
 class Commit(NamedTuple):
     """A committed transaction in a log.
 
@@ -50,6 +55,8 @@
         term: The latest term.
         databases: The group's databases, by name.
         lag: The delay before a replica applies a commit, in seconds.
+        synchronous: The number of replicas that must have received a commit
+            before it is acknowledged.
         promote_seconds: The time that a promotion takes, in seconds.
         promotion_seconds: The times that the next promotions take, in
             seconds; once they are used up, ``promote_seconds`` applies.
@@ -61,6 +68,7 @@
         self.term = 1
         self.databases: dict[str, Database] = {}
         self.lag = 0.01
+        self.synchronous = 0
         self.promote_seconds = 0.1
         self.promotion_seconds: deque[float] = deque()
         self._accepted = itertools.count(1)
@@ -147,14 +155,21 @@
         draining: Whether its entry states that it is about to leave.
         answers_to_drop: The number of the next statements that run, but are
             never answered.
+        is_deaf: Whether it receives no commits; see ``hear``.
         busy_answers: The number of the next reads and writes that are
             answered with BUSY.
+        statement_seconds: How long a caller's read, write or commit takes, in
+            seconds.
+        status_seconds: How long a status query waits for a slot, in seconds.
+        busy_statuses: The number of the next status queries that are answered
+            with BUSY.
         omits_position: Whether its answers omit the log position.
         max_open_connections: The largest number of connections that were
             open at the same time.
         superseded_commits: The ids of requests that it committed while
             another database was the primary of a later term.
-        statements: Request id and text of the received statements, in order.
+        statements: Request id and text of the run statements, in order.
+        received_ids: The ids of the callers' requests that it has received.
     """
 
     def __init__(
@@ -176,11 +191,16 @@
         self.down = False
         self.draining = False
         self.answers_to_drop = 0
+        self.is_deaf = False
         self.busy_answers = 0
+        self.busy_statuses = 0
+        self.status_seconds = 0.0
+        self.statement_seconds = 0.0
         self.omits_position = False
         self.max_open_connections = 0
         self.superseded_commits: set[str] = set()
         self.statements: list[tuple[str, str]] = []
+        self.received_ids: set[str] = set()
 
     @property
     def position(self) -> Position:
@@ -189,6 +209,14 @@
             return Position(self.term, 0)
         return Position(self.log[-1].term, self.log[-1].number)
 
+    @property
+    def received(self) -> Position:
+        """The position of the last commit that it has received."""
+        if not self._replication_queue:
+            return self.position
+        _, commit = self._replication_queue[-1]
+        return max(self.position, Position(commit.term, commit.number))
+
     def entry(self, host: str) -> dict[str, Any]:
         """Returns the entry that the database publishes in the store.
 
@@ -232,6 +260,12 @@
         if self._group.primary is not self:
             self.demote()
 
+    def hear(self) -> None:
+        """Receives commits again, and those that it has missed."""
+        self.is_deaf = False
+        self._replication_queue.clear()
+        self.log = list(self._group.primary.log)
+
     def demote(self) -> None:
         """Becomes a replica with the primary's log.
 
@@ -243,19 +277,32 @@
         self._group.publish_entry(self)
 
     def become_primary(self, term: int) -> None:
-        """Becomes the primary of a term, with the log that it has."""
+        """Becomes the primary of a term, with what it has received."""
+        self._apply_received(float("inf"))
         self.term = term
         self.is_primary = True
         self._group.publish_entry(self)
 
     def _apply_due_events(self) -> None:
         """Applies the replicated commits and the promotions that are due."""
-        now = trio.current_time()
+        self._apply_received(trio.current_time())
+        self._group.apply_due_promotions()
+
+    def _apply_received(self, now: float) -> None:
         while self._replication_queue and self._replication_queue[0][0] <= now:
             _, commit = self._replication_queue.popleft()
             if not self.is_primary and commit.number == len(self.log) + 1:
                 self.log.append(commit)
-        self._group.apply_due_promotions()
+
+    async def _wait_replicated(self) -> None:
+        """Waits until enough replicas have received the whole log."""
+        position = self.position
+        others = [db for db in self._group.databases.values() if db is not self]
+        while (
+            sum(db.received >= position for db in others)
+            < self._group.synchronous
+        ):
+            await trio.sleep(REPLICATION_CHECK_SECONDS)
 
     def _commit(self, writes: tuple[tuple[str, str, str], ...]) -> None:
         commit = Commit(self.term, len(self.log) + 1, writes)
@@ -264,6 +311,8 @@
         self.log.append(commit)
         due = trio.current_time() + self._group.lag
         for other in self._group.databases.values():
+            if other.is_deaf or other.down:
+                continue
             if other is not self and other.term <= self.term:
                 other._replication_queue.append((due, commit))
 
@@ -302,7 +351,15 @@
             return
         while (line := await self._read_line()) is not None:
             _, request_id, text = line.decode("latin-1").split(" ", 2)
+            if text == "STATUS":
+                await trio.sleep(self._db.status_seconds)
+            elif request_id != "-":
+                self._db.received_ids.add(request_id)
+                await trio.sleep(self._db.statement_seconds)
+            commits = len(self._db.log)
             answer = self._run_statement(request_id, text)
+            if self._db.is_primary and len(self._db.log) > commits:
+                await self._db._wait_replicated()
             if self._db.answers_to_drop and request_id != "-":
                 self._db.answers_to_drop -= 1
                 await trio.sleep_forever()
@@ -348,10 +405,13 @@
                 required = lines.parse_position(position)
                 if required is not None and db.position < required:
                     return self._error(f"LAGGING {db.name}")
+            case "STATUS" if db.busy_statuses:
+                db.busy_statuses -= 1
+                return self._error(f"BUSY {db.name}")
             case "STATUS":
                 role = "primary" if db.is_primary else "replica"
-                applied = f"{db.position.term}.{db.position.offset}"
-                row = f"ROW {role} {db.term} {applied} {db.term} 0 0 1\r\n"
+                received = f"{db.received.term}.{db.received.offset}"
+                row = f"ROW {role} {db.term} {received} {db.term} 0 0 1\r\n"
                 return row.encode() + b"COMPLETE -\r\n"
             case "DEMOTE":
                 db.demote()
