Begin no statement in the second half of the grace period, and cut none

Cause: half of the grace period was one moment in the code, and is a state in the rule. At that moment the transactions that waited for their caller were ended; one whose statement was running went on, and was cut at the end. Relayed sessions were not looked at, and a statement that outlasted the grace period got no answer.

Change: from that moment on no statement is begun. What was read whole is refused after a rollback, so the refusal is true; what runs gets the database's answer, and then its session ends; what runs until shortly before the end is answered with ABORTED or INDOUBT. A relaying instance forwards nothing more, passes on the home's answer and ends. A draining home closes new relayed sessions without a greeting, so the next home is tried.

--- a/src/lagoonstair/proxy/_conversation.py
+++ b/src/lagoonstair/proxy/_conversation.py
@@ -32,6 +32,8 @@
         tx: The open transaction, if any.
         wait_scope: The scope of the wait for the caller's next line; ``None``
             while a statement runs.
+        statement_scope: The scope of the statement that runs; ``None`` while
+            none does.
         relayed: The session at the workspace's home if another instance is
             the home.
     """
@@ -44,6 +46,7 @@
     caller: Caller | None = None
     tx: Transaction | None = None
     wait_scope: trio.CancelScope | None = None
+    statement_scope: trio.CancelScope | None = None
     relayed: RelayedSession | None = None
 
     @property
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -71,6 +71,9 @@
 EXIT_MARGIN_SECONDS = 0.7
 """Remainder (s) of the grace period in which the process exits."""
 
+CUT_SECONDS = 0.3
+"""Time (s) of that for the answers to the statements that are cut."""
+
 METRICS_PORT_OFFSET = 1
 RELAY_PORT_OFFSET = 2
 """Offsets of an instance's other ports from its port for peer calls."""
@@ -258,7 +261,8 @@
     ) -> None:
         """Ends all sessions within the grace period.
 
-        Open transactions may continue for half of it.
+        Open transactions may begin statements for half of it. Those that an
+        endpoint has not answered shortly before its end are cut.
         """
         started_at = trio.current_time()
         grace = self._settings.grace_s
@@ -270,7 +274,7 @@
         while front.sessions and trio.current_time() < started_at + grace / 2:
             front.drain()
             await trio.sleep(POLL_SECONDS)
-        front.roll_back_idle_transactions()
+        front.refuse_statements()
         while (
             front.sessions
             and trio.current_time() < started_at + grace - EXIT_MARGIN_SECONDS
@@ -278,6 +282,10 @@
             front.drain()
             await trio.sleep(POLL_SECONDS)
         log_event("drained", sessions=front.sessions)
+        front.cut_statements()
+        with trio.move_on_after(CUT_SECONDS):
+            while front.sessions:
+                await trio.sleep(POLL_SECONDS)
 
     def _apply_limits(self) -> None:
         if self._fleet.config is None or not self._registry.members:
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -15,9 +15,10 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._quota import Quota
-from lagoonstair.proxy._relay import RelayedSession
+from lagoonstair.proxy._relay import SHUTDOWN_MESSAGE, RelayedSession
 from lagoonstair.proxy._relays import HomeRouter
 from lagoonstair.proxy._retries import refusal_failure
+from lagoonstair.proxy._sockets import is_readable
 from lagoonstair.proxy._targets import Caller
 from lagoonstair.proxy._transactions import Transaction, TransactionManager
 from lagoonstair.routing import Route, RoutingConfig
@@ -54,6 +55,8 @@
 
 NO_HOME_MESSAGE = "no home is in reach"
 
+CUT_MESSAGE = "no answer before the shutdown"
+
 RESERVED_DESCRIPTORS = 200
 """Number of descriptors that the platform reserves for files."""
 
@@ -63,6 +66,8 @@
 
     Attributes:
         draining: Whether sessions are closed as soon as they are idle.
+        refusing: Whether no statement is begun any more. What was read whole
+            is refused, and what runs is answered before its session ends.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         self._max_connections = int(sockets * CALLER_DESCRIPTOR_SHARE)
         self._connections: dict[int, CallerConnection] = {}
         self.draining = False
+        self.refusing = False
         fleet.config_listeners.append(self._close_unauthorized)
 
     @property
@@ -101,11 +107,25 @@
             if connection.relayed is not None:
                 connection.relayed.cancel_when_idle()
 
-    def roll_back_idle_transactions(self) -> None:
-        """Rolls back open transactions that wait for their caller."""
+    def refuse_statements(self) -> None:
+        """Ends all sessions as soon as no statement of theirs runs.
+
+        Their open transactions are rolled back.
+        """
+        self.refusing = True
         for connection in [*self._connections.values()]:
             if connection.wait_scope is not None:
                 connection.wait_scope.cancel()
+            if connection.relayed is not None:
+                connection.relayed.cancel_when_answered()
+
+    def cut_statements(self) -> None:
+        """Answers the statements that still run with what is known of them."""
+        for connection in [*self._connections.values()]:
+            if connection.statement_scope is not None:
+                connection.statement_scope.cancel()
+            if connection.relayed is not None:
+                connection.relayed.cut()
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serves a caller until its session ends.
@@ -121,6 +141,11 @@
         Args:
             stream: The connection to the relaying instance.
         """
+        if self.draining:
+            # Without a greeting, the other instance tries the next home.
+            self._metrics.count("relays_refused")
+            await stream.aclose()
+            return
         await self._serve(stream, self._run_session)
 
     async def _serve(
@@ -226,6 +251,8 @@
                     raise lines.BadLineError(
                         ErrorCode.MALFORMED, "the session is open"
                     )
+                case lines.Query() if self.refusing:
+                    await self._refuse_query(connection, message)
                 case lines.Query():
                     if not await self._answer_query(connection, message):
                         return
@@ -288,17 +315,24 @@
         """Answers a statement and returns whether the session continues."""
         started_at = trio.current_time()
         state = connection.session.state
+        result = None
+        message = CUT_MESSAGE
         try:
-            result = await self._execute(connection, query)
+            with trio.CancelScope() as connection.statement_scope:
+                result = await self._execute(connection, query)
         except Exception as exc:
-            # Its transaction is rolled back with the end of the session.
             self._fleet.supervisor.report(
                 "statement", exc, request=query.request_id
             )
+            message = "internal error"
+        finally:
+            connection.statement_scope = None
+        if result is None:
+            # Its transaction is rolled back with the end of the session.
             failure = failure_without_answer(
                 query.statement,
                 in_transaction=state is not TransactionState.IDLE,
-                message="internal error",
+                message=message,
             )
             await connection.send_final_result(failure, state)
             self._log_answer(
@@ -315,6 +349,19 @@
         )
         return not ends
 
+    async def _refuse_query(
+        self, connection: CallerConnection, query: lines.Query
+    ) -> None:
+        """Answers a statement that is not run because of the shutdown."""
+        if connection.tx is not None:
+            # Before the answer, which says that nothing of it is kept.
+            self._transactions.abandon(connection.tx)
+            connection.tx = None
+        result = connection.session.refuse(query.statement, SHUTDOWN_MESSAGE)
+        state = connection.session.state
+        await connection.stream.send_all(lines.encode_result(result, state))
+        self._log_answer(connection, query, result, 0.0)
+
     async def _execute(
         self, connection: CallerConnection, query: lines.Query
     ) -> Result:
@@ -401,6 +448,8 @@
         """Returns the next line, or ``None`` if the session is to end."""
         line = connection.splitter.next_line()
         while line is None:
+            if self.refusing and not is_readable(connection.stream):
+                return None
             # The key may have been withdrawn while a statement ran.
             if connection.is_idle and isinstance(
                 self._authorize(connection), Failure
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -1,7 +1,6 @@
 """A connection to an endpoint."""
 
 import itertools
-import select
 import socket
 from collections.abc import Iterable, Sequence
 
@@ -10,6 +9,7 @@
 from lagoonstair._types import Position
 from lagoonstair.platform import lines
 from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._sockets import is_readable
 from lagoonstair.proxy._supervisor import Supervisor
 from lagoonstair.routing import Endpoint
 from lagoonstair.statements import (
@@ -184,9 +184,7 @@
         """Returns whether the endpoint has neither closed it nor sent data."""
         if not self.is_usable or self._reader.has_partial_reply:
             return False
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not is_readable(self._stream)
 
     def close(self) -> None:
         """Closes the connection, which rolls back an open transaction."""
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -6,7 +6,9 @@
 
 from lagoonstair._types import Address
 from lagoonstair.platform import lines
+from lagoonstair.proxy._sockets import is_readable
 from lagoonstair.statements import (
+    ErrorCode,
     Failure,
     TransactionState,
     failure_without_answer,
@@ -23,6 +25,8 @@
 """Time in milliseconds after which unacknowledged data ends the connection to
 a home."""
 
+SHUTDOWN_MESSAGE = "the instance is shutting down"
+
 HOME_LOST_MESSAGE = "the instance that ran the session was lost"
 
 
@@ -50,6 +54,7 @@
         state: The session's state, as the home last reported it.
         outstanding: The caller's data that the home has not answered.
         outstanding_since: When the caller sent the first of it, in seconds.
+        is_cut: Whether this instance ended it, not the home.
     """
 
     def __init__(
@@ -61,6 +66,9 @@
         self._partial_answer = b""
         self._scope = trio.CancelScope()
         self._ends_when_idle = False
+        self._ends_when_answered = False
+        self._is_refused = False
+        self.is_cut = False
         self.state = TransactionState.IDLE
         self.outstanding = b""
         self.outstanding_since = 0.0
@@ -112,6 +120,21 @@
         """Ends the session."""
         self._scope.cancel()
 
+    def cut(self) -> None:
+        """Ends the session although its home may still answer."""
+        self.is_cut = True
+        self.cancel()
+
+    def cancel_when_answered(self) -> None:
+        """Ends the session as soon as no answer is outstanding.
+
+        The home then rolls an open transaction back. What the caller sends
+        from now on is refused.
+        """
+        self._ends_when_answered = True
+        if not self.outstanding and not is_readable(self._caller):
+            self.cancel()
+
     def close(self) -> None:
         """Closes the connection to the home without relaying anything."""
         self._home.socket.close()
@@ -185,7 +208,11 @@
                 if chunk:
                     if not self.outstanding:
                         self.outstanding_since = trio.current_time()
+                        self._is_refused = self._ends_when_answered
                     self.outstanding += chunk
+                    if self._is_refused:
+                        self.cut()
+                        return
                     await self._home.send_all(chunk)
                 chunk = await self._caller.receive_some(READ_BYTES)
                 if not chunk:
@@ -213,6 +240,8 @@
                 return
             if self._ends_when_idle and self.is_idle:
                 return
+            if self._ends_when_answered and not self.outstanding:
+                return
             try:
                 chunk = await self._home.receive_some(READ_BYTES)
             except (OSError, trio.BrokenResourceError):
@@ -234,6 +263,9 @@
         Returns:
             An abort if nothing of the statement can last; in doubt otherwise.
         """
+        if self._is_refused:
+            # The home has not got it, and rolls back what came before.
+            return Failure(ErrorCode.ABORTED, SHUTDOWN_MESSAGE)
         query = self.outstanding_query()
         statement = None if query is None else query.statement
         return failure_without_answer(
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -183,7 +183,7 @@
             failure = await session.run(early_data)
         finally:
             del self._sessions[session]
-        if failure is not None:
+        if failure is not None and not session.is_cut:
             self.mark_lost(name, failure.code.value)
         return failure
 
--- a/src/lagoonstair/statements/_session.py
+++ b/src/lagoonstair/statements/_session.py
@@ -136,6 +136,30 @@
                     return _no_statement(name)
                 return SUCCESS
 
+    def refuse(self, statement: Statement | None, message: str) -> Result:
+        """Returns the answer to a statement that is not to run.
+
+        Args:
+            statement: The statement; ``None`` is an unparsable one.
+            message: The reason, for the caller. The open transaction, if any,
+                must have been rolled back.
+        """
+        match self.state, statement:
+            case (TransactionState.IDLE, _):
+                return Failure(ErrorCode.BUSY, message)
+            case (TransactionState.OPEN, Rollback()):
+                self.mark_ended()
+                return Success()
+            case (TransactionState.OPEN, Commit()):
+                self.mark_ended()
+            case (TransactionState.OPEN, _):
+                self.mark_failed()
+            case (TransactionState.FAILED, _):
+                step = self._step_failed(statement)
+                if isinstance(step, LocalResult):
+                    return step.result
+        return Failure(ErrorCode.ABORTED, message)
+
     def mark_opened(self) -> None:
         """Records that a transaction was opened."""
         self.state = TransactionState.OPEN
