Keep sessions from opening late in a stop, and bound the memory of departures

A session whose home was still being searched when statements began to be refused could open a transaction at a relaying instance, which then ran until it was cut: each round of the drain now ends such sessions too. Departed endpoints were forgotten only while a group was surveyed; they are now when another one departs. A survey's answers count as answers of the endpoint, and faults at departed ones go into the instance's metrics.

--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -147,15 +147,10 @@
     def departed(self, group: str) -> list[DepartedEndpoint]:
         """Returns a group's processes that left the registered ones lately."""
         oldest = trio.current_time() - DEPARTED_SECONDS
-        self._departed = {
-            key: departed
-            for key, departed in self._departed.items()
-            if departed.since > oldest
-        }
         return [
             departed
             for departed in self._departed.values()
-            if departed.endpoint.group == group
+            if departed.endpoint.group == group and departed.since > oldest
         ]
 
     def notify_config_listeners(self) -> None:
@@ -368,10 +363,15 @@
         return None if history is None else history.latest()
 
     def _note_departed(self, endpoint: Endpoint, since: float | None) -> None:
-        departed = DepartedEndpoint(
-            endpoint, trio.current_time() if since is None else since
+        now = trio.current_time()
+        self._departed = {
+            key: departed
+            for key, departed in self._departed.items()
+            if now - departed.since < DEPARTED_SECONDS
+        }
+        self._departed[endpoint.name, endpoint.started] = DepartedEndpoint(
+            endpoint, now if since is None else since
         )
-        self._departed[endpoint.name, endpoint.started] = departed
 
     def _note_former_synchronous(self, config: RoutingConfig) -> None:
         """Remembers the numbers of synchronous replicas that change."""
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -106,6 +106,8 @@
                 connection.wait_scope.cancel()
             if connection.relayed is not None:
                 connection.relayed.cancel_when_idle()
+                if self.refusing:
+                    connection.relayed.cancel_when_answered()
 
     def refuse_statements(self) -> None:
         """Ends all sessions as soon as no statement of theirs runs.
@@ -116,8 +118,7 @@
         for connection in [*self._connections.values()]:
             if connection.wait_scope is not None:
                 connection.wait_scope.cancel()
-            if connection.relayed is not None:
-                connection.relayed.cancel_when_answered()
+        self.drain()
 
     def cut_statements(self) -> None:
         """Answers the statements that still run with what is known of them."""
--- a/src/lagoonstair/proxy/_orders.py
+++ b/src/lagoonstair/proxy/_orders.py
@@ -162,6 +162,7 @@
                 try:
                     while True:
                         reply = await link.run_internal(lines.STATUS)
+                        pool.record_reachable()
                         if isinstance(reply.result, Success):
                             status = _parse_status(pool, reply.result.rows)
                             if status is not None:
--- a/src/lagoonstair/proxy/_surveyor.py
+++ b/src/lagoonstair/proxy/_surveyor.py
@@ -87,7 +87,9 @@
         pools = [*self._fleet.group_pools(group)]
         names = {pool.endpoint.name for pool in pools}
         pools += [
-            EndpointPool(departed.endpoint, 1)
+            EndpointPool(
+                departed.endpoint, 1, supervisor=self._fleet.supervisor
+            )
             for departed in self._fleet.departed(group)
             if departed.endpoint.name not in names
         ]
--- a/tests/test_proxy_supervisor.py
+++ b/tests/test_proxy_supervisor.py
@@ -16,7 +16,7 @@
 from lagoonstair.peers._client import _Connection
 from lagoonstair.platform import discovery
 from lagoonstair.platform.store import Store
-from lagoonstair.primacy import GroupRecord
+from lagoonstair.primacy import GroupRecord, Primacy
 from lagoonstair.proxy._config_watch import ConfigWatcher
 from lagoonstair.proxy._daemon import Instance
 from lagoonstair.proxy._fleet import Fleet
@@ -30,6 +30,7 @@
 from lagoonstair.proxy._promoter import Promoter
 from lagoonstair.proxy._reaper import Reaper
 from lagoonstair.proxy._reconciler import Reconciler
+from lagoonstair.proxy._registry import Registry
 from lagoonstair.proxy._relay import RelayedSession
 from lagoonstair.proxy._relays import HomeRouter
 from lagoonstair.proxy._settings import parse_settings
@@ -56,6 +57,8 @@
     (Tables, "_use_entry"),
     (Fleet, "update_budgets"),
     (Fleet, "set_record"),
+    (Primacy, "proved_at"),
+    (Registry, "voters"),
     (ConfigWatcher, "_rank"),
     (LimitService, "_sleep"),
     (Limiter, "tick"),
