--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -3,12 +3,12 @@
 import math
 import random
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import NamedTuple
 
 import trio
 
 from lagoonstair._types import Position
 from lagoonstair.primacy import GroupRecord, GroupReport, Primacy
+from lagoonstair.proxy._departures import Departures, SynchronousReplicas
 from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
@@ -46,24 +46,6 @@
 primary is unusable."""
 
 
-DEPARTED_SECONDS = 20.0
-"""Time (s) for which an endpoint that is not registered any more counts as one
-that may hold commits. Entries lapse after some seconds of silence; a database
-that crashed is back with its log within ten."""
-
-
-class DepartedEndpoint(NamedTuple):
-    """A process of an endpoint that is not registered any more.
-
-    Attributes:
-        endpoint: The endpoint as it was last registered.
-        since: When its entry was first missed, in seconds.
-    """
-
-    endpoint: Endpoint
-    since: float
-
-
 class Fleet:
     """State shared by the components of one instance.
 
@@ -84,6 +66,8 @@
             group's primary, by group.
         config_listeners: Called when the configuration or the set of
             instances changes.
+        departures: The endpoints that have left lately.
+        synchronous_replicas: How many replicas hold each acknowledged commit.
         supervisor: Contains unexpected exceptions.
     """
 
@@ -95,8 +79,6 @@
         self._histories: dict[str, PositionHistory] = {}
         self._promoting_since: dict[str, float] = {}
         self._released_epochs: dict[str, int] = {}
-        self._departed: dict[tuple[str, int], DepartedEndpoint] = {}
-        self._former_synchronous: dict[str, tuple[int, float]] = {}
         self.name = name
         self.failure_domain = failure_domain
         self.config: RoutingConfig | None = None
@@ -112,6 +94,8 @@
         self.primary_uses: dict[str, int] = {}
         self.places: dict[str, InstanceResources] = {}
         self.config_listeners: list[Callable[[], None]] = []
+        self.departures = Departures()
+        self.synchronous_replicas = SynchronousReplicas()
         self.supervisor = Supervisor(metrics)
 
     def set_config(self, config: RoutingConfig) -> bool:
@@ -122,37 +106,13 @@
         """
         if self.config is not None and config.version <= self.config.version:
             return False
-        self._note_former_synchronous(config)
         self.config = config
+        self.synchronous_replicas.apply(config.groups)
         with self.supervisor.contain("connection budgets"):
             self.update_budgets()
         self.notify_config_listeners()
         return True
 
-    def synchronous_replicas(self, group: str) -> int:
-        """Returns how many replicas hold each acknowledged commit of a group.
-
-        Commits that were acknowledged before a change of the configuration
-        count too.
-
-        Returns:
-            The number; 0 if a commit may be on the primary alone.
-        """
-        counts = [_synchronous_replicas(self.config, group)]
-        former, changed_at = self._former_synchronous.get(group, (0, 0.0))
-        if former and trio.current_time() - changed_at < DEPARTED_SECONDS:
-            counts.append(former)
-        return min(filter(None, counts), default=0)
-
-    def departed(self, group: str) -> list[DepartedEndpoint]:
-        """Returns a group's processes that left the registered ones lately."""
-        oldest = trio.current_time() - DEPARTED_SECONDS
-        return [
-            departed
-            for departed in self._departed.values()
-            if departed.endpoint.group == group and departed.since > oldest
-        ]
-
     def notify_config_listeners(self) -> None:
         """Tells all listeners of a new configuration or set of instances."""
         for notify in self.config_listeners:
@@ -166,8 +126,8 @@
         if known == endpoint:
             return
         if known is not None and _is_different_process(known, endpoint):
-            self._note_departed(known, missing_since)
-        self._departed.pop((endpoint.name, endpoint.started), None)
+            self.departures.note(known, missing_since)
+        self.departures.forget(endpoint)
         self.endpoints[endpoint.name] = endpoint
         pool = self.pools.get(endpoint.name)
         if pool is None or _is_different_process(pool.endpoint, endpoint):
@@ -196,7 +156,7 @@
         endpoint = self.endpoints.pop(name, None)
         missing_since = self.missing_since.pop(name, None)
         if endpoint is not None:
-            self._note_departed(endpoint, missing_since)
+            self.departures.note(endpoint, missing_since)
         pool = self.pools.pop(name, None)
         if pool is not None:
             pool.close()
@@ -362,26 +322,6 @@
         history = self._histories.get(group)
         return None if history is None else history.latest()
 
-    def _note_departed(self, endpoint: Endpoint, since: float | None) -> None:
-        now = trio.current_time()
-        self._departed = {
-            key: departed
-            for key, departed in self._departed.items()
-            if now - departed.since < DEPARTED_SECONDS
-        }
-        self._departed[endpoint.name, endpoint.started] = DepartedEndpoint(
-            endpoint, now if since is None else since
-        )
-
-    def _note_former_synchronous(self, config: RoutingConfig) -> None:
-        """Remembers the numbers of synchronous replicas that change."""
-        if self.config is None:
-            return
-        for group in self.config.groups:
-            former = self.synchronous_replicas(group)
-            if former and former != _synchronous_replicas(config, group):
-                self._former_synchronous[group] = former, trio.current_time()
-
     def _note_endpoint_position(
         self, pool: EndpointPool, asked_at: float
     ) -> None:
@@ -429,11 +369,6 @@
         return max(MIN_CONNECTION_BUDGET, int(group.max_connections * share))
 
 
-def _synchronous_replicas(config: RoutingConfig | None, group: str) -> int:
-    settings = None if config is None else config.groups.get(group)
-    return 0 if settings is None else max(0, settings.synchronous_replicas)
-
-
 def _is_different_process(known: Endpoint, new: Endpoint) -> bool:
     """Returns whether an entry describes a different process than before."""
     return (known.address, known.started, known.group) != (
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -2,6 +2,7 @@
 
 import functools
 from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 
@@ -67,6 +68,24 @@
 """Interval (s) between checks of whether this instance must read the store."""
 
 
+class _Feed(NamedTuple):
+    """A table that is followed.
+
+    Attributes:
+        table: The name of the table.
+        apply: Applies rows; told whether they are the whole table.
+        is_needed: Returns whether this instance is to read the table.
+        period: Least interval between calls, in seconds.
+        started: Set once the table is known, or could not be applied.
+    """
+
+    table: str
+    apply: Callable[[Rows, bool], bool]
+    is_needed: Callable[[], bool]
+    period: float
+    started: trio.Event
+
+
 class Follower:
     """Keeps the local state up to date with the store.
 
@@ -124,17 +143,10 @@
                     if table == discovery.TABLE
                     else self._must_read_store
                 )
-                started = trio.Event()
-                follow = functools.partial(
-                    self._follow_or_fail,
-                    table,
-                    apply,
-                    is_needed,
-                    period,
-                    started,
-                )
+                feed = _Feed(table, apply, is_needed, period, trio.Event())
+                follow = functools.partial(self._follow_or_fail, feed)
                 nursery.start_soon(supervise, f"follower of {table}", follow)
-                await started.wait()
+                await feed.started.wait()
             nursery.start_soon(
                 supervise, "endpoint expiry", self._expire_endpoints
             )
@@ -193,38 +205,17 @@
         """Estimate of the store's clock, in seconds."""
         return self._store_now + trio.current_time() - self._answered_at
 
-    async def _follow_or_fail(
-        self,
-        table: str,
-        apply: Callable[[Rows, bool], bool],
-        is_needed: Callable[[], bool],
-        period: float,
-        started: trio.Event,
-    ) -> None:
-        """Follows a table until cancelled or until it fails unexpectedly.
-
-        Args:
-            table: The name of the table.
-            apply: Applies rows; told whether they are the whole table.
-            is_needed: Returns whether this instance is to read the table.
-            period: Least interval between calls, in seconds.
-            started: Set once the table is known, and when this fails: what
-                could be applied is in use, and an instance that waited for the
-                rest would do so at each start.
-        """
+    async def _follow_or_fail(self, feed: _Feed) -> None:
+        """Follows a table until cancelled or until it fails unexpectedly."""
         try:
-            await self._follow(table, apply, is_needed, period, started)
+            await self._follow(feed)
         finally:
-            started.set()
+            # What could be applied is in use. An instance that waited for the
+            # rest would do so at each start.
+            feed.started.set()
 
-    async def _follow(
-        self,
-        table: str,
-        apply: Callable[[Rows, bool], bool],
-        is_needed: Callable[[], bool],
-        period: float,
-        started: trio.Event,
-    ) -> None:
+    async def _follow(self, feed: _Feed) -> None:
+        table, apply, is_needed, period, started = feed
         version = era = 0
         pause = RETRY_SECONDS
         was_rewriting = False
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -508,7 +508,7 @@
         every acknowledged commit.
         """
         candidates = self._candidates(group, record, cause)
-        if self._fleet.synchronous_replicas(group):
+        if self._fleet.synchronous_replicas.count(group):
             names = [pool.endpoint.name for pool in candidates]
             return await self._surveyor.survey(group, record, names)
         # A failed primary may answer late, so the candidates wait for its log
--- a/src/lagoonstair/proxy/_surveyor.py
+++ b/src/lagoonstair/proxy/_surveyor.py
@@ -90,7 +90,7 @@
             EndpointPool(
                 departed.endpoint, 1, supervisor=self._fleet.supervisor
             )
-            for departed in self._fleet.departed(group)
+            for departed in self._fleet.departures.of_group(group)
             if departed.endpoint.name not in names
         ]
         return pools
@@ -129,7 +129,7 @@
         }
         departed_since = tuple(
             departed.since
-            for departed in self._fleet.departed(group)
+            for departed in self._fleet.departures.of_group(group)
             if departed.endpoint.name != record.primary
             # Another process under the same name knows nothing of its log.
             and departed.endpoint.name not in received.keys() - registered
@@ -144,7 +144,7 @@
             received=received,
             registered=len((registered - {record.primary}) | received.keys()),
             departed_since=departed_since,
-            synchronous=max(1, self._fleet.synchronous_replicas(group)),
+            synchronous=max(1, self._fleet.synchronous_replicas.count(group)),
             previous=None if previous is None else previous.received,
             observed_at=-math.inf if observed is None else observed.asked_at,
             observed=None if observed is None else observed.position,
--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -206,7 +206,7 @@
             group: The group.
             epoch: The epoch in which the write was sent.
         """
-        if not self._fleet.synchronous_replicas(group):
+        if not self._fleet.synchronous_replicas.count(group):
             return True
         holds_until = self._fleet.primacy.holds_until(group, epoch)
         if trio.current_time() < holds_until:
--- a/tests/test_proxy_surveyor.py
+++ b/tests/test_proxy_surveyor.py
@@ -16,8 +16,9 @@
     Primacy,
     choose_target,
 )
+from lagoonstair.proxy._departures import MEMORY_SECONDS
 from lagoonstair.proxy._executor import Executor
-from lagoonstair.proxy._fleet import DEPARTED_SECONDS, Fleet
+from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._targets import Caller, TargetSelector
 from lagoonstair.proxy._transactions import Transaction, TransactionManager
@@ -266,15 +267,19 @@
         async with one_endpoint() as (fleet, _):
             endpoint = fleet.endpoints["d1"]
             fleet.drop_endpoint("d1")
-            assert [d.endpoint for d in fleet.departed("g")] == [endpoint]
-            assert fleet.departed("h") == []
+            assert [d.endpoint for d in fleet.departures.of_group("g")] == [
+                endpoint
+            ]
+            assert fleet.departures.of_group("h") == []
             fleet.set_endpoint(endpoint)
-            assert fleet.departed("g") == []
+            assert fleet.departures.of_group("g") == []
             # A new process under the same name does not have its log.
             fleet.set_endpoint(_with(endpoint, started=2))
-            assert [d.endpoint.started for d in fleet.departed("g")] == [1]
-            await trio.sleep(DEPARTED_SECONDS + 1)
-            assert fleet.departed("g") == []
+            assert [
+                d.endpoint.started for d in fleet.departures.of_group("g")
+            ] == [1]
+            await trio.sleep(MEMORY_SECONDS + 1)
+            assert fleet.departures.of_group("g") == []
 
     trio.run(check, clock=autojump_clock)
 
@@ -307,11 +312,11 @@
     seen = []
     for version, synchronous in enumerate((0, 2, 1, 2, 0), 1):
         fleet.set_config(_config(version, synchronous))
-        seen.append(fleet.synchronous_replicas("g"))
+        seen.append(fleet.synchronous_replicas.count("g"))
     assert seen == [0, 2, 1, 1, 1]
-    await trio.sleep(DEPARTED_SECONDS + 1)
-    assert fleet.synchronous_replicas("g") == 0
-    assert fleet.synchronous_replicas("unknown") == 0
+    await trio.sleep(MEMORY_SECONDS + 1)
+    assert fleet.synchronous_replicas.count("g") == 0
+    assert fleet.synchronous_replicas.count("unknown") == 0
 
 
 @pytest.mark.parametrize("synchronous", [0, 1])
