Let an instance start although a row of the registry raises

Found by asking of each row that is read at the start what it may raise: a row of the registry, or its application, still ended the process before it served, at each start again. Such a row is logged and left out now; the others are used.

Evidence: test_an_instance_starts_whatever_a_row_does failed with the injected exception in Registry.apply and in Follower.apply_registration, and passes.

--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -156,7 +156,8 @@
             )
             self._fleet.config_listeners.append(self._apply_limits)
             server = PeerServer(settings.instance, secret, self._handlers)
-            self._follower.apply_registration(rows)
+            with self._fleet.supervisor.contain("registration"):
+                self._follower.apply_registration(rows)
             await nursery.start(server.serve, *settings.peer_address)
             nursery.start_soon(supervise, "gossip rounds", gossip.run)
             await nursery.start(self._follower.run)
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from lagoonstair._faults import describe_exception
 from lagoonstair._types import Address
 from lagoonstair.platform.store import (
     Committed,
@@ -151,7 +152,16 @@
         if rows.era != self.era:
             return False
         for row in rows.rows:
-            self.apply(row)
+            try:
+                self.apply(row)
+            except Exception as exc:
+                # The other rows are used; an instance reads all of them at
+                # each start.
+                log_event(
+                    "registry row unusable",
+                    key=row.key,
+                    fault=describe_exception(exc),
+                )
             self.version = max(self.version, row.version)
         return True
 
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -92,7 +92,7 @@
 )
 """Entries of another writer among those of the databases."""
 
-FAULT_EVENTS = ("task failed", "session failed")
+FAULT_EVENTS = ("task failed", "session failed", "registry row unusable")
 """Log events of exceptions that nobody expects."""
 
 CONFIG_SECONDS = 3.0
--- a/tests/test_proxy_supervisor.py
+++ b/tests/test_proxy_supervisor.py
@@ -177,10 +177,21 @@
     def fail(*args, **kwargs):
         raise InjectedError
 
+    apply = Registry.apply
+
+    def apply_or_fail(self, row):
+        if row.key == "member/odd":
+            raise InjectedError
+        apply(self, row)
+
     monkeypatch.setattr(discovery, "decode_endpoint", decode_or_fail)
+    monkeypatch.setattr(Registry, "apply", apply_or_fail)
     monkeypatch.setattr(Fleet, "update_budgets", fail)
+    injector = _Injector(monkeypatch, Follower, "apply_registration")
+    injector.remaining = 1
     async with proxy_fleet(tmp_path, instances=1) as fleet:
         fleet.store.put("servers", "odd", b"{}")
+        fleet.store.put("lagoonstair", "member/odd", b"{}")
         async with _instance(fleet, "i2") as (_, metrics):
             await _assert_serves(fleet, "i2", "q")
             assert _failures(metrics)
