--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -1,6 +1,7 @@
 """Stand-ins for replicated databases that speak the statement protocol."""
 
 import itertools
+import random
 from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -8,20 +9,12 @@
 import trio
 
 from lagoonstair._types import Position
-from lagoonstair.platform import lines
-from lagoonstair.statements import (
-    Begin,
-    Execute,
-    Prepare,
-    PreparedStatement,
-    Read,
-    Rollback,
-    SetValue,
-    TransactionState,
-    Write,
-)
-from lagoonstair.statements import (
-    Commit as CommitStatement,
+from lagoonstair.standins.statements._codec import (
+    Parsed,
+    Prepared,
+    encode_message,
+    parse_statement,
+    take_messages,
 )
 
 READ_BYTES = 64 * 1024
@@ -47,6 +40,56 @@
     writes: tuple[tuple[str, str, str], ...]
 
 
+class StatementRun(NamedTuple):
+    """A statement of a caller as an endpoint ran it.
+
+    Attributes:
+        request_id: The caller's request id.
+        text: The statement's text without an ``AFTER`` prefix.
+        prepared: The prepared statement that it executed, if any.
+        values: The values that were set on the connection.
+        connection: The number of the connection.
+        state: The state of the connection before it: ``I``, ``T`` or ``E``.
+    """
+
+    request_id: str
+    text: str
+    prepared: Prepared | None
+    values: dict[str, str]
+    connection: int
+    state: str
+
+
+class SignedAnswer(NamedTuple):
+    """A signed answer as an endpoint sent it first.
+
+    Attributes:
+        request_id: The request that it answers.
+        rows: The rows.
+    """
+
+    request_id: str
+    rows: tuple[str, ...]
+
+
+class Stutter(NamedTuple):
+    """How an endpoint answers oddly.
+
+    Attributes:
+        repeat_share: The share of its answers that it sends twice.
+        repeat_seconds: How much later the copy comes at most, in seconds.
+        refused_share: The share of writes that it refuses with BUSY.
+        odd_rows: Returns the rows of a read beside its item's.
+        rng: Draws what is repeated and refused, and when.
+    """
+
+    repeat_share: float = 0.0
+    repeat_seconds: float = 0.12
+    refused_share: float = 0.0
+    odd_rows: Callable[[], list[str]] = list
+    rng: random.Random = random.Random(0)
+
+
 class Group:
     """A group of one primary and its replicas.
 
@@ -170,6 +213,10 @@
             another database was the primary of a later term.
         statements: Request id and text of the run statements, in order.
         received_ids: The ids of the callers' requests that it has received.
+        runs: The callers' statements that it has run, in order.
+        signed: Its signed answers, by signature.
+        stutter: How it answers oddly.
+        copies_sent: How many answers it has sent a second time.
     """
 
     def __init__(
@@ -201,6 +248,11 @@
         self.superseded_commits: set[str] = set()
         self.statements: list[tuple[str, str]] = []
         self.received_ids: set[str] = set()
+        self.runs: list[StatementRun] = []
+        self.signed: dict[str, SignedAnswer] = {}
+        self.stutter = Stutter()
+        self.copies_sent = 0
+        self._connection_numbers = itertools.count(1)
 
     @property
     def position(self) -> Position:
@@ -323,11 +375,12 @@
         self.max_open_connections = max(
             self.max_open_connections, len(self._open)
         )
+        number = next(self._connection_numbers)
         try:
-            await _Connection(self, stream).run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            await _Connection(self, stream, number).run()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # The client has disconnected, or the database has crashed.
-            return
+            pass
         finally:
             self._open.discard(stream)
             with trio.CancelScope(shield=True), trio.move_on_after(1):
@@ -337,20 +390,31 @@
 class _Connection:
     """A connection with its transaction and prepared statements."""
 
-    def __init__(self, database: Database, stream: trio.SocketStream) -> None:
+    def __init__(
+        self, database: Database, stream: trio.SocketStream, number: int
+    ) -> None:
         self._db = database
         self._stream = stream
-        self._splitter = lines.LineSplitter()
-        self._state = TransactionState.IDLE
+        self._number = number
+        self._buffer = bytearray()
+        self._messages: deque[bytes] = deque()
+        self._sending = trio.Lock()
+        self._state = "I"
         self._read_only = False
         self._writes: list[tuple[str, str, str]] = []
-        self._prepared: dict[str, PreparedStatement] = {}
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, Prepared] = {}
 
     async def run(self) -> None:
-        if not await self._handshake():
+        async with trio.open_nursery() as nursery:
+            await self._serve(nursery)
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, nursery: trio.Nursery) -> None:
+        if not await self._handshake(nursery):
             return
-        while (line := await self._read_line()) is not None:
-            _, request_id, text = line.decode("latin-1").split(" ", 2)
+        while (message := await self._read_message()) is not None:
+            _, request_id, text = message.decode("latin-1").split(" ", 2)
             if text == "STATUS":
                 await trio.sleep(self._db.status_seconds)
             elif request_id != "-":
@@ -363,137 +427,194 @@
             if self._db.answers_to_drop and request_id != "-":
                 self._db.answers_to_drop -= 1
                 await trio.sleep_forever()
-            await self._stream.send_all(answer + self._ready_line())
+            await self._send(answer + self._ready(), nursery)
 
-    async def _handshake(self) -> bool:
-        line = await self._read_line()
-        if line is None:
+    async def _handshake(self, nursery: trio.Nursery) -> bool:
+        message = await self._read_message()
+        if message is None:
             return False
-        _, group, _, *names = line.decode("latin-1").split(" ")
+        _, group, _, *names = message.decode("latin-1").split(" ")
         if group != self._db._group.name or names not in ([], [self._db.name]):
-            await self._stream.send_all(b"ERROR MISROUTED wrong\r\n")
+            await self._stream.send_all(self._error("MISROUTED", "wrong"))
             return False
         if len(self._db._open) > self._db._max_connections:
-            await self._stream.send_all(b"ERROR CONGESTED full\r\n")
+            await self._stream.send_all(self._error("CONGESTED", "full"))
             return False
-        await self._stream.send_all(self._ready_line())
+        await self._send(self._ready(), nursery)
         return True
 
-    def _ready_line(self) -> bytes:
+    async def _send(self, answer: bytes, nursery: trio.Nursery) -> None:
+        """Sends an answer, and at times a copy of it later."""
+        async with self._sending:
+            await self._stream.send_all(answer)
+        stutter = self._db.stutter
+        if stutter.rng.random() < stutter.repeat_share:
+            seconds = stutter.rng.uniform(0, stutter.repeat_seconds)
+            nursery.start_soon(self._send_copy, answer, seconds)
+
+    async def _send_copy(self, answer: bytes, seconds: float) -> None:
+        await trio.sleep(seconds)
+        try:
+            async with self._sending:
+                await self._stream.send_all(answer)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The connection has ended, so nobody can be misled any more.
+            return
+        self._db.copies_sent += 1
+
+    def _ready(self) -> bytes:
         term, number = self._db.position
-        state = lines.STATE_WORDS[self._state]
-        if self._db.omits_position:
-            return f"READY {state} -\r\n".encode("latin-1")
-        return f"READY {state} {term}.{number}\r\n".encode("latin-1")
+        position = "-" if self._db.omits_position else f"{term}.{number}"
+        return encode_message("READY", self._state, position)
 
-    async def _read_line(self) -> bytes | None:
-        while (line := self._splitter.next_line()) is None:
+    async def _read_message(self) -> bytes | None:
+        while not self._messages:
             chunk = await self._stream.receive_some(READ_BYTES)
             if not chunk or self._db.down:
                 return None
-            self._splitter.feed(chunk)
-        return line
+            self._buffer += chunk
+            self._messages.extend(take_messages(self._buffer))
+        return self._messages.popleft()
 
     def _run_statement(self, request_id: str, text: str) -> bytes:
         db = self._db
         db._apply_due_events()
         db.statements.append((request_id, text))
-        verb, _, rest = text.partition(" ")
-        match verb:
-            case "AFTER":
-                position, _, text = rest.partition(" ")
-                required = lines.parse_position(position)
-                if required is not None and db.position < required:
-                    return self._error(f"LAGGING {db.name}")
+        parsed = parse_statement(text)
+        if parsed.after is not None and db.position < parsed.after:
+            return self._error("LAGGING", db.name)
+        match parsed.verb:
             case "STATUS" if db.busy_statuses:
                 db.busy_statuses -= 1
-                return self._error(f"BUSY {db.name}")
+                return self._error("BUSY", db.name)
             case "STATUS":
                 role = "primary" if db.is_primary else "replica"
                 received = f"{db.received.term}.{db.received.offset}"
-                row = f"ROW {role} {db.term} {received} {db.term} 0 0 1\r\n"
-                return row.encode() + b"COMPLETE -\r\n"
+                row = f"{role} {db.term} {received} {db.term} 0 0 1"
+                return encode_message("ROW", row) + self._done()
             case "DEMOTE":
                 db.demote()
-                return b"COMPLETE -\r\n"
+                return self._done()
             case "RESET":
+                self._values.clear()
                 self._prepared.clear()
-                return b"COMPLETE -\r\n"
+                return self._done()
             case "SUSPEND" | "RESUME":
-                return b"COMPLETE -\r\n"
-        return self._run_sql(request_id, text)
+                return self._done()
+        run = self._describe_run(request_id, text, parsed)
+        answer = self._run_sql(request_id, parsed)
+        if request_id != "-" and not answer.startswith(b"ERROR BUSY"):
+            db.runs.append(run)
+        return answer
+
+    def _describe_run(
+        self, request_id: str, text: str, parsed: Parsed
+    ) -> StatementRun:
+        """Returns what is recorded of a statement if it runs."""
+        if parsed.after is not None:
+            text = text.split(" ", 2)[2]
+        prepared = None
+        if parsed.verb == "EXECUTE":
+            prepared = self._prepared.get(parsed.name)
+        return StatementRun(
+            request_id,
+            text,
+            prepared,
+            dict(self._values),
+            self._number,
+            self._state,
+        )
 
-    def _run_sql(self, request_id: str, text: str) -> bytes:
+    def _run_sql(self, request_id: str, parsed: Parsed) -> bytes:
         db = self._db
-        statement = lines.parse_statement(text)
-        if db.busy_answers and isinstance(statement, Read | Write | Execute):
+        if db.busy_answers and parsed.verb in ("READ", "WRITE", "EXECUTE"):
             db.busy_answers -= 1
-            return self._error(f"BUSY {db.name}")
-        match statement:
-            case Begin(read_only):
-                if not read_only and not db.is_primary:
-                    return self._error(f"READONLY {db.name}")
-                self._state = TransactionState.OPEN
-                self._read_only = read_only
-                return b"COMPLETE -\r\n"
-            case Rollback():
-                self._writes.clear()
-                self._state = TransactionState.IDLE
-                return b"COMPLETE -\r\n"
-            case CommitStatement():
+            return self._error("BUSY", db.name)
+        ends = parsed.verb in ("COMMIT", "ROLLBACK")
+        if (
+            (self._state == "E" and not ends)
+            or (self._state == "I" and ends)
+            or (self._state == "T" and parsed.verb == "BEGIN")
+        ):
+            return self._error("MALFORMED", db.name)
+        match parsed.verb:
+            case "BEGIN":
+                if not parsed.data and not db.is_primary:
+                    return self._error("READONLY", db.name)
+                self._state = "T"
+                self._read_only = bool(parsed.data)
+                return self._done()
+            case "ROLLBACK":
+                self._end_transaction()
+                return self._done()
+            case "COMMIT" if self._state == "E":
+                self._end_transaction()
+                return self._error("ABORTED", db.name)
+            case "COMMIT":
                 if self._writes:
                     db._commit(tuple(self._writes))
-                self._writes.clear()
-                self._state = TransactionState.IDLE
-                return self._complete(())
-            case Read(text):
-                return self._read(text.split(" ")[1])
-            case Write(text):
-                _, item, data = text.split(" ", 2)
-                return self._write(request_id, item, data)
-            case Prepare(name, prepared):
-                self._prepared[name] = prepared
-                return b"COMPLETE -\r\n"
-            case Execute(name, arguments):
-                executed = self._prepared.get(name)
-                if executed is None:
-                    return self._error("NOSTMT")
-                item, _, data = arguments.partition(" ")
-                if executed.writes:
-                    return self._write(request_id, item, data)
-                return self._read(item)
-            case SetValue():
-                return b"COMPLETE -\r\n"
+                self._end_transaction()
+                return self._complete(request_id, ())
+            case "READ":
+                return self._read(request_id, parsed.item)
+            case "WRITE":
+                return self._write(request_id, parsed.item, parsed.data)
+            case "SET":
+                self._values[parsed.name] = parsed.item
+                return self._done()
+            case "PREPARE":
+                self._prepared[parsed.name] = Prepared(parsed.data, parsed.item)
+                return self._done()
+            case "EXECUTE":
+                prepared = self._prepared.get(parsed.name)
+                if prepared is None:
+                    return self._error("NOSTMT", db.name)
+                if prepared.kind == "WRITE":
+                    return self._write(request_id, parsed.item, parsed.data)
+                return self._read(request_id, parsed.item)
             case _:
-                return self._error("MALFORMED")
+                return self._error("MALFORMED", db.name)
+
+    def _end_transaction(self) -> None:
+        self._writes.clear()
+        self._read_only = False
+        self._state = "I"
 
-    def _read(self, item: str) -> bytes:
+    def _read(self, request_id: str, item: str) -> bytes:
         rows = [
-            f"{commit.number}:{request_id}"
+            f"{commit.number}:{writer}"
             for commit in self._db.log
-            for request_id, written, _ in commit.writes
+            for writer, written, _ in commit.writes
             if written == item
         ]
-        return self._complete(tuple(rows[-1:]))
+        odd = self._db.stutter.odd_rows()
+        return self._complete(request_id, (*rows[-1:], *odd))
 
     def _write(self, request_id: str, item: str, data: str) -> bytes:
         if not self._db.is_primary or self._read_only:
-            return self._error(f"READONLY {self._db.name}")
+            return self._error("READONLY", self._db.name)
+        stutter = self._db.stutter
+        if stutter.rng.random() < stutter.refused_share:
+            return self._error("BUSY", self._db.name)
         write = (request_id, item, data)
-        if self._state is TransactionState.OPEN:
+        if self._state == "T":
             self._writes.append(write)
         else:
             self._db._commit((write,))
-        return self._complete(())
+        return self._complete(request_id, ())
 
-    def _complete(self, rows: tuple[str, ...]) -> bytes:
+    def _complete(self, request_id: str, rows: tuple[str, ...]) -> bytes:
         self._db._signatures += 1
-        text = "".join(f"ROW {row}\r\n" for row in rows)
         signature = f"{self._db.name}.{self._db._signatures}"
-        return f"{text}COMPLETE {signature}\r\n".encode("latin-1")
+        self._db.signed[signature] = SignedAnswer(request_id, rows)
+        text = b"".join(encode_message("ROW", row) for row in rows)
+        return text + encode_message("COMPLETE", signature)
+
+    def _done(self) -> bytes:
+        return encode_message("COMPLETE", "-")
 
-    def _error(self, text: str) -> bytes:
-        if self._state is TransactionState.OPEN:
-            self._state = TransactionState.FAILED
+    def _error(self, code: str, text: str) -> bytes:
+        if self._state == "T":
+            self._state = "E"
             self._writes.clear()
-        return f"ERROR {text}\r\n".encode("latin-1")
+        return encode_message("ERROR", code, text)
