Show answers that the waiting statement can't have led to

What callers saw: reads with the signature of another statement or with none. Cause not yet mended: answers carry no id. The logs could not tell the hypotheses apart: with copies of answers each such statement was logged as done.

Each answer is checked against its statement by kind, state and signatures seen before on the connection, without consequence so far; a mismatch, and data on an idle connection, are logged and counted with endpoint, request and reason.

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -32,6 +32,7 @@
     "promotion put off": "group",
     "promotion without candidates": "group",
     "endpoint gone": "group",
+    "answer unexpected": "endpoint",
     "store lost": "",
     "store regained": "",
     "instance lost": "",
@@ -143,6 +144,9 @@
     logged_cause = str(last.get("cause", ""))
     outcome = last.get("outcome")
     unanswered = [e for e in lines if e["event"] == "statement unanswered"]
+    unexpected = [e for e in lines if e["event"] == "answer unexpected"]
+    if unexpected:
+        return _explain_unexpected_answer(unexpected[-1], outcome)
     if "over its rate" in logged_cause:
         return _explain_rate_limit(last, beliefs)
     if "may be out of date" in logged_cause:
@@ -198,6 +202,15 @@
     return f"the workspace's rate of {rate:g} a second was reached"
 
 
+def _explain_unexpected_answer(event: Event, outcome: str | None) -> str:
+    """Describes an answer that the request's statement can't have led to."""
+    return (
+        f"{event.get('endpoint')} sent an answer that the statement can't have "
+        f"led to ({event.get('cause')}) on the connection where it waited for "
+        f"its own; outcome: {outcome or 'not sampled'}"
+    )
+
+
 def _explain_home_loss(last: Event, beliefs: tuple[Event, ...]) -> str:
     """Describes how a request's session lost its home instance."""
     home = last["home"]
--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -363,7 +363,8 @@
     def next_reply(self) -> Reply | None:
         """Returns the next complete reply, or ``None`` if there is none yet.
 
-        A reply to START carries no result; it is returned as ``Success``.
+        A reply to START carries no result; it is returned as ``Success`` with
+        an empty signature.
 
         Raises:
             BadLineError: The endpoint violated the protocol.
@@ -391,7 +392,7 @@
         word, _, position = rest.partition(" ")
         if word not in STATES:
             raise BadLineError(ErrorCode.MALFORMED, "unknown state")
-        result = self._result or Success()
+        result = self._result or Success(signature="")
         self._rows = []
         self._result = None
         return Reply(result, STATES[word], parse_position(position))
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -2,17 +2,21 @@
 
 import itertools
 import socket
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
+from typing import NamedTuple
 
 import trio
 
 from lagoonstair._types import Position
 from lagoonstair.platform import lines
+from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._sockets import is_readable
+from lagoonstair.proxy._sockets import has_unread_data, is_readable
 from lagoonstair.proxy._supervisor import Supervisor
 from lagoonstair.routing import Endpoint
 from lagoonstair.statements import (
+    AnswerMatcher,
+    Expected,
     Failure,
     PreparedStatement,
     Reply,
@@ -51,6 +55,20 @@
         self.is_fault = is_fault
 
 
+class _Message(NamedTuple):
+    """A message to an endpoint.
+
+    Attributes:
+        data: The encoded message.
+        expected: The answer that it can lead to.
+        request_id: The caller's id of the statement, for the log.
+    """
+
+    data: bytes
+    expected: Expected
+    request_id: str = lines.INTERNAL_REQUEST_ID
+
+
 class Link:
     """A connection to an endpoint on behalf of one workspace.
 
@@ -79,6 +97,7 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[PreparedStatement, str] = {}
         self._name_numbers = itertools.count(1)
+        self._matcher = AnswerMatcher()
         self.endpoint = endpoint
         self.workspace = workspace
         self.state = TransactionState.IDLE
@@ -117,7 +136,9 @@
         )
         link = cls(stream, endpoint, workspace, supervisor)
         try:
-            (reply,) = await link._exchange([start])
+            (reply,) = await link._exchange(
+                [_Message(start, Expected.GREETING)]
+            )
         except BaseException:
             link.close()
             raise
@@ -126,29 +147,39 @@
             raise LinkError(f"{endpoint.name}: {reply.result}", reply.result)
         return link
 
-    async def run(self, request_id: str, text: str) -> Reply:
+    async def run(
+        self,
+        request_id: str,
+        text: str,
+        expected: Expected = Expected.SIGNED,
+    ) -> Reply:
         """Runs one statement.
 
         Args:
             request_id: The caller's id of the statement.
             text: The statement's text.
+            expected: The answer that it can lead to.
 
         Raises:
             LinkError: No complete answer was received.
         """
-        (reply,) = await self._exchange([lines.encode_query(request_id, text)])
+        data = lines.encode_query(request_id, text)
+        (reply,) = await self._exchange([_Message(data, expected, request_id)])
         return reply
 
-    async def run_internal(self, text: str) -> Reply:
+    async def run_internal(
+        self, text: str, expected: Expected = Expected.UNCHANGED
+    ) -> Reply:
         """Runs a statement that Lagoonstair itself issues.
 
         Args:
             text: The statement's text.
+            expected: The answer that it can lead to.
 
         Raises:
             LinkError: No complete answer was received.
         """
-        return await self.run(lines.INTERNAL_REQUEST_ID, text)
+        return await self.run(lines.INTERNAL_REQUEST_ID, text, expected)
 
     async def apply_session(
         self, values: dict[str, str], shape: PreparedStatement | None
@@ -170,7 +201,10 @@
         setup = list(self._setup_statements(values, shape))
         if setup:
             queries = [
-                lines.encode_query(lines.INTERNAL_REQUEST_ID, text)
+                _Message(
+                    lines.encode_query(lines.INTERNAL_REQUEST_ID, text),
+                    Expected.UNCHANGED,
+                )
                 for text in setup
             ]
             for reply in await self._exchange(queries):
@@ -182,9 +216,16 @@
 
     def is_alive(self) -> bool:
         """Returns whether the endpoint has neither closed it nor sent data."""
-        if not self.is_usable or self._reader.has_partial_reply:
+        if not self.is_usable:
+            return False
+        if self._reader.has_partial_reply:
+            self._report_unexpected("idle")
             return False
-        return not is_readable(self._stream)
+        if not is_readable(self._stream):
+            return True
+        if has_unread_data(self._stream):
+            self._report_unexpected("idle")
+        return False
 
     def close(self) -> None:
         """Closes the connection, which rolls back an open transaction."""
@@ -209,7 +250,7 @@
             self._prepared[shape] = name
             yield lines.prepare_text(name, shape)
 
-    async def _exchange(self, messages: Sequence[bytes]) -> list[Reply]:
+    async def _exchange(self, messages: list[_Message]) -> list[Reply]:
         """Sends messages and receives an answer to each.
 
         Raises:
@@ -221,9 +262,9 @@
         self.is_usable = False
         replies: list[Reply] = []
         try:
-            await self._stream.send_all(b"".join(messages))
-            while len(replies) < len(messages):
-                replies.append(await self._receive())
+            await self._stream.send_all(b"".join(m.data for m in messages))
+            for message in messages:
+                replies.append(await self._receive_answer(message))
         except (
             OSError,
             trio.BrokenResourceError,
@@ -239,6 +280,34 @@
         self.position = replies[-1].position
         return replies
 
+    async def _receive_answer(self, message: _Message) -> Reply:
+        """Receives the answer to a message."""
+        reply = await self._receive()
+        mismatch = self._matcher.check(message.expected, self.state, reply)
+        if mismatch is not None:
+            self._report_unexpected(mismatch.value, message.request_id)
+        return reply
+
+    def _report_unexpected(
+        self, reason: str, request_id: str = lines.INTERNAL_REQUEST_ID
+    ) -> None:
+        """Counts and logs an answer that no statement can have led to.
+
+        Args:
+            reason: What shows it.
+            request_id: The statement that was waiting for its answer.
+        """
+        self._supervisor.metrics.count(
+            "answers_unexpected", endpoint=self.endpoint.name, reason=reason
+        )
+        log_event(
+            "answer unexpected",
+            request=request_id,
+            endpoint=self.endpoint.name,
+            group=self.endpoint.group,
+            cause=reason,
+        )
+
     async def _receive(self) -> Reply:
         while (reply := self._reader.next_reply()) is None:
             chunk = await self._stream.receive_some(READ_BYTES)
--- a/src/lagoonstair/proxy/_supervisor.py
+++ b/src/lagoonstair/proxy/_supervisor.py
@@ -25,10 +25,13 @@
 
     Only exceptions that nobody expects get here. Each is logged and counted,
     so that none goes unnoticed.
+
+    Attributes:
+        metrics: The metrics that it counts in.
     """
 
     def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
+        self.metrics = metrics
 
     def report(self, task: str, exc: BaseException, **fields: Any) -> None:
         """Logs and counts an unexpected exception.
@@ -38,7 +41,7 @@
             exc: The exception.
             **fields: What the work was for, such as an endpoint or a group.
         """
-        self._metrics.count("task_failures", task=task)
+        self.metrics.count("task_failures", task=task)
         fault = describe_exception(exc)
         log_event("task failed", task=task, fault=fault, **fields)
 
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -31,6 +31,7 @@
     NOT_RUN_CODES,
     DeliveryStatus,
     ErrorCode,
+    Expected,
     Failure,
     OperationKind,
     Result,
@@ -226,7 +227,7 @@
         ):
             with trio.move_on_after(ROLLBACK_TIMEOUT_SECONDS):
                 try:
-                    await link.run_internal(lines.ROLLBACK)
+                    await link.run_internal(lines.ROLLBACK, Expected.ENDED)
                 except LinkError:
                     # The endpoint rolls back when the connection closes.
                     link.close()
@@ -328,7 +329,7 @@
                     return Failure(ErrorCode.BUSY, NO_PRIMARY_MESSAGE)
                 begin = lines.begin_text(read_only=tx.read_only)
                 reply = await link.run_internal(
-                    lines.after_text(target.after, begin)
+                    lines.after_text(target.after, begin), Expected.BEGUN
                 )
                 if isinstance(reply.result, Success):
                     tx.link = link
@@ -371,8 +372,11 @@
             if not self._is_usable(tx):
                 raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED_MESSAGE)
             started_at = trio.current_time()
+            expected = (
+                Expected.COMMITTED if text == "COMMIT" else Expected.SIGNED
+            )
             try:
-                reply = await tx.link.run(request_id, text)
+                reply = await tx.link.run(request_id, text, expected)
             except LinkError:
                 tx.pool.record_failure(started_at)
                 raise
--- a/src/lagoonstair/statements/__init__.py
+++ b/src/lagoonstair/statements/__init__.py
@@ -1,5 +1,11 @@
 """Callers' statements, the session state machine, and outcomes of failures."""
 
+from lagoonstair.statements._matching import (
+    UNSIGNED,
+    AnswerMatcher,
+    Expected,
+    Mismatch,
+)
 from lagoonstair.statements._model import (
     NOT_RUN_CODES,
     Begin,
@@ -38,6 +44,8 @@
 
 __all__ = [
     "NOT_RUN_CODES",
+    "UNSIGNED",
+    "AnswerMatcher",
     "Begin",
     "Commit",
     "Deallocate",
@@ -45,8 +53,10 @@
     "EndTransaction",
     "ErrorCode",
     "Execute",
+    "Expected",
     "Failure",
     "LocalResult",
+    "Mismatch",
     "OpenTransaction",
     "OperationKind",
     "Prepare",
--- a/src/lagoonstair/statements/_model.py
+++ b/src/lagoonstair/statements/_model.py
@@ -163,7 +163,7 @@
     Attributes:
         rows: The rows, as the endpoint sent them.
         signature: The endpoint's proof that it ran the statement; ``-`` for
-            an answer that no endpoint gave.
+            an answer that proves nothing, and empty for a greeting.
     """
 
     rows: tuple[bytes, ...] = ()
