Let the last field of READ and DEALLOC hold blanks

What callers saw: MALFORMED for a read whose item holds a blank, although the last field of a message extends to the end of the line.

Cause: the parser split the fields of READ and DEALLOC at blanks and took one only.

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -196,7 +196,7 @@
     verb, _, rest = text.partition(" ")
     fields = rest.split(" ") if rest else []
     match verb, fields:
-        case "READ", [_]:
+        case "READ", [_, *_]:
             return Read(text)
         case "WRITE", [_, _, *_]:
             return Write(text)
@@ -215,8 +215,8 @@
         case "PREPARE", [name, "READ" | "WRITE" as kind, _, *_]:
             shape = rest[len(name) + len(kind) + 2 :]
             return Prepare(name, PreparedStatement(kind == "WRITE", shape))
-        case "DEALLOC", [name]:
-            return Deallocate(name)
+        case "DEALLOC", [_, *_]:
+            return Deallocate(rest)
         case _:
             return None
 
