Encode every message in one place, which refuses a field that ends it

The second defence behind the framing: what leaves the process is built from fields of callers, endpoints, the configuration and exceptions, and each encoder appended its own CR LF. A field with CR LF would have been two messages; none can hold one today, as CR LF alone ends what was received.

encode_line is the one encoder. It refuses a terminator inside a message and a message over the limit; a statement that may grow when it is sent on (AFTER, a prepared name) leaves room for that when it is read, a WRITE does not grow. The description of an error is folded into one line, since an error must always reach its caller. A key that ends with a blank stays whole to its home.

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -39,6 +39,13 @@
 """Greatest number of digits of a term or an offset, so that both fit into
 messages between instances."""
 
+MAX_REWRITE_BYTES = 64
+"""Upper bound on the bytes by which a statement may grow when it is sent on,
+with a log position before it or another name of a prepared statement."""
+
+MAX_MESSAGE_CHARS = 1000
+"""Greatest length of the description of an error that is sent to a caller."""
+
 INTERNAL_REQUEST_ID = "-"
 """Request id of statements that the instance itself issues."""
 
@@ -165,6 +172,23 @@
         return line
 
 
+def encode_line(text: bytes) -> bytes:
+    """Encodes one message; every message that is sent goes through this.
+
+    Args:
+        text: The message without its terminator.
+
+    Raises:
+        BadLineError: The text contains a terminator, so that it would be read
+            as several messages, or it exceeds ``MAX_LINE_BYTES``.
+    """
+    if LINE_END in text:
+        raise BadLineError(ErrorCode.MALFORMED, "a field ends the line")
+    if len(text) > MAX_LINE_BYTES:
+        raise BadLineError(ErrorCode.TOO_LARGE, "the line is too long")
+    return text + LINE_END
+
+
 def parse_caller_line(line: bytes) -> CallerMessage:
     """Parses a line sent by a caller.
 
@@ -177,7 +201,11 @@
             request_id, _, text = rest.partition(" ")
             if not request_id:
                 raise BadLineError(ErrorCode.MALFORMED, "QUERY lacks its id")
-            return Query(request_id, parse_statement(text))
+            statement = parse_statement(text)
+            is_rewritten = not isinstance(statement, Write)
+            if is_rewritten and len(line) > MAX_LINE_BYTES - MAX_REWRITE_BYTES:
+                raise BadLineError(ErrorCode.TOO_LARGE, "the line is too long")
+            return Query(request_id, statement)
         case "START":
             database, _, key = rest.partition(" ")
             if not database:
@@ -223,13 +251,15 @@
 
 def encode_ready(state: TransactionState) -> bytes:
     """Encodes the READY line, which asks a caller for its next statement."""
-    return f"READY {STATE_WORDS[state]} -\r\n".encode("latin-1")
+    return encode_line(f"READY {STATE_WORDS[state]} -".encode("latin-1"))
 
 
 def encode_failure(failure: Failure) -> bytes:
     """Encodes the ERROR line for a caller, without a READY line."""
     word = CODE_WORDS[failure.code]
-    return f"ERROR {word} {failure.message}\r\n".encode("latin-1", "replace")
+    # An error is sent whatever its description holds.
+    message = " ".join(failure.message[:MAX_MESSAGE_CHARS].splitlines())
+    return encode_line(f"ERROR {word} {message}".encode("latin-1", "replace"))
 
 
 def is_authorization_refusal(greeting: bytes) -> bool:
@@ -246,9 +276,9 @@
     """Encodes the complete answer to a caller's statement, READY included."""
     match result:
         case Success():
-            rows = b"".join(row + b"\r\n" for row in result.rows)
-            complete = f"COMPLETE {result.signature}\r\n".encode("latin-1")
-            return rows + complete + encode_ready(state)
+            rows = b"".join(map(encode_line, result.rows))
+            complete = f"COMPLETE {result.signature}".encode("latin-1")
+            return rows + encode_line(complete) + encode_ready(state)
         case Failure():
             return encode_failure(result) + encode_ready(state)
 
@@ -274,7 +304,7 @@
     fields = (group, workspace, endpoint)
     if not all(map(is_field, fields)):
         raise BadLineError(ErrorCode.MALFORMED, "a name is not a field")
-    return " ".join(("START", *fields)).encode() + b"\r\n"
+    return encode_line(" ".join(("START", *fields)).encode())
 
 
 def is_field(text: str) -> bool:
@@ -283,13 +313,18 @@
 
 
 def encode_caller_start(database: str, key: str) -> bytes:
-    """Encodes a caller's START for another instance, without a terminator."""
-    return f"START {database} {key}".rstrip(" ").encode("latin-1")
+    """Encodes a caller's START for another instance."""
+    start = f"START {database} {key}" if key else f"START {database}"
+    return encode_line(start.encode("latin-1"))
 
 
 def encode_query(request_id: str, text: str) -> bytes:
-    """Encodes the QUERY line that sends a statement to an endpoint."""
-    return f"QUERY {request_id} {text}\r\n".encode("latin-1")
+    """Encodes the QUERY line that sends a statement to an endpoint.
+
+    Raises:
+        BadLineError: The statement is not one line, or it is too long.
+    """
+    return encode_line(f"QUERY {request_id} {text}".encode("latin-1"))
 
 
 def after_text(position: Position | None, text: str) -> str:
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -82,7 +82,7 @@
         Args:
             caller: The caller's connection.
             address: The home's address for relayed sessions.
-            start: The caller's first line.
+            start: The caller's first line, encoded.
 
         Raises:
             HomeLostError: The home did not open the session. Nothing was sent
@@ -97,7 +97,7 @@
                     socket.TCP_USER_TIMEOUT,
                     TCP_USER_TIMEOUT_MS,
                 )
-                await home.send_all(start + b"\r\n")
+                await home.send_all(start)
                 first = await home.receive_some(READ_BYTES)
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
             # Without a connection and without a timeout, it was refused.
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -185,6 +185,51 @@
         lines.parse_status(())
 
 
+@pytest.mark.parametrize(
+    "encode",
+    [
+        lambda text: lines.encode_query("q1", f"WRITE a {text}"),
+        lambda text: lines.encode_query(text, "READ a"),
+        lambda text: lines.encode_query("-", lines.set_text("v", text)),
+        lambda text: lines.encode_caller_start("db", text),
+        lambda text: lines.encode_start("g", text, "d1"),
+        lambda text: lines.encode_result(
+            Success(signature=text), TransactionState.IDLE
+        ),
+        lambda text: lines.encode_result(
+            Success((text.encode("latin-1"),), "s"), TransactionState.IDLE
+        ),
+    ],
+)
+# Guards against a field that becomes a message of its own.
+def test_a_field_that_would_end_the_line_is_not_sent(encode):
+    encode("x")
+    with pytest.raises(lines.BadLineError):
+        encode("x\r\nQUERY - RESET")
+
+
+@given(st.text(max_size=40))
+@settings(max_examples=examples(100), deadline=None)
+def test_an_error_is_one_line_whatever_it_describes(message):
+    failure = Failure(ErrorCode.BUSY, f"x\r\nREADY I -\n{message}")
+    line = lines.encode_failure(failure)
+    assert line.startswith(b"ERROR BUSY x ")
+    assert line.endswith(b"\r\n")
+    assert not {10, 13} & {*line[:-2]}
+
+
+def test_a_statement_that_may_grow_leaves_room_for_it():
+    text = b"QUERY q1 %b a " + b"x" * lines.MAX_LINE_BYTES
+    write = (text % b"WRITE")[: lines.MAX_LINE_BYTES]
+    assert isinstance(lines.parse_caller_line(write).statement, Write)
+    largest = Position(10**lines.MAX_NUMBER_DIGITS - 1, 10**18 - 1)
+    room = lines.MAX_LINE_BYTES - lines.MAX_REWRITE_BYTES
+    read = lines.parse_caller_line((text % b"READ")[:room])
+    lines.encode_query("q1", lines.after_text(largest, read.statement.text))
+    with pytest.raises(lines.BadLineError):
+        lines.parse_caller_line((text % b"READ")[: room + 1])
+
+
 def test_a_caller_cannot_inject_a_line_through_a_statement():
     result = lines.encode_result(
         Failure(ErrorCode.BUSY, "why"), TransactionState.IDLE
