Let nothing but a statement's own answer reach its caller

What callers saw: MIXED, a read with the signature of another statement or with '-', a COMMIT acknowledged with the answer to an earlier read; a write REFUSED or run TWICE, when the copy of a refusal was taken for its answer; PINNED, when the copy of a BEGIN's answer hid that the transaction had failed.

Cause: answers carry no id and were told apart by their order alone, so one that an endpoint sent a second time, late, shifted all later ones on the connection.

Change: an answer is taken only if the waiting statement can have led to it, by kind, state and signatures seen before on the connection; others are skipped. A new signature is certainly the awaited one, since one statement at a time awaits a signature. A refusal has nothing that tells it from its copy, so a connection on which one was received is closed, as is one that was out of step or has had 1,024 signatures. For a minute after an endpoint was seen to repeat an answer, each of its connections gets one transaction only: the copy of a BEGIN's answer could hide that the next BEGIN was refused. A survey asks for each status on a new connection, where no older one can be repeated.

--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -37,7 +37,6 @@
     Result,
     Run,
     Success,
-    TransactionState,
     failure_for_caller,
     is_busy,
 )
@@ -225,10 +224,7 @@
         except LagoonstairError as exc:
             failure = refusal_failure(exc)
         finally:
-            if link.is_usable and link.state is TransactionState.IDLE:
-                pool.release(link)
-            else:
-                pool.discard(link)
+            pool.release(link)
         if sent is DeliveryStatus.UNANSWERED:
             pool.record_failure(started_at)
             log_event(
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -2,7 +2,7 @@
 
 import itertools
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import trio
@@ -80,7 +80,8 @@
             ``None``; an earlier one would wrongly count as including what was
             written since.
         is_usable: Whether it can run statements; false after a cancelled
-            statement or an unexpected answer.
+            statement or a malformed answer.
+        has_begun: Whether a transaction was begun on it.
         last_used_at: When it last answered, in seconds.
     """
 
@@ -90,19 +91,23 @@
         endpoint: Endpoint,
         workspace: str,
         supervisor: Supervisor,
+        on_unexpected: Callable[[], bool] = lambda: True,
     ) -> None:
         self._stream = stream
         self._supervisor = supervisor
+        self._on_unexpected = on_unexpected
         self._reader = lines.ReplyReader()
         self._values: dict[str, str] = {}
         self._prepared: dict[PreparedStatement, str] = {}
         self._name_numbers = itertools.count(1)
         self._matcher = AnswerMatcher()
+        self._is_in_step = True
         self.endpoint = endpoint
         self.workspace = workspace
         self.state = TransactionState.IDLE
         self.position: Position | None = None
         self.is_usable = True
+        self.has_begun = False
         self.last_used_at = trio.current_time()
 
     @classmethod
@@ -111,13 +116,16 @@
         endpoint: Endpoint,
         workspace: str,
         supervisor: Supervisor | None = None,
+        on_unexpected: Callable[[], bool] = lambda: True,
     ) -> "Link":
         """Opens a connection.
 
         Args:
             endpoint: The endpoint.
             workspace: The workspace on whose behalf it is opened.
-            supervisor: Counts unexpected exceptions.
+            supervisor: Counts unexpected exceptions and answers.
+            on_unexpected: Called when the endpoint has sent an answer that no
+                statement can have led to; returns whether that is news.
 
         Raises:
             LinkError: The endpoint is unreachable or refused, or its use
@@ -134,7 +142,7 @@
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
-        link = cls(stream, endpoint, workspace, supervisor)
+        link = cls(stream, endpoint, workspace, supervisor, on_unexpected)
         try:
             (reply,) = await link._exchange(
                 [_Message(start, Expected.GREETING)]
@@ -214,6 +222,24 @@
         self._values = dict(values)
         return "" if shape is None else self._prepared[shape]
 
+    @property
+    def is_in_step(self) -> bool:
+        """Whether its next answer certainly is that of its next statement.
+
+        A copy of a refusal can't be told from the refusal of a later
+        statement, so this is false once a statement was refused.
+        """
+        return self.is_usable and self._is_in_step
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another operation may use it."""
+        return (
+            self.is_in_step
+            and self.state is TransactionState.IDLE
+            and not self._matcher.is_exhausted
+        )
+
     def is_alive(self) -> bool:
         """Returns whether the endpoint has neither closed it nor sent data."""
         if not self.is_usable:
@@ -275,23 +301,35 @@
         except Exception as exc:
             raise _report_fault(self._supervisor, self.endpoint, exc) from exc
         self.is_usable = True
+        self._is_in_step &= not any(
+            isinstance(reply.result, Failure) for reply in replies
+        )
         self.last_used_at = trio.current_time()
         self.state = replies[-1].state
         self.position = replies[-1].position
         return replies
 
     async def _receive_answer(self, message: _Message) -> Reply:
-        """Receives the answer to a message."""
-        reply = await self._receive()
-        mismatch = self._matcher.check(message.expected, self.state, reply)
-        if mismatch is not None:
+        """Receives the answer to a message, and skips what can't be it.
+
+        The answer itself follows. What was skipped shows that the endpoint
+        repeats answers, so the connection is not used again.
+        """
+        while True:
+            reply = await self._receive()
+            mismatch = self._matcher.check(message.expected, self.state, reply)
+            if mismatch is None:
+                self.has_begun |= message.expected is Expected.BEGUN
+                return reply
+            self._is_in_step = False
             self._report_unexpected(mismatch.value, message.request_id)
-        return reply
 
     def _report_unexpected(
         self, reason: str, request_id: str = lines.INTERNAL_REQUEST_ID
     ) -> None:
-        """Counts and logs an answer that no statement can have led to.
+        """Counts an answer that no statement can have led to.
+
+        It is logged for each caller's request, and else once in a while.
 
         Args:
             reason: What shows it.
@@ -300,13 +338,15 @@
         self._supervisor.metrics.count(
             "answers_unexpected", endpoint=self.endpoint.name, reason=reason
         )
-        log_event(
-            "answer unexpected",
-            request=request_id,
-            endpoint=self.endpoint.name,
-            group=self.endpoint.group,
-            cause=reason,
-        )
+        is_news = self._on_unexpected()
+        if is_news or request_id != lines.INTERNAL_REQUEST_ID:
+            log_event(
+                "answer unexpected",
+                request=request_id,
+                endpoint=self.endpoint.name,
+                group=self.endpoint.group,
+                cause=reason,
+            )
 
     async def _receive(self) -> Reply:
         while (reply := self._reader.next_reply()) is None:
--- a/src/lagoonstair/proxy/_orders.py
+++ b/src/lagoonstair/proxy/_orders.py
@@ -149,8 +149,9 @@
     ) -> None:
         """Asks an endpoint for its status again and again until cancelled.
 
-        An endpoint that refuses or fails is asked again after a short pause:
-        one that reads keep busy may have no slot for seconds.
+        Each question has a connection of its own, on which no earlier answer
+        can be repeated. An endpoint that refuses or fails is asked again after
+        a short pause: one that reads keep busy may have no slot for seconds.
 
         Args:
             pool: The endpoint.
@@ -160,16 +161,14 @@
             with contextlib.suppress(LinkError):
                 link = await pool.open_link(self.any_workspace())
                 try:
-                    while True:
-                        reply = await link.run_internal(lines.STATUS)
-                        pool.record_reachable()
-                        if isinstance(reply.result, Success):
-                            status = _parse_status(pool, reply.result.rows)
-                            if status is not None:
-                                note(status)
-                        await trio.sleep(POLL_SECONDS)
+                    reply = await link.run_internal(lines.STATUS)
                 finally:
                     link.close()
+                pool.record_reachable()
+                if isinstance(reply.result, Success):
+                    status = _parse_status(pool, reply.result.rows)
+                    if status is not None:
+                        note(status)
             await trio.sleep(POLL_SECONDS)
 
     async def _command(
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -47,6 +47,10 @@
 """Time in seconds after a failure for which an endpoint counts as suspect,
 even if it answers again."""
 
+REPETITION_SECONDS = 60.0
+"""Time in seconds for which an endpoint that has sent an answer which nobody
+asked for is expected to do so again."""
+
 REACHABLE_SECONDS = 1.0
 """Greatest age in seconds of an answer that shows that an endpoint is
 reachable."""
@@ -118,6 +122,7 @@
         self._sequence = itertools.count()
         self._waiters: list[tuple[int, int, trio.Event]] = []
         self._congested_until = -math.inf
+        self._repeats_until = -math.inf
         self._congested_limit = budget
         self._closed = False
 
@@ -155,7 +160,12 @@
         Raises:
             LinkError: The endpoint is unreachable or refused.
         """
-        return await Link.open(self.endpoint, workspace, self._supervisor)
+        return await Link.open(
+            self.endpoint,
+            workspace,
+            self._supervisor,
+            self._record_repetition,
+        )
 
     async def acquire(
         self, workspace: str, *, deadline: float, priority: int
@@ -197,10 +207,13 @@
         raise NoLinkError(Failure(ErrorCode.BUSY, "the endpoint has left"))
 
     def release(self, link: Link) -> None:
-        """Returns a connection without a transaction to the pool."""
+        """Returns a connection to the pool, or closes it.
+
+        It is closed unless another operation may use it.
+        """
         if link not in self._links:
             return
-        if self._closed or not link.is_usable:
+        if self._closed or not link.is_reusable or self._is_doubtful(link):
             self.discard(link)
             return
         self._idle.append(link)
@@ -361,6 +374,28 @@
         for link in [*self._links]:
             self.discard(link)
 
+    def _record_repetition(self) -> bool:
+        """Records that the endpoint has sent an answer nobody asked for.
+
+        Returns:
+            Whether it was not expected to do so.
+        """
+        now = trio.current_time()
+        is_news = now >= self._repeats_until
+        self._repeats_until = now + REPETITION_SECONDS
+        for link in [*self._idle]:
+            if self._is_doubtful(link):
+                self.discard(link)
+        return is_news
+
+    def _is_doubtful(self, link: Link) -> bool:
+        """Returns whether a second transaction might not begin on it.
+
+        A copy of the answer to its first ``BEGIN`` can't be told from that to
+        the second, which may have been refused.
+        """
+        return link.has_begun and trio.current_time() < self._repeats_until
+
     def _record_position(self, link: Link, requested_at: float) -> None:
         if link.position is None:
             return
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -222,7 +222,7 @@
         link = tx.link
         if (
             link is not None
-            and link.is_usable
+            and link.is_in_step
             and link.state is not TransactionState.IDLE
         ):
             with trio.move_on_after(ROLLBACK_TIMEOUT_SECONDS):
@@ -344,10 +344,7 @@
         except LinkError as exc:
             pool.record_failure(started_at)
             failure = Failure(ErrorCode.BUSY, str(exc))
-        if link.is_usable and link.state is TransactionState.IDLE:
-            pool.release(link)
-        else:
-            pool.discard(link)
+        pool.release(link)
         return failure
 
     async def _exchange(
@@ -398,10 +395,7 @@
         assert tx.pool is not None
         if tx.epoch:
             self._targets.end_primary_use(tx.route.group)
-        if tx.link.is_usable and tx.link.state is TransactionState.IDLE:
-            tx.pool.release(tx.link)
-        else:
-            tx.pool.discard(tx.link)
+        tx.pool.release(tx.link)
 
     def _is_usable(self, tx: Transaction) -> bool:
         """Returns whether a transaction is open on the current primary.
--- a/tests/test_proxy_pool.py
+++ b/tests/test_proxy_pool.py
@@ -14,8 +14,8 @@
     NoLinkError,
 )
 from lagoonstair.routing import Endpoint
-from lagoonstair.standins.statements import Group
-from lagoonstair.statements import ErrorCode, PreparedStatement
+from lagoonstair.standins.statements import Group, Stutter
+from lagoonstair.statements import ErrorCode, Expected, PreparedStatement
 
 HOST = "127.0.0.1"
 
@@ -202,3 +202,45 @@
             f"PREPARE {name} READ q2c",
             f"PREPARE {again} READ q2c",
         ]
+
+
+# Guards against a copy of a refusal that is taken for that of a later write.
+async def test_a_connection_is_not_used_again_after_a_refusal():
+    async with _pool(2) as (pool, database):
+        link = await _acquire(pool)
+        database.busy_answers = 1
+        reply = await link.run("q1", "WRITE a 1")
+        assert reply.result.code is ErrorCode.BUSY
+        pool.release(link)
+        assert not link.is_usable
+        assert await _acquire(pool) is not link
+
+
+# Guards against the copy of a BEGIN's answer that hides the refusal of another.
+async def test_a_repeating_endpoint_gets_one_transaction_a_connection():
+    async with _pool(3) as (pool, database):
+        used, idle, fresh = [await _acquire(pool) for _ in range(3)]
+        for link in (used, idle):
+            await link.run_internal("BEGIN", Expected.BEGUN)
+            await link.run("q1", "COMMIT", Expected.COMMITTED)
+        pool.release(idle)
+        database.stutter = Stutter(repeat_share=1.0, repeat_seconds=0.0)
+        await fresh.run("q2", "READ a")
+        while fresh.is_alive():
+            await trio.lowlevel.checkpoint()
+        assert not idle.is_usable
+        pool.release(used)
+        assert not used.is_usable
+
+
+# Guards against a copy that arrives after the next statement was sent.
+async def test_a_copy_is_skipped_and_its_connection_not_used_again():
+    async with _pool(1) as (pool, database):
+        link = await _acquire(pool)
+        database.stutter = Stutter(repeat_share=1.0, repeat_seconds=0.0)
+        first = await link.run("q1", "READ a")
+        second = await link.run("q2", "READ a")
+        assert first.result.signature != second.result.signature
+        assert link.is_usable
+        pool.release(link)
+        assert not link.is_usable
