Take no answer that was cut and completed by another one

What callers could have seen: rows that came twice under one signature, when an answer was cut after COMPLETE and a copy of the whole followed.

Cause: the reader of replies took ROW, COMPLETE and ERROR lines in any order until READY, the last COMPLETE or ERROR counted, and a signature could hold anything.

What stays open: an answer cut inside its rows and followed by another one on the same connection can't be told from one with these rows.

--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -88,6 +88,47 @@
     assert not reader.has_partial_reply
 
 
+SIGNED = b"ROW qh zk\r\nCOMPLETE 7.1f3\r\nREADY I 3.1207\r\n"
+REFUSED = b"ERROR BUSY i-7\r\nREADY I 3.1207\r\n"
+UNSIGNED = b"COMPLETE -\r\nREADY I 3.1207\r\n"
+ROW_BYTES = SIGNED.index(b"COMPLETE")
+"""Length of the rows, which may be cut without any sign of it."""
+
+
+# Guards against the start of a cut answer that becomes a part of the next one.
+@pytest.mark.parametrize(
+    "whole", [SIGNED, REFUSED, UNSIGNED, b"READY I 3.1\r\n"]
+)
+@pytest.mark.parametrize("answer", [SIGNED, REFUSED, UNSIGNED])
+def test_a_cut_answer_is_not_completed_by_another_one(answer, whole):
+    first = ROW_BYTES + 1 if answer is SIGNED else 1
+    for cut in range(first, len(answer)):
+        reader = lines.ReplyReader()
+        reader.feed(answer[:cut] + whole)
+        try:
+            replies = list(iter(reader.next_reply, None))
+        except lines.BadLineError:
+            continue
+        assert all(_is_true(reply, answer, whole) for reply in replies), cut
+
+
+def _is_true(reply, answer, whole):
+    """Returns whether a reply is one of the two, or promises nothing."""
+    results = [_reply(data).result for data in (answer, whole)]
+    match reply.result:
+        case Failure(code):
+            codes = [r.code for r in results if isinstance(r, Failure)]
+            return code in (*codes, ErrorCode.FAILED)
+        case Success():
+            return reply.result in results
+
+
+def _reply(data):
+    reader = lines.ReplyReader()
+    reader.feed(data)
+    return reader.next_reply()
+
+
 @pytest.mark.parametrize(
     "junk",
     [
@@ -97,6 +138,16 @@
         b"READY X -\r\n",
         b"READY I 3\r\n",
         b"READY I a.b\r\n",
+        b"COMPLETE s1\r\nROW a\r\n",
+        b"COMPLETE s1\r\nCOMPLETE s1\r\n",
+        b"COMPLETE s1\r\nERROR BUSY\r\n",
+        b"ERROR FAILED\r\nCOMPLETE s1\r\n",
+        b"ROW a\r\nREADY I -\r\n",
+        b"COMPLETE \r\n",
+        b"COMPLETE a b\r\n",
+        b"COMPLETE s1\rROW a\r\n",
+        b"COMPLETE s1\n\r\n",
+        b"ERROR \r\n",
     ],
 )
 def test_a_malformed_reply_is_refused(junk):
