Count the connections given up and the messages refused, by reason

An on-call engineer could not tell how many connections an endpoint that repeats answers costs, nor which messages were refused and why: the reasons were in no metric, and callers' refused messages in no log line.

connections_given_up_total and answers_malformed_total have endpoint and reason, bad_lines_total a reason; answer malformed and message refused are logged with what they concern, and explain finds the former.

--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -176,7 +176,16 @@
             # The caller has left, so no answer can be sent.
             self._metrics.count("callers_gone")
         except lines.BadLineError as exc:
-            self._metrics.count("bad_lines", code=exc.code.value)
+            self._metrics.count(
+                "bad_lines", code=exc.code.value, reason=str(exc)
+            )
+            log_event(
+                "message refused",
+                cause=str(exc),
+                code=exc.code.value,
+                database=connection.database,
+                workspace=connection.caller and connection.caller.workspace,
+            )
             await connection.send_refusal(Failure(exc.code, str(exc)))
         except Exception as exc:
             # An unexpected error in one session must not end the others.
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -102,6 +102,7 @@
         self._name_numbers = itertools.count(1)
         self._matcher = AnswerMatcher()
         self._is_in_step = True
+        self._was_refused = False
         self.endpoint = endpoint
         self.workspace = workspace
         self.state = TransactionState.IDLE
@@ -229,16 +230,20 @@
         A copy of a refusal can't be told from the refusal of a later
         statement, so this is false once a statement was refused.
         """
-        return self.is_usable and self._is_in_step
+        return self.is_usable and self._is_in_step and not self._was_refused
 
     @property
-    def is_reusable(self) -> bool:
-        """Whether another operation may use it."""
-        return (
-            self.is_in_step
-            and self.state is TransactionState.IDLE
-            and not self._matcher.is_exhausted
-        )
+    def reuse_obstacle(self) -> str:
+        """Why no other operation may use it; empty if one may."""
+        if not self.is_usable:
+            return "unusable"
+        if self._was_refused:
+            return "refused"
+        if not self._is_in_step:
+            return "out of step"
+        if self.state is not TransactionState.IDLE:
+            return "in transaction"
+        return "exhausted" if self._matcher.is_exhausted else ""
 
     def is_alive(self) -> bool:
         """Returns whether the endpoint has neither closed it nor sent data."""
@@ -291,17 +296,19 @@
             await self._stream.send_all(b"".join(m.data for m in messages))
             for message in messages:
                 replies.append(await self._receive_answer(message))
+        except lines.BadLineError as exc:
+            self._report_malformed(str(exc), messages[len(replies)])
+            raise LinkError(f"{self.endpoint.name}: {exc}") from exc
         except (
             OSError,
             trio.BrokenResourceError,
             trio.ClosedResourceError,
-            lines.BadLineError,
         ) as exc:
             raise LinkError(f"{self.endpoint.name}: {exc}") from exc
         except Exception as exc:
             raise _report_fault(self._supervisor, self.endpoint, exc) from exc
         self.is_usable = True
-        self._is_in_step &= not any(
+        self._was_refused |= any(
             isinstance(reply.result, Failure) for reply in replies
         )
         self.last_used_at = trio.current_time()
@@ -324,6 +331,20 @@
             self._is_in_step = False
             self._report_unexpected(mismatch.value, message.request_id)
 
+    def _report_malformed(self, reason: str, message: _Message) -> None:
+        """Counts and logs an answer that violates the protocol."""
+        name = self.endpoint.name
+        self._supervisor.metrics.count(
+            "answers_malformed", endpoint=name, reason=reason
+        )
+        log_event(
+            "answer malformed",
+            request=message.request_id,
+            endpoint=name,
+            group=self.endpoint.group,
+            cause=reason,
+        )
+
     def _report_unexpected(
         self, reason: str, request_id: str = lines.INTERNAL_REQUEST_ID
     ) -> None:
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -213,7 +213,16 @@
         """
         if link not in self._links:
             return
-        if self._closed or not link.is_reusable or self._is_doubtful(link):
+        obstacle = link.reuse_obstacle
+        if not obstacle and self._is_doubtful(link):
+            obstacle = "second transaction"
+        if obstacle:
+            self._supervisor.metrics.count(
+                "connections_given_up",
+                endpoint=self.endpoint.name,
+                reason=obstacle,
+            )
+        if obstacle or self._closed:
             self.discard(link)
             return
         self._idle.append(link)
--- a/tests/test_proxy_pool.py
+++ b/tests/test_proxy_pool.py
@@ -211,6 +211,7 @@
         database.busy_answers = 1
         reply = await link.run("q1", "WRITE a 1")
         assert reply.result.code is ErrorCode.BUSY
+        assert link.reuse_obstacle == "refused"
         pool.release(link)
         assert not link.is_usable
         assert await _acquire(pool) is not link
