--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -380,7 +380,12 @@
 
 
 class ReplyReader:
-    """Incremental parser that assembles an endpoint's replies from lines."""
+    """Incremental parser that assembles an endpoint's replies from lines.
+
+    A reply is any number of ROW lines, then one COMPLETE or ERROR line, then
+    READY; a greeting is READY alone. Anything else may be the start of a reply
+    that was cut, with another one behind it.
+    """
 
     def __init__(self) -> None:
         self._splitter = LineSplitter()
@@ -410,18 +415,19 @@
         """
         while (line := self._splitter.next_line()) is not None:
             verb, _, rest = line.decode("latin-1").partition(" ")
+            is_open = self._result is None
             match verb:
-                case "ROW":
+                case "ROW" if is_open:
                     self._rows.append(line)
-                case "COMPLETE":
+                case "COMPLETE" if is_open and is_field(rest):
                     self._result = Success(tuple(self._rows), rest)
-                case "ERROR":
+                case "ERROR" if is_open and rest:
                     word, _, message = rest.partition(" ")
                     code = CODES.get(word, ErrorCode.FAILED)
                     self._result = Failure(code, message)
                     if code in (ErrorCode.MISROUTED, ErrorCode.CONGESTED):
                         return self._finish("I -")
-                case "READY":
+                case "READY" if not (is_open and self._rows):
                     return self._finish(rest)
                 case _:
                     raise BadLineError(ErrorCode.MALFORMED, "unknown reply")
