Tell the answer to a BEGIN from a copy by the endpoint's log

What callers could have seen: a statement of a transaction that ran outside of it, and BUSY for a write that was kept, when the first copy that an endpoint ever sent was that of a BEGIN's answer and hid that the next BEGIN was refused.

Cause: one transaction a connection was asked for only once a repetition had been seen, and only for a minute. Change: an answer that a transaction was begun is taken if no earlier answer on the connection can be its copy, that is if none came in a transaction, or the log has grown since the last one that did. A copy has the old position, or, if it is rendered anew, the state of a connection without a transaction. Connections that could not tell are not chosen for transactions, and a doubtful answer ends its connection without making the endpoint unreachable.

--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -178,6 +178,7 @@
         sent = DeliveryStatus.NOT_SENT
         failure = Failure(ErrorCode.BUSY, "no slot was free in time")
         started_at = trio.current_time()
+        link_error: LinkError | None = None
         try:
             with self._targets.primary_use(route.group, target.is_primary):
                 with trio.move_on_at(attempt_deadline):
@@ -219,14 +220,17 @@
                             )
                         return DeliveryStatus.ANSWERED, reply.result
         except LinkError as exc:
-            pool.record_failure(started_at)
+            link_error = exc
             failure = Failure(ErrorCode.BUSY, str(exc))
         except LagoonstairError as exc:
             failure = refusal_failure(exc)
         finally:
             pool.release(link)
-        if sent is DeliveryStatus.UNANSWERED:
+        if link_error is not None:
+            pool.record_link_error(started_at, link_error)
+        elif sent is DeliveryStatus.UNANSWERED:
             pool.record_failure(started_at)
+        if sent is DeliveryStatus.UNANSWERED:
             log_event(
                 "statement unanswered",
                 request=request_id,
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -18,6 +18,7 @@
     AnswerMatcher,
     Expected,
     Failure,
+    Mismatch,
     PreparedStatement,
     Reply,
     TransactionState,
@@ -41,6 +42,8 @@
         refusal: The endpoint's refusal to open the session, if it sent one.
         is_fault: Whether an unexpected exception, which has been reported, is
             the cause.
+        is_reachable: Whether the endpoint has answered, so that it is not out
+            of reach although the connection can't be used.
     """
 
     def __init__(
@@ -49,10 +52,12 @@
         refusal: Failure | None = None,
         *,
         is_fault: bool = False,
+        is_reachable: bool = False,
     ) -> None:
         super().__init__(message)
         self.refusal = refusal
         self.is_fault = is_fault
+        self.is_reachable = is_reachable or refusal is not None
 
 
 class _Message(NamedTuple):
@@ -81,7 +86,6 @@
             written since.
         is_usable: Whether it can run statements; false after a cancelled
             statement or a malformed answer.
-        has_begun: Whether a transaction was begun on it.
         last_used_at: When it last answered, in seconds.
     """
 
@@ -108,7 +112,6 @@
         self.state = TransactionState.IDLE
         self.position: Position | None = None
         self.is_usable = True
-        self.has_begun = False
         self.last_used_at = trio.current_time()
 
     @classmethod
@@ -245,6 +248,14 @@
             return "in transaction"
         return "exhausted" if self._matcher.is_exhausted else ""
 
+    def can_begin(self, position: Position | None) -> bool:
+        """Returns whether a transaction can certainly be begun on it.
+
+        Args:
+            position: The end of the endpoint's log, if known.
+        """
+        return self._matcher.can_begin(position)
+
     def is_alive(self) -> bool:
         """Returns whether the endpoint has neither closed it nor sent data."""
         if not self.is_usable:
@@ -299,6 +310,8 @@
         except lines.BadLineError as exc:
             self._report_malformed(str(exc), messages[len(replies)])
             raise LinkError(f"{self.endpoint.name}: {exc}") from exc
+        except LinkError:
+            raise
         except (
             OSError,
             trio.BrokenResourceError,
@@ -326,9 +339,12 @@
             reply = await self._receive()
             mismatch = self._matcher.check(message.expected, self.state, reply)
             if mismatch is None:
-                self.has_begun |= message.expected is Expected.BEGUN
                 return reply
             self._is_in_step = False
+            if mismatch is Mismatch.DOUBTFUL:
+                raise LinkError(
+                    f"{self.endpoint.name}: doubtful answer", is_reachable=True
+                )
             self._report_unexpected(mismatch.value, message.request_id)
 
     def _report_malformed(self, reason: str, message: _Message) -> None:
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -47,9 +47,9 @@
 """Time in seconds after a failure for which an endpoint counts as suspect,
 even if it answers again."""
 
-REPETITION_SECONDS = 60.0
-"""Time in seconds for which an endpoint that has sent an answer which nobody
-asked for is expected to do so again."""
+REPORT_SECONDS = 60.0
+"""Time in seconds within which an endpoint's further answers that nobody asked
+for are no news."""
 
 REACHABLE_SECONDS = 1.0
 """Greatest age in seconds of an answer that shows that an endpoint is
@@ -122,7 +122,7 @@
         self._sequence = itertools.count()
         self._waiters: list[tuple[int, int, trio.Event]] = []
         self._congested_until = -math.inf
-        self._repeats_until = -math.inf
+        self._reported_until = -math.inf
         self._congested_limit = budget
         self._closed = False
 
@@ -164,11 +164,16 @@
             self.endpoint,
             workspace,
             self._supervisor,
-            self._record_repetition,
+            self._note_unexpected,
         )
 
     async def acquire(
-        self, workspace: str, *, deadline: float, priority: int
+        self,
+        workspace: str,
+        *,
+        deadline: float,
+        priority: int,
+        begins: bool = False,
     ) -> Link:
         """Acquires a connection on behalf of a workspace.
 
@@ -176,6 +181,7 @@
             workspace: The workspace; connections aren't shared with others.
             deadline: When to give up, in seconds.
             priority: Order among the waiters; lower values come first.
+            begins: Whether a transaction is to be begun on it.
 
         Returns:
             A connection without a transaction; return it by ``release`` or
@@ -185,7 +191,7 @@
             NoLinkError: No connection was available; nothing was sent.
         """
         while not self._closed:
-            link = self._acquire_idle(workspace)
+            link = self._acquire_idle(workspace, begins)
             if link is not None:
                 return link
             if len(self._links) + self._opening >= self._connection_limit():
@@ -214,8 +220,6 @@
         if link not in self._links:
             return
         obstacle = link.reuse_obstacle
-        if not obstacle and self._is_doubtful(link):
-            obstacle = "second transaction"
         if obstacle:
             self._supervisor.metrics.count(
                 "connections_given_up",
@@ -277,6 +281,20 @@
         self.answered_at = trio.current_time()
         self.unreachable_since = None
 
+    def record_link_error(self, started_at: float, exc: LinkError) -> None:
+        """Records the end of a connection.
+
+        Args:
+            started_at: When the attempt began, in seconds.
+            exc: What ended it. An endpoint that has answered something is
+                avoided for a while, but not out of reach.
+        """
+        if exc.is_reachable:
+            self._suspect_until = trio.current_time() + SUSPECT_SECONDS
+            self.record_reachable()
+        else:
+            self.record_failure(started_at)
+
     def record_failure(self, started_at: float) -> None:
         """Records an attempt that failed without an answer.
 
@@ -383,28 +401,13 @@
         for link in [*self._links]:
             self.discard(link)
 
-    def _record_repetition(self) -> bool:
-        """Records that the endpoint has sent an answer nobody asked for.
-
-        Returns:
-            Whether it was not expected to do so.
-        """
+    def _note_unexpected(self) -> bool:
+        """Returns whether an answer that nobody asked for is news."""
         now = trio.current_time()
-        is_news = now >= self._repeats_until
-        self._repeats_until = now + REPETITION_SECONDS
-        for link in [*self._idle]:
-            if self._is_doubtful(link):
-                self.discard(link)
+        is_news = now >= self._reported_until
+        self._reported_until = now + REPORT_SECONDS
         return is_news
 
-    def _is_doubtful(self, link: Link) -> bool:
-        """Returns whether a second transaction might not begin on it.
-
-        A copy of the answer to its first ``BEGIN`` can't be told from that to
-        the second, which may have been refused.
-        """
-        return link.has_begun and trio.current_time() < self._repeats_until
-
     def _record_position(self, link: Link, requested_at: float) -> None:
         if link.position is None:
             return
@@ -418,15 +421,17 @@
             return min(self.budget, self._congested_limit)
         return self.budget
 
-    def _acquire_idle(self, workspace: str) -> Link | None:
+    def _acquire_idle(self, workspace: str, begins: bool) -> Link | None:
         for link in reversed(self._idle):
             if link.workspace != workspace:
                 continue
+            if begins and not link.can_begin(self.position):
+                continue
             self._idle.remove(link)
             if link.is_alive():
                 return link
             self.discard(link)
-            return self._acquire_idle(workspace)
+            return self._acquire_idle(workspace, begins)
         return None
 
     def _close_oldest_idle(self) -> None:
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -316,7 +316,10 @@
         route = tx.route
         try:
             link = await pool.acquire(
-                caller.workspace, deadline=deadline, priority=route.priority
+                caller.workspace,
+                deadline=deadline,
+                priority=route.priority,
+                begins=True,
             )
         except NoLinkError as exc:
             return exc.failure
@@ -342,7 +345,7 @@
                 self._targets.record_refusal(pool, reply.result)
                 failure = reply.result
         except LinkError as exc:
-            pool.record_failure(started_at)
+            pool.record_link_error(started_at, exc)
             failure = Failure(ErrorCode.BUSY, str(exc))
         pool.release(link)
         return failure
@@ -374,8 +377,8 @@
             )
             try:
                 reply = await tx.link.run(request_id, text, expected)
-            except LinkError:
-                tx.pool.record_failure(started_at)
+            except LinkError as exc:
+                tx.pool.record_link_error(started_at, exc)
                 raise
             commits_writes = (
                 tx.has_written
--- a/src/lagoonstair/statements/_matching.py
+++ b/src/lagoonstair/statements/_matching.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from lagoonstair._types import Position
 from lagoonstair.statements._model import (
     Failure,
     Reply,
@@ -32,7 +33,8 @@
         GREETING: The session is open; there is no result.
         SIGNED: A signature, and the state is unchanged.
         COMMITTED: A signature, and no transaction is open.
-        UNCHANGED: No signature, and the state is unchanged.
+        UNCHANGED: No signature, and the state is unchanged; also that of a
+            command, which may return rows.
         BEGUN: No signature, and a transaction is open.
         ENDED: No signature, and no transaction is open.
     """
@@ -46,7 +48,17 @@
 
 
 class Mismatch(enum.Enum):
-    """Why an answer can't be that of the statement that awaits one."""
+    """Why an answer isn't taken by the statement that awaits one.
+
+    Attributes:
+        GREETING: It is a greeting, or should be one.
+        REPEATED: Its signature was seen before.
+        UNSIGNED: It has no signature, but should have one.
+        SIGNED: It has a signature, but should have none.
+        STATE: The statement can't lead to its state.
+        ROWS: It has rows, but should have none.
+        DOUBTFUL: It may be the statement's own or a copy of an earlier one.
+    """
 
     GREETING = "greeting"
     REPEATED = "repeated"
@@ -54,25 +66,45 @@
     SIGNED = "signed"
     STATE = "state"
     ROWS = "rows"
+    DOUBTFUL = "doubtful"
 
 
 class AnswerMatcher:
     """Tells the answers that one connection's statements can have led to.
 
     A signature that was not seen before is certainly the awaited one, because
-    no more than one statement awaits a signature at a time. A failure is
-    certainly the awaited answer if no failure came before it on the connection
-    and no statement but ``BEGIN`` is refused without a signed one after it.
+    one statement at a time awaits a signature. So is the first failure on a
+    connection, provided that the endpoint does not refuse to set a variable or
+    to prepare a statement. That a transaction was begun is certain only if no
+    earlier answer on the connection can have said so: the log has grown since
+    the last one in a transaction.
     """
 
     def __init__(self) -> None:
         self._signatures: set[int] = set()
+        self._was_open = False
+        self._open_position: Position | None = None
 
     @property
     def is_exhausted(self) -> bool:
         """Whether it remembers as many signatures as it may."""
         return len(self._signatures) >= MAX_SIGNATURES
 
+    def can_begin(self, position: Position | None) -> bool:
+        """Returns whether the answer to a BEGIN can be told from a copy.
+
+        Args:
+            position: The end of the endpoint's log, which the answer will
+                reach; ``None`` if it is unknown.
+        """
+        if not self._was_open:
+            return True
+        return (
+            position is not None
+            and self._open_position is not None
+            and position > self._open_position
+        )
+
     def check(
         self, expected: Expected, before: TransactionState, reply: Reply
     ) -> Mismatch | None:
@@ -90,9 +122,17 @@
             case Failure():
                 return None
             case Success(rows, signature):
-                return self._check_kind(
+                mismatch = self._check_kind(
                     expected, signature, bool(rows)
                 ) or _check_state(expected, before, reply.state)
+        if mismatch is not None:
+            return mismatch
+        if expected is Expected.BEGUN and not self.can_begin(reply.position):
+            return Mismatch.DOUBTFUL
+        if reply.state is TransactionState.OPEN:
+            self._was_open = True
+            self._open_position = reply.position
+        return None
 
     def _check_kind(
         self, expected: Expected, signature: str, has_rows: bool
--- a/tests/test_answers_review.py
+++ b/tests/test_answers_scripted.py
@@ -1,4 +1,4 @@
-"""Cases of the independent review, against endpoints that follow a script."""
+"""Statements against endpoints that follow a script of odd answers."""
 
 from contextlib import asynccontextmanager
 
--- a/tests/test_proxy_pool.py
+++ b/tests/test_proxy_pool.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from lagoonstair._types import Address
+from lagoonstair.proxy._link import LinkError
 from lagoonstair.proxy._pool import (
     CONGESTED_SECONDS,
     EXCESS_IDLE_SECONDS,
@@ -14,7 +15,7 @@
     NoLinkError,
 )
 from lagoonstair.routing import Endpoint
-from lagoonstair.standins.statements import Group, Stutter
+from lagoonstair.standins.statements import Group
 from lagoonstair.statements import ErrorCode, Expected, PreparedStatement
 
 HOST = "127.0.0.1"
@@ -40,9 +41,12 @@
         nursery.cancel_scope.cancel()
 
 
-async def _acquire(pool, workspace="w", seconds=5):
+async def _acquire(pool, workspace="w", seconds=5, begins=False):
     return await pool.acquire(
-        workspace, deadline=trio.current_time() + seconds, priority=1
+        workspace,
+        deadline=trio.current_time() + seconds,
+        priority=1,
+        begins=begins,
     )
 
 
@@ -218,30 +222,32 @@
 
 
 # Guards against the copy of a BEGIN's answer that hides the refusal of another.
-async def test_a_repeating_endpoint_gets_one_transaction_a_connection():
-    async with _pool(3) as (pool, database):
-        used, idle, fresh = [await _acquire(pool) for _ in range(3)]
-        for link in (used, idle):
-            await link.run_internal("BEGIN", Expected.BEGUN)
-            await link.run("q1", "COMMIT", Expected.COMMITTED)
-        pool.release(idle)
-        database.stutter = Stutter(repeat_share=1.0, repeat_seconds=0.0)
-        await fresh.run("q2", "READ a")
-        while fresh.is_alive():
-            await trio.lowlevel.checkpoint()
-        assert not idle.is_usable
-        pool.release(used)
-        assert not used.is_usable
+async def test_a_transaction_begins_where_its_answer_is_no_copy():
+    async with _pool(3) as (pool, _):
+        link = await _acquire(pool)
+        await link.run_internal("BEGIN", Expected.BEGUN)
+        await link.run("q1", "COMMIT", Expected.COMMITTED)
+        pool.record_answer(link, 0.0)
+        pool.release(link)
+        # The log has not grown since, so the same answer may come again.
+        other = await _acquire(pool, begins=True)
+        assert other is not link
+        pool.release(await _acquire(pool))
+        await other.run("q2", "WRITE a 1")
+        pool.record_answer(other, 0.0)
+        assert await _acquire(pool, begins=True) is link
 
 
-# Guards against a copy that arrives after the next statement was sent.
-async def test_a_copy_is_skipped_and_its_connection_not_used_again():
-    async with _pool(1) as (pool, database):
+async def test_a_doubtful_begin_ends_its_connection():
+    async with _pool(1) as (pool, _):
         link = await _acquire(pool)
-        database.stutter = Stutter(repeat_share=1.0, repeat_seconds=0.0)
-        first = await link.run("q1", "READ a")
-        second = await link.run("q2", "READ a")
-        assert first.result.signature != second.result.signature
-        assert link.is_usable
+        for request_id in ("q1", "q2"):
+            if request_id == "q2":
+                with pytest.raises(LinkError) as caught:
+                    await link.run_internal("BEGIN", Expected.BEGUN)
+                assert caught.value.is_reachable
+                continue
+            await link.run_internal("BEGIN", Expected.BEGUN)
+            await link.run(request_id, "COMMIT", Expected.COMMITTED)
         pool.release(link)
         assert not link.is_usable
--- a/tests/test_statements_matching.py
+++ b/tests/test_statements_matching.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from lagoonstair._types import Address
+from lagoonstair._types import Address, Position
 from lagoonstair.cli._explain import explain_request, read_events
 from lagoonstair.proxy._link import Link
 from lagoonstair.proxy._metrics import Metrics
@@ -76,6 +76,34 @@
         assert matcher.check(expected, IDLE, reply) is Mismatch.REPEATED
 
 
+OLDER, NEWER = Position(3, 7), Position(3, 8)
+
+
+# Guards against the copy of a BEGIN's answer that hides the refusal of another.
+@pytest.mark.parametrize(
+    ("first", "second", "mismatch"),
+    [
+        (OLDER, NEWER, None),
+        (OLDER, OLDER, Mismatch.DOUBTFUL),
+        (NEWER, OLDER, Mismatch.DOUBTFUL),
+        (None, NEWER, Mismatch.DOUBTFUL),
+        (OLDER, None, Mismatch.DOUBTFUL),
+    ],
+)
+def test_a_second_begin_is_told_from_the_first_by_the_position(
+    first, second, mismatch
+):
+    matcher = AnswerMatcher()
+
+    def check(expected, before, result, state, position):
+        return matcher.check(expected, before, Reply(result, state, position))
+
+    assert check(Expected.BEGUN, IDLE, UNSIGNED, OPEN, first) is None
+    assert check(Expected.COMMITTED, OPEN, SIGNED, IDLE, NEWER) is None
+    assert matcher.can_begin(second) is (mismatch is None)
+    assert check(Expected.BEGUN, IDLE, UNSIGNED, OPEN, second) is mismatch
+
+
 async def _serve_copies(stream):
     """Greets, and answers each statement twice at once."""
     await stream.receive_some(1000)
@@ -104,8 +132,9 @@
             started=1,
         )
         link = await Link.open(endpoint, "w1", Supervisor(metrics))
-        await link.run("q1", "READ a")
-        await link.run("q2", "READ a")
+        replies = [await link.run(name, "READ a") for name in ("q1", "q2")]
+        assert [r.result.signature for r in replies] == ["s0", "s1"]
+        assert link.reuse_obstacle == "out of step"
         nursery.cancel_scope.cancel()
     page = metrics.render()
     sample = 'answers_unexpected_total{endpoint="d1",reason="repeated"} 1'
