Ask for the statuses of a survey on one connection again

It isn't needed: the connection is opened for the survey, so that a copy on it is of a status asked for in the same survey, when the previous primary was released already.

--- a/src/lagoonstair/proxy/_orders.py
+++ b/src/lagoonstair/proxy/_orders.py
@@ -149,9 +149,9 @@
     ) -> None:
         """Asks an endpoint for its status again and again until cancelled.
 
-        Each question has a connection of its own, on which no earlier answer
-        can be repeated. An endpoint that refuses or fails is asked again after
-        a short pause: one that reads keep busy may have no slot for seconds.
+        An endpoint that refuses or fails is asked again after a short pause:
+        one that reads keep busy may have no slot for seconds. The connection is
+        new, so that a copy of an earlier status is not older than the survey.
 
         Args:
             pool: The endpoint.
@@ -161,14 +161,16 @@
             with contextlib.suppress(LinkError):
                 link = await pool.open_link(self.any_workspace())
                 try:
-                    reply = await link.run_internal(lines.STATUS)
+                    while link.is_in_step:
+                        reply = await link.run_internal(lines.STATUS)
+                        pool.record_reachable()
+                        if isinstance(reply.result, Success):
+                            status = _parse_status(pool, reply.result.rows)
+                            if status is not None:
+                                note(status)
+                        await trio.sleep(POLL_SECONDS)
                 finally:
                     link.close()
-                pool.record_reachable()
-                if isinstance(reply.result, Success):
-                    status = _parse_status(pool, reply.result.rows)
-                    if status is not None:
-                        note(status)
             await trio.sleep(POLL_SECONDS)
 
     async def _command(
