Keep an endpoint that answers from counting as out of reach

What operators would see: a primary that is full or answers oddly is replaced although it runs. A START refused by any code but MISROUTED and CONGESTED waited for a READY that never comes and ended as a lost connection; a refused SET and a malformed answer counted as unreachable too, the latter twice.

A reply to START is whole with its ERROR line. A connection that ends although the endpoint has answered makes it suspect for a second, so that reads go elsewhere, and never unreachable.

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -387,7 +387,14 @@
     that was cut, with another one behind it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, awaits_greeting: bool = False) -> None:
+        """Creates a parser.
+
+        Args:
+            awaits_greeting: Whether the first reply is that to START, which
+                is refused by an ERROR line alone.
+        """
+        self._awaits_greeting = awaits_greeting
         self._splitter = LineSplitter()
         self._rows: list[bytes] = []
         self._result: Result | None = None
@@ -425,7 +432,8 @@
                     word, _, message = rest.partition(" ")
                     code = CODES.get(word, ErrorCode.FAILED)
                     self._result = Failure(code, message)
-                    if code in (ErrorCode.MISROUTED, ErrorCode.CONGESTED):
+                    if self._awaits_greeting:
+                        # The endpoint closes the connection after it.
                         return self._finish("I -")
                 case "READY" if not (is_open and self._rows):
                     return self._finish(rest)
@@ -437,6 +445,7 @@
         word, _, position = rest.partition(" ")
         if word not in STATES:
             raise BadLineError(ErrorCode.MALFORMED, "unknown state")
+        self._awaits_greeting = False
         result = self._result or Success(signature="")
         self._rows = []
         self._result = None
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -100,7 +100,7 @@
         self._stream = stream
         self._supervisor = supervisor
         self._on_unexpected = on_unexpected
-        self._reader = lines.ReplyReader()
+        self._reader = lines.ReplyReader(awaits_greeting=True)
         self._values: dict[str, str] = {}
         self._prepared: dict[PreparedStatement, str] = {}
         self._name_numbers = itertools.count(1)
@@ -222,7 +222,10 @@
             for reply in await self._exchange(queries):
                 if isinstance(reply.result, Failure):
                     self.is_usable = False
-                    raise LinkError(f"{self.endpoint.name}: {reply.result}")
+                    raise LinkError(
+                        f"{self.endpoint.name}: {reply.result}",
+                        is_reachable=True,
+                    )
         self._values = dict(values)
         return "" if shape is None else self._prepared[shape]
 
@@ -309,7 +312,9 @@
                 replies.append(await self._receive_answer(message))
         except lines.BadLineError as exc:
             self._report_malformed(str(exc), messages[len(replies)])
-            raise LinkError(f"{self.endpoint.name}: {exc}") from exc
+            raise LinkError(
+                f"{self.endpoint.name}: {exc}", is_reachable=True
+            ) from exc
         except LinkError:
             raise
         except (
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -359,8 +359,11 @@
                 await trio.sleep(FAULT_RETRY_SECONDS)
                 return
             await trio.sleep(PROBE_RETRY_SECONDS)
-            if exc.refusal is None or exc.refusal.code is ErrorCode.MISROUTED:
+            refusal = exc.refusal
+            if refusal is not None and refusal.code is ErrorCode.MISROUTED:
                 self.record_failure(started_at)
+            elif refusal is None:
+                self.record_link_error(started_at, exc)
             else:
                 self.record_reachable()
         except trio.TooSlowError:
@@ -460,7 +463,7 @@
                 link = await self.open_link(workspace)
         except LinkError as exc:
             if exc.refusal is None:
-                self.record_failure(started_at)
+                self.record_link_error(started_at, exc)
                 failure = Failure(
                     ErrorCode.BUSY, "the endpoint is out of reach"
                 )
