Send no COMMIT on with another text

'COMMIT ' with a blank behind it was taken for a COMMIT and sent on without the blank, which is a statement that nobody sent (UNASKED).

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -221,10 +221,10 @@
 
 def parse_statement(text: str) -> Statement | None:
     """Parses a statement; returns ``None`` if the text is not a valid one."""
-    verb, _, rest = text.partition(" ")
-    fields = rest.split(" ") if rest else []
+    verb, blank, rest = text.partition(" ")
+    fields = rest.split(" ") if blank else []
     match verb, fields:
-        case "READ", [_, *_]:
+        case "READ", [_, *_] if rest:
             return Read(text)
         case "WRITE", [_, _, *_]:
             return Write(text)
@@ -243,7 +243,7 @@
         case "PREPARE", [name, "READ" | "WRITE" as kind, _, *_]:
             shape = rest[len(name) + len(kind) + 2 :]
             return Prepare(name, PreparedStatement(kind == "WRITE", shape))
-        case "DEALLOC", [_, *_]:
+        case "DEALLOC", [_, *_] if rest:
             return Deallocate(rest)
         case _:
             return None
