Verify a refusal instead of closing its connection

Each BUSY cost a connection, whose opening takes a slot of the very endpoint that had none left.

A copy of a refusal can only be an earlier refusal on the same connection, so the first one is certain. After a later one, the connection begins and rolls back a transaction, for which an endpoint needs no slot: if the refusal was a copy, the statement's own answer comes before the answer to that, and is returned. The answer to that BEGIN is certain by the log's growth, as for any other; writes and transactions choose connections where it will be. Where it can't be told, the connection is closed, a read is tried elsewhere, a write or commit is in doubt. The log position comes from the verified answer, since a copy has an older one.

--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -7,7 +7,7 @@
 
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.platform import lines
-from lagoonstair.proxy._link import LinkError
+from lagoonstair.proxy._link import LinkError, LinkUse
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import NoLinkError
@@ -172,6 +172,7 @@
                 caller.workspace,
                 deadline=attempt_deadline,
                 priority=route.priority,
+                use=LinkUse.WRITE if run.writes else LinkUse.READ,
             )
         except NoLinkError as exc:
             return DeliveryStatus.NOT_SENT, exc.failure
@@ -200,7 +201,9 @@
                         failure = Failure(
                             ErrorCode.TIMEOUT, "no answer in time"
                         )
-                        reply = await link.run(request_id, text)
+                        reply = await link.run(
+                            request_id, text, has_effect=run.writes
+                        )
                         is_done = isinstance(reply.result, Success)
                         self._targets.record_answer(
                             caller,
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -1,8 +1,10 @@
 """A connection to an endpoint."""
 
+import enum
 import itertools
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 import trio
@@ -15,18 +17,24 @@
 from lagoonstair.proxy._supervisor import Supervisor
 from lagoonstair.routing import Endpoint
 from lagoonstair.statements import (
+    UNSIGNED,
     AnswerMatcher,
     Expected,
     Failure,
     Mismatch,
     PreparedStatement,
     Reply,
+    Success,
     TransactionState,
 )
 
 READ_BYTES = 64 * 1024
 """Maximum number of bytes read from the socket at once."""
 
+VERIFY_SECONDS = 0.3
+"""Time limit in seconds for the check whether a refusal is a copy of an earlier
+one; it needs no slot of the endpoint."""
+
 TCP_USER_TIMEOUT_MS = 1500
 """Time in milliseconds after which unacknowledged data ends a connection; a
 lost packet is retransmitted within some hundred milliseconds."""
@@ -60,6 +68,14 @@
         self.is_reachable = is_reachable or refusal is not None
 
 
+class LinkUse(enum.Enum):
+    """What a connection is needed for."""
+
+    READ = "read"
+    WRITE = "write"
+    TRANSACTION = "transaction"
+
+
 class _Message(NamedTuple):
     """A message to an endpoint.
 
@@ -164,6 +180,8 @@
         request_id: str,
         text: str,
         expected: Expected = Expected.SIGNED,
+        *,
+        has_effect: bool = True,
     ) -> Reply:
         """Runs one statement.
 
@@ -171,12 +189,30 @@
             request_id: The caller's id of the statement.
             text: The statement's text.
             expected: The answer that it can lead to.
+            has_effect: Whether a refusal promises that the statement had no
+                effect, so that it must not be a copy of an earlier one.
 
         Raises:
-            LinkError: No complete answer was received.
+            LinkError: No complete answer was received, or it can't be told
+                from a copy.
         """
         data = lines.encode_query(request_id, text)
+        may_be_copy = self._was_refused
+        before = self.state
         (reply,) = await self._exchange([_Message(data, expected, request_id)])
+        if not (may_be_copy and isinstance(reply.result, Failure)):
+            return reply
+        is_single = expected is Expected.SIGNED and (
+            before is TransactionState.IDLE
+        )
+        if is_single and (has_effect or self.can_begin(reply.position)):
+            return await self._verify_refusal(reply, request_id)
+        self._is_in_step = False
+        self.position = None
+        if expected is Expected.COMMITTED:
+            raise LinkError(
+                f"{self.endpoint.name}: doubtful answer", is_reachable=True
+            )
         return reply
 
     async def run_internal(
@@ -233,26 +269,39 @@
     def is_in_step(self) -> bool:
         """Whether its next answer certainly is that of its next statement.
 
-        A copy of a refusal can't be told from the refusal of a later
-        statement, so this is false once a statement was refused.
+        A refusal may be a copy of an earlier one on the connection. Where that
+        is not verified, this is false afterwards.
         """
-        return self.is_usable and self._is_in_step and not self._was_refused
+        return self.is_usable and self._is_in_step
 
     @property
     def reuse_obstacle(self) -> str:
         """Why no other operation may use it; empty if one may."""
         if not self.is_usable:
             return "unusable"
-        if self._was_refused:
-            return "refused"
         if not self._is_in_step:
             return "out of step"
         if self.state is not TransactionState.IDLE:
             return "in transaction"
         return "exhausted" if self._matcher.is_exhausted else ""
 
+    def suits(self, use: LinkUse, position: Position | None) -> bool:
+        """Returns whether the answers for a use can be told from copies.
+
+        Args:
+            use: What it is needed for.
+            position: The end of the endpoint's log, if known.
+        """
+        match use:
+            case LinkUse.READ:
+                return True
+            case LinkUse.WRITE:
+                return not self._was_refused or self.can_begin(position)
+            case LinkUse.TRANSACTION:
+                return self.can_begin(position)
+
     def can_begin(self, position: Position | None) -> bool:
-        """Returns whether a transaction can certainly be begun on it.
+        """Returns whether the answer to a BEGIN can be told from a copy.
 
         Args:
             position: The end of the endpoint's log, if known.
@@ -306,25 +355,10 @@
         # A cancelled exchange leaves the connection unusable.
         self.is_usable = False
         replies: list[Reply] = []
-        try:
+        with self._connection_errors(messages[0]):
             await self._stream.send_all(b"".join(m.data for m in messages))
             for message in messages:
                 replies.append(await self._receive_answer(message))
-        except lines.BadLineError as exc:
-            self._report_malformed(str(exc), messages[len(replies)])
-            raise LinkError(
-                f"{self.endpoint.name}: {exc}", is_reachable=True
-            ) from exc
-        except LinkError:
-            raise
-        except (
-            OSError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-        ) as exc:
-            raise LinkError(f"{self.endpoint.name}: {exc}") from exc
-        except Exception as exc:
-            raise _report_fault(self._supervisor, self.endpoint, exc) from exc
         self.is_usable = True
         self._was_refused |= any(
             isinstance(reply.result, Failure) for reply in replies
@@ -334,6 +368,75 @@
         self.position = replies[-1].position
         return replies
 
+    async def _verify_refusal(self, reply: Reply, request_id: str) -> Reply:
+        """Finds out whether a refusal is a copy of an earlier one.
+
+        A transaction is begun and rolled back: the statement's own answer comes
+        before the answer to that.
+
+        Args:
+            reply: The refusal of a statement outside a transaction.
+            request_id: The caller's id of the statement.
+
+        Returns:
+            The statement's own answer, with a position of the endpoint's log
+            after it.
+
+        Raises:
+            LinkError: It can't be told.
+        """
+        begin = lines.begin_text(read_only=True)
+        texts = ((begin, Expected.BEGUN), (lines.ROLLBACK, Expected.ENDED))
+        messages = [
+            _Message(
+                lines.encode_query(lines.INTERNAL_REQUEST_ID, text), expected
+            )
+            for text, expected in texts
+        ]
+        self.is_usable = False
+        with trio.move_on_after(VERIFY_SECONDS):
+            with self._connection_errors(messages[0]):
+                await self._stream.send_all(b"".join(m.data for m in messages))
+                own, position = await self._receive_until_begun(
+                    reply, request_id
+                )
+                await self._receive_answer(messages[1])
+            self.is_usable = True
+            self.state = TransactionState.IDLE
+            self.position = position
+            return own._replace(position=position)
+        raise LinkError(
+            f"{self.endpoint.name}: doubtful answer", is_reachable=True
+        )
+
+    async def _receive_until_begun(
+        self, own: Reply, request_id: str
+    ) -> tuple[Reply, Position | None]:
+        """Receives until the answer to a BEGIN, which follows all others.
+
+        Args:
+            own: What may be the own answer of the statement before it.
+            request_id: The caller's id of that statement.
+
+        Returns:
+            The statement's own answer, and the position that the answer to the
+            BEGIN has.
+        """
+        while True:
+            reply = await self._receive()
+            match reply.result:
+                case Success(signature=signature) if signature != UNSIGNED:
+                    expected = Expected.SIGNED
+                case _:
+                    expected = Expected.BEGUN
+            mismatch = self._matcher.check(expected, self.state, reply)
+            if isinstance(reply.result, Success) and mismatch is None:
+                if expected is Expected.BEGUN:
+                    return own, reply.position
+                own = reply
+            # Two answers came to one statement, so one of them is a copy.
+            self._note_mismatch(mismatch or Mismatch.REPEATED, request_id)
+
     async def _receive_answer(self, message: _Message) -> Reply:
         """Receives the answer to a message, and skips what can't be it.
 
@@ -345,12 +448,44 @@
             mismatch = self._matcher.check(message.expected, self.state, reply)
             if mismatch is None:
                 return reply
-            self._is_in_step = False
-            if mismatch is Mismatch.DOUBTFUL:
-                raise LinkError(
-                    f"{self.endpoint.name}: doubtful answer", is_reachable=True
-                )
-            self._report_unexpected(mismatch.value, message.request_id)
+            self._note_mismatch(mismatch, message.request_id)
+
+    def _note_mismatch(self, mismatch: Mismatch, request_id: str) -> None:
+        """Notes an answer that is not taken.
+
+        Raises:
+            LinkError: It may be the awaited one, so that nothing can be told.
+        """
+        self._is_in_step = False
+        if mismatch is Mismatch.DOUBTFUL:
+            raise LinkError(
+                f"{self.endpoint.name}: doubtful answer", is_reachable=True
+            )
+        self._report_unexpected(mismatch.value, request_id)
+
+    @contextmanager
+    def _connection_errors(self, message: _Message) -> Iterator[None]:
+        """Turns what ends the connection into a ``LinkError``.
+
+        Args:
+            message: The first message that awaits its answer, for the log.
+        """
+        name = self.endpoint.name
+        try:
+            yield
+        except lines.BadLineError as exc:
+            self._report_malformed(str(exc), message)
+            raise LinkError(f"{name}: {exc}", is_reachable=True) from exc
+        except LinkError:
+            raise
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as exc:
+            raise LinkError(f"{name}: {exc}") from exc
+        except Exception as exc:
+            raise _report_fault(self._supervisor, self.endpoint, exc) from exc
 
     def _report_malformed(self, reason: str, message: _Message) -> None:
         """Counts and logs an answer that violates the protocol."""
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonstair._types import Position
-from lagoonstair.proxy._link import Link, LinkError
+from lagoonstair.proxy._link import Link, LinkError, LinkUse
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._supervisor import Supervisor
 from lagoonstair.queueing import QueueSettings, SlotScheduler
@@ -173,7 +173,7 @@
         *,
         deadline: float,
         priority: int,
-        begins: bool = False,
+        use: LinkUse = LinkUse.READ,
     ) -> Link:
         """Acquires a connection on behalf of a workspace.
 
@@ -181,7 +181,7 @@
             workspace: The workspace; connections aren't shared with others.
             deadline: When to give up, in seconds.
             priority: Order among the waiters; lower values come first.
-            begins: Whether a transaction is to be begun on it.
+            use: What it is needed for.
 
         Returns:
             A connection without a transaction; return it by ``release`` or
@@ -191,7 +191,7 @@
             NoLinkError: No connection was available; nothing was sent.
         """
         while not self._closed:
-            link = self._acquire_idle(workspace, begins)
+            link = self._acquire_idle(workspace, use)
             if link is not None:
                 return link
             if len(self._links) + self._opening >= self._connection_limit():
@@ -424,17 +424,22 @@
             return min(self.budget, self._congested_limit)
         return self.budget
 
-    def _acquire_idle(self, workspace: str, begins: bool) -> Link | None:
+    def _acquire_idle(self, workspace: str, use: LinkUse) -> Link | None:
+        unsuited: Link | None = None
         for link in reversed(self._idle):
             if link.workspace != workspace:
                 continue
-            if begins and not link.can_begin(self.position):
+            if not link.suits(use, self.position):
+                unsuited = unsuited or link
                 continue
             self._idle.remove(link)
             if link.is_alive():
                 return link
             self.discard(link)
-            return self._acquire_idle(workspace, begins)
+            return self._acquire_idle(workspace, use)
+        if unsuited is not None:
+            # Makes room for one that suits, so that no more are open.
+            self.discard(unsuited)
         return None
 
     def _close_oldest_idle(self) -> None:
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -8,7 +8,7 @@
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.platform import lines
 from lagoonstair.proxy._fleet import Fleet
-from lagoonstair.proxy._link import Link, LinkError
+from lagoonstair.proxy._link import Link, LinkError, LinkUse
 from lagoonstair.proxy._pool import EndpointPool, NoLinkError
 from lagoonstair.proxy._retries import (
     BUSY_FAILURE,
@@ -319,7 +319,7 @@
                 caller.workspace,
                 deadline=deadline,
                 priority=route.priority,
-                begins=True,
+                use=LinkUse.TRANSACTION,
             )
         except NoLinkError as exc:
             return exc.failure
--- a/src/lagoonstair/statements/_matching.py
+++ b/src/lagoonstair/statements/_matching.py
@@ -75,9 +75,9 @@
     A signature that was not seen before is certainly the awaited one, because
     one statement at a time awaits a signature. So is the first failure on a
     connection, provided that the endpoint does not refuse to set a variable or
-    to prepare a statement. That a transaction was begun is certain only if no
-    earlier answer on the connection can have said so: the log has grown since
-    the last one in a transaction.
+    to prepare a statement; a later one may be its copy. That a transaction was
+    begun is certain only if no earlier answer on the connection can have said
+    so: the log has grown since the last one in a transaction.
     """
 
     def __init__(self) -> None:
