Give up a connection whose session could not be applied

A statement that applies a session and that the encoder refuses counted as sent: a shape was marked as prepared that the endpoint never got.

--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -10,6 +10,7 @@
 import trio
 
 from lagoonstair._types import Position
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.platform import lines
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
@@ -245,16 +246,11 @@
         Raises:
             LinkError: No complete answer was received, or the endpoint
                 refused one of the statements.
+            LagoonstairError: One of the statements is too long.
         """
         setup = list(self._setup_statements(values, shape))
         if setup:
-            queries = [
-                _Message(
-                    lines.encode_query(lines.INTERNAL_REQUEST_ID, text),
-                    Expected.UNCHANGED,
-                )
-                for text in setup
-            ]
+            queries = self._encode_setup(setup)
             for reply in await self._exchange(queries):
                 if isinstance(reply.result, Failure):
                     self.is_usable = False
@@ -326,6 +322,25 @@
         self.is_usable = False
         self._stream.socket.close()
 
+    def _encode_setup(self, texts: Iterable[str]) -> list[_Message]:
+        """Encodes the statements that apply a session.
+
+        Raises:
+            LagoonstairError: One of them is too long. The connection is not
+                usable any more, as they count as sent.
+        """
+        try:
+            return [
+                _Message(
+                    lines.encode_query(lines.INTERNAL_REQUEST_ID, text),
+                    Expected.UNCHANGED,
+                )
+                for text in texts
+            ]
+        except lines.BadLineError as exc:
+            self.is_usable = False
+            raise LagoonstairError(ErrorKind.TOO_LARGE, str(exc)) from exc
+
     def _setup_statements(
         self, values: dict[str, str], shape: PreparedStatement | None
     ) -> Iterable[str]:
