Take messages of exactly the limit

Now it is refused only if it has grown too long at that moment, which is before anything is sent, so that the read goes to where no position is needed or is refused, and the session goes on.

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -39,10 +39,6 @@
 """Greatest number of digits of a term or an offset, so that both fit into
 messages between instances."""
 
-MAX_REWRITE_BYTES = 64
-"""Upper bound on the bytes by which a statement may grow when it is sent on,
-with a log position before it or another name of a prepared statement."""
-
 MAX_MESSAGE_CHARS = 1000
 """Greatest length of the description of an error that is sent to a caller."""
 
@@ -201,11 +197,7 @@
             request_id, _, text = rest.partition(" ")
             if not request_id:
                 raise BadLineError(ErrorCode.MALFORMED, "QUERY lacks its id")
-            statement = parse_statement(text)
-            is_rewritten = not isinstance(statement, Write)
-            if is_rewritten and len(line) > MAX_LINE_BYTES - MAX_REWRITE_BYTES:
-                raise BadLineError(ErrorCode.TOO_LARGE, "the line is too long")
-            return Query(request_id, statement)
+            return Query(request_id, parse_statement(text))
         case "START":
             database, _, key = rest.partition(" ")
             if not database:
@@ -327,6 +319,15 @@
     return encode_line(f"QUERY {request_id} {text}".encode("latin-1"))
 
 
+def fits_query(request_id: str, text: str) -> bool:
+    """Returns whether a statement fits into a line.
+
+    One that fitted when it came may have grown by a log position or by another
+    name of a prepared statement.
+    """
+    return len(f"QUERY {request_id} {text}") <= MAX_LINE_BYTES
+
+
 def after_text(position: Position | None, text: str) -> str:
     """Prefixes a read or BEGIN with the log position that it requires.
 
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -13,6 +13,7 @@
 from lagoonstair.proxy._pool import NoLinkError
 from lagoonstair.proxy._retries import (
     BUSY_FAILURE,
+    TOO_LONG_FAILURE,
     backoff_delays,
     next_delay,
     refusal_failure,
@@ -195,6 +196,8 @@
                             )
                         text = lines.run_text(run, prepared_name)
                         text = lines.after_text(target.after, text)
+                        if not lines.fits_query(request_id, text):
+                            return DeliveryStatus.NOT_SENT, TOO_LONG_FAILURE
                         epoch = self._targets.epoch(route.group)
                         started_at = trio.current_time()
                         sent = DeliveryStatus.UNANSWERED
--- a/src/lagoonstair/proxy/_retries.py
+++ b/src/lagoonstair/proxy/_retries.py
@@ -18,6 +18,10 @@
 empties a full queue."""
 
 
+TOO_LONG_FAILURE = Failure(
+    ErrorCode.TOO_LARGE, "the statement is too long to be sent on"
+)
+
 BUSY_FAILURE = Failure(
     ErrorCode.BUSY,
     f"the endpoint is busy; retry_after_ms={int(MAX_BACKOFF_SECONDS * 1000)}",
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -12,6 +12,7 @@
 from lagoonstair.proxy._pool import EndpointPool, NoLinkError
 from lagoonstair.proxy._retries import (
     BUSY_FAILURE,
+    TOO_LONG_FAILURE,
     backoff_delays,
     next_delay,
     refusal_failure,
@@ -149,9 +150,12 @@
                 prepared_name = await tx.link.apply_session(
                     caller.session.values, run.shape
                 )
+                text = lines.run_text(run, prepared_name)
+                if not lines.fits_query(request_id, text):
+                    self.abandon(tx)
+                    return sent, TOO_LONG_FAILURE
                 sent = DeliveryStatus.UNANSWERED
                 failure = Failure(ErrorCode.ABORTED, "no answer in time")
-                text = lines.run_text(run, prepared_name)
                 result = await self._exchange(
                     caller, tx, request_id, text, deadline
                 )
