Escape label values on the metrics page

What callers saw: a label value with a quote, a backslash or an LF ended its sample; text after the LF became a sample of its own, and a scraper refuses the whole page.

Cause: values were written between the quotes unescaped.

Evidence: 5 of the 8 cases of the test failed before, among them 'd\nlagoonstair_calls_total 7', which gave two samples.

Fix: backslash, quote and LF are escaped where samples are rendered, as the text format defines it; all 8 cases pass.

--- a/src/lagoonstair/proxy/_metrics.py
+++ b/src/lagoonstair/proxy/_metrics.py
@@ -11,6 +11,9 @@
 
 Labels = tuple[tuple[str, str], ...]
 
+ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
+"""Characters that the text format requires to be escaped in a label value."""
+
 
 class Metrics:
     """The metrics of one process since its start."""
@@ -60,5 +63,7 @@
 def _render(labels: Labels) -> str:
     if not labels:
         return ""
-    inner = ",".join(f'{name}="{value}"' for name, value in labels)
+    inner = ",".join(
+        f'{name}="{value.translate(ESCAPES)}"' for name, value in labels
+    )
     return "{" + inner + "}"
