Take no HTTP response for the answer to another request

What callers saw: with a server that sends a late copy of a response, the next call on that connection returned the copy; for a conditional write, that is an acknowledgement of a write that the store may have refused. After an interim response, the call returned status 100 or 103 and the next call its response.

Cause: responses were told apart by their order alone, and what waited on an idle connection, came beside a response, or came before the request was sent whole was not looked at. Interim responses counted as final ones.

Evidence: 10 of the 32 cases of test_wire_responses.py failed before: "[100, 200] == [200, 200]", "b'/a' == b'/b'" (a copy), two responses at once and an early one raised nothing, and a connection that the server had closed failed the next call although nothing was sent on it. The other 22 pin what llhttp (httptools) refuses: lone LF, CR, folded and NUL headers, two lengths, chunked with a length, bodies of 204 and 304.

Fix: before a request, and before its last part, a connection on which anything was received is closed, logged and reported by reason (idle, early, second); of two responses at once neither is returned, except to a caller that compares ids (endpoints). Interim responses are dropped. All 32 cases pass, as do test_wire.py, test_endpoints_answers.py and test_platform_store.py (93 in all).

--- a/src/lagoonstair/endpoints/_socket.py
+++ b/src/lagoonstair/endpoints/_socket.py
@@ -1,7 +1,5 @@
 """HTTP connection that is not reused after any unexpected event."""
 
-import select
-
 import trio
 
 from lagoonstair._types import Address
@@ -19,8 +17,6 @@
 
     def __init__(self, stream: trio.SocketStream, address: Address) -> None:
         self._http = HttpConnection(stream, address)
-        self._poll = select.poll()
-        self._poll.register(stream.socket.fileno(), select.POLLIN)
 
     @classmethod
     async def open(cls, address: Address) -> "Socket":
@@ -38,7 +34,7 @@
     @property
     def reusable(self) -> bool:
         """Whether the connection is open and received no unexpected data."""
-        return self._http.usable and not self._poll.poll(0)
+        return self._http.usable
 
     async def call(
         self, target: str, body: bytes, headers: list[tuple[str, str]]
@@ -61,7 +57,9 @@
             self.close()
             raise EndpointUnreachableError("the connection is closed")
         try:
-            return await self._http.call("POST", target, body, headers=headers)
+            return await self._http.call(
+                "POST", target, body, headers=headers, is_correlated=True
+            )
         except HttpError as exc:
             raise ResultUnknownError(str(exc)) from exc
         except BaseException:
--- a/src/lagoonstair/wire/_http_parser.py
+++ b/src/lagoonstair/wire/_http_parser.py
@@ -10,6 +10,10 @@
 CONTINUE = "100-continue"
 """Value of the Expect header by which a client delays sending the body."""
 
+FIRST_FINAL_STATUS = 200
+"""Lowest status of a response that answers its request; a lower one announces
+that another follows."""
+
 
 class BadHttpError(Exception):
     """A received message is malformed or incomplete, or exceeds a limit.
@@ -200,10 +204,14 @@
         return self._complete.popleft() if self._complete else None
 
     def on_message_complete(self) -> None:
-        """Queues a complete response."""
+        """Queues a complete response; drops an interim one."""
+        self.in_message = False
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            return
         self._complete.append(
             ParsedResponse(
-                status=self._parser.get_status_code(),
+                status=status,
                 headers=self.headers,
                 body=bytes(self.body),
                 keep_alive=self._parser.should_keep_alive(),
--- a/src/lagoonstair/wire/_http_pool.py
+++ b/src/lagoonstair/wire/_http_pool.py
@@ -6,7 +6,7 @@
 import trio
 
 from lagoonstair._types import Address
-from lagoonstair.wire._http_client import HttpConnection
+from lagoonstair.wire._http_client import HttpConnection, UnexpectedHook
 
 IDLE_SECONDS = 60.0
 """Idle time (s) after which a connection is closed rather than reused.
@@ -22,10 +22,19 @@
     Args:
         address: The server's address.
         size: Maximum number of connections in use at the same time.
+        on_unexpected: Called when a connection receives bytes that can't
+            belong to the response to a request.
     """
 
-    def __init__(self, address: Address, *, size: int) -> None:
+    def __init__(
+        self,
+        address: Address,
+        *,
+        size: int,
+        on_unexpected: UnexpectedHook | None = None,
+    ) -> None:
         self._address = address
+        self._on_unexpected = on_unexpected
         self._semaphore = trio.Semaphore(size)
         self._idle: list[tuple[float, HttpConnection]] = []
 
@@ -42,7 +51,9 @@
         async with self._semaphore:
             conn = self._take_idle()
             if conn is None:
-                conn = await HttpConnection.open(self._address)
+                conn = await HttpConnection.open(
+                    self._address, self._on_unexpected
+                )
             try:
                 yield conn
             finally:
@@ -58,7 +69,7 @@
         reusable_since = trio.current_time() - IDLE_SECONDS
         while self._idle:
             idle_since, conn = self._idle.pop()
-            if idle_since > reusable_since:
+            if idle_since > reusable_since and conn.usable:
                 return conn
             conn.close()
         return None
