Take only statuses that say so for a refusal by the platform

What callers saw: a call that the store or the promotion service answered with 500, 502, 504, 408 or a redirect counted as refused, so that a write or a promotion that may have taken effect was reported as certainly undone.

Cause: every status but 200 (and 409, 412) meant refused.

Fix: 4xx but 408, 503 and 507 are refusals; any other status leaves the outcome unknown.

--- a/src/lagoonstair/platform/duties.py
+++ b/src/lagoonstair/platform/duties.py
@@ -7,6 +7,7 @@
 import trio
 
 from lagoonstair._types import Address
+from lagoonstair.platform.store import is_refusal
 from lagoonstair.wire import HttpConnection, HttpError, NotSentError
 
 HOLDER_HEADER = "X-Lagoonstair-Duty-Holder"
@@ -25,9 +26,10 @@
     Attributes:
         ACCEPTED: The platform accepted the request (status 200).
         NOT_RUNNING: The endpoint to promote is not running (status 409).
-        REFUSED: The platform answered with another status, or the request was
-            not sent.
-        UNKNOWN: No answer came, so the promotion may be running.
+        REFUSED: The platform answered with another status by which nothing
+            was done, or the request was not sent.
+        UNKNOWN: No answer came, or one that leaves it open, so the promotion
+            may be running.
     """
 
     ACCEPTED = "accepted"
@@ -80,5 +82,7 @@
                 return PromoteAnswer.ACCEPTED
             case HTTPStatus.CONFLICT:
                 return PromoteAnswer.NOT_RUNNING
-            case _:
+            case status if is_refusal(status):
                 return PromoteAnswer.REFUSED
+            case _:
+                return PromoteAnswer.UNKNOWN
--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -348,6 +348,17 @@
     return int(text) if is_number and len(text) <= MAX_ERA_DIGITS else 0
 
 
+def is_refusal(status: int) -> bool:
+    """Returns whether an HTTP status says that a call had no effect."""
+    return (
+        HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR
+        and status != HTTPStatus.REQUEST_TIMEOUT
+    ) or status in (
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.INSUFFICIENT_STORAGE,
+    )
+
+
 def _key_after(key: str) -> str:
     """Returns the next key; a range includes its first key, not its last."""
     return key + "\0"
@@ -370,7 +381,10 @@
 
 def _decode_page(answer: ClientResponse) -> _Page:
     if answer.status != HTTPStatus.OK:
-        raise StoreError(f"the store answered {answer.status}", refused=True)
+        raise StoreError(
+            f"the store answered {answer.status}",
+            refused=is_refusal(answer.status),
+        )
     try:
         body = decode_json(answer.body, _WireRows)
         return _Page(body, _era_of(answer))
