Tie the store's answers to their calls by version and rows

What callers saw: a copy of an earlier answer that reaches the connection after the next call was sent counts as that call's: a conditional write is acknowledged or refused by another write's answer, or a read returns another table's rows.

Cause: the store's answers carry no id, and nothing in them was compared with the call.

Fix: the store is linearizable and its versions come from one counter, so within a history an answer can't name a version older than one seen before the call was sent, a write gets a newer one, a feed's rows are newer than its start, and rows are of the table and range of the query or, in a refusal, of the conditions that they contradict. Any other answer leaves the outcome unknown; it is logged and counted, and the idle connections are closed. Without a history number versions are not compared, as they may go back. All 24 cases pass, as do test_platform_store.py, test_store_restore.py, test_proxy_promoter.py, test_proxy_parts.py and test_proxy_reconcile.py.

--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -2,12 +2,13 @@
 
 import base64
 import urllib.parse
-from collections.abc import Sequence
+from collections.abc import Callable, Collection, Sequence
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import NamedTuple, NoReturn
 
 import msgspec
 import trio
+from loguru import logger
 
 from lagoonstair._types import Address
 from lagoonstair.platform.decoding import UnreadableError, decode_json
@@ -133,11 +134,17 @@
 
 class _WireRow(msgspec.Struct):
     key: str
+    table: str = ""
     row_version: int = 0
     value: str | None = None
     deleted: bool = False
 
 
+class _WireRefusal(msgspec.Struct):
+    row_version: int | None = None
+    rows: list[_WireRow] = []
+
+
 class _WireRows(msgspec.Struct):
     row_version: int
     now_ms: float
@@ -152,19 +159,44 @@
     era: int
 
 
+class _Moment(NamedTuple):
+    """A history and the newest version of it that an answer has named."""
+
+    era: int
+    version: int
+
+
 class Store:
     """Client for the metadata store.
 
     Every method raises ``StoreError`` when the store refuses a call or gives
     no complete answer in time.
 
+    Answers carry no ID of their call. As the store is linearizable, though, an
+    answer names no version older than an answer before the call did, a write
+    gets a newer one, and rows are of the table and range that were asked for.
+    Any other answer counts as none, and the connections are given up.
+
+    Args:
+        address: The store's address.
+        on_unexpected: Called with the reason for which an answer can't belong
+            to its call: ``version``, ``rows`` or one of the connection's.
+
     Attributes:
         calls: Number of calls made so far.
         era: The newest history number in any answer so far.
     """
 
-    def __init__(self, address: Address) -> None:
-        self._pool = ConnectionPool(address, size=CONNECTIONS)
+    def __init__(
+        self,
+        address: Address,
+        on_unexpected: Callable[[str], None] | None = None,
+    ) -> None:
+        self._pool = ConnectionPool(
+            address, size=CONNECTIONS, on_unexpected=on_unexpected
+        )
+        self._on_unexpected = on_unexpected
+        self._newest = _Moment(0, 0)
         self._feeds: set[trio.CancelScope] = set()
         self.calls = 0
         self.era = 0
@@ -221,7 +253,10 @@
         }
         first_era: int | None = None
         while True:
+            newest = self._newest
             page, era = await self._get("rows-get", query, timeout)
+            self._check_version(era, page.row_version, newest)
+            self._check_rows(page.rows, query)
             if first_era not in (None, era):
                 message = "the store was restored between two pages"
                 raise StoreError(message, refused=True)
@@ -267,6 +302,11 @@
                 self._feeds.discard(scope)
         if scope.cancelled_caught or answer_era != era:
             raise HistoryLostError
+        # A feed may stop at an older version than others have seen.
+        self._check_version(era, page.row_version, _Moment(era, version))
+        self._check_rows(page.rows, query)
+        if era and any(0 < row.row_version <= version for row in page.rows):
+            self._fail("rows")
         rows = tuple(map(_decode_row, page.rows))
         return Rows(rows, page.row_version, page.now_ms / 1000, asked_at, era)
 
@@ -303,10 +343,15 @@
                 "remove": [_row_id(table, key) for table, key in removals],
             }
         )
+        newest = self._newest
         answer = await self._call("POST", "/-/rows-tx", body, CALL_SECONDS)
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
+            self._check_refusal(answer, conditions, newest)
             return None
         page, era = _decode_page(answer)
+        if puts or removals:
+            newest = newest._replace(version=newest.version + 1)
+        self._check_version(era, page.row_version, newest)
         return Committed(page.row_version, page.now_ms / 1000, era)
 
     async def _get(
@@ -318,6 +363,82 @@
             raise HistoryLostError
         return _decode_page(answer)
 
+    def _check_version(self, era: int, version: int, oldest: _Moment) -> None:
+        """Checks that an answer is not older than the call, and notes it.
+
+        Without a history number versions may go back at any time.
+
+        Args:
+            era: The number of the answer's history.
+            version: The version that the answer names.
+            oldest: The oldest version that the answer can name.
+
+        Raises:
+            StoreError: The answer is that of an earlier call.
+        """
+        moment = _Moment(era, version)
+        if era and moment < oldest:
+            self._fail("version")
+        self._newest = max(self._newest, moment)
+
+    def _check_rows(
+        self, rows: Collection[_WireRow], query: dict[str, str]
+    ) -> None:
+        """Checks that rows are of the table and the range of a query.
+
+        Raises:
+            StoreError: The answer is that of another call.
+        """
+        first, end = query.get("from", ""), query.get("to")
+        if any(
+            row.table not in ("", query["table"])
+            or row.key < first
+            or (end is not None and row.key >= end)
+            for row in rows
+        ):
+            self._fail("rows")
+
+    def _check_refusal(
+        self,
+        answer: ClientResponse,
+        conditions: Sequence[Precondition],
+        newest: _Moment,
+    ) -> None:
+        """Checks that the rows in a refusal explain it.
+
+        Raises:
+            StoreError: The refusal is that of another call.
+        """
+        try:
+            body = decode_json(answer.body, _WireRefusal)
+        except UnreadableError:
+            # The status alone is a refusal.
+            return
+        if body.row_version is not None:
+            self._check_version(_era_of(answer), body.row_version, newest)
+        expected = {(row.table, row.key): row.version for row in conditions}
+        current = {
+            (row.table, row.key): 0 if row.deleted else row.row_version
+            for row in body.rows
+        }
+        unasked = current.keys() - expected.keys()
+        if unasked or (
+            current and dict.fromkeys(expected, 0) | current == expected
+        ):
+            self._fail("rows")
+
+    def _fail(self, reason: str) -> NoReturn:
+        """Gives up the connections after an answer to another call.
+
+        Raises:
+            StoreError: The outcome of the call is unknown.
+        """
+        self._pool.close()
+        logger.warning("response unexpected: store: {}", reason)
+        if self._on_unexpected is not None:
+            self._on_unexpected(reason)
+        raise StoreError(f"answer to another call: {reason}", refused=False)
+
     async def _call(
         self, method: str, target: str, body: bytes, timeout: float
     ) -> ClientResponse:
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -95,7 +95,10 @@
         self._metrics = metrics
         self._ready = False
         self._resumed = False
-        self._store = Store(parse_address(settings.store))
+        self._store = Store(
+            parse_address(settings.store),
+            lambda reason: metrics.count("responses_unexpected", reason=reason),
+        )
         self._fleet = Fleet(settings.instance, settings.failure_domain, metrics)
         self._registry = Registry(self._store)
         self._handlers = Handlers()
