Encode HTTP messages in one place, which refuses fields that end them

What callers saw: a response header with CR LF from a handler became further headers or a response of its own. A request whose target held a blank or NUL, or whose header name was no token, was sent. HEAD was answered with a body, which its client takes for the next response; a header beyond Latin-1 and an unknown status ended the connection with an exception.

Cause: responses were joined from fields unchecked; requests were checked for line breaks alone, and a refused call left its connection unusable although nothing was sent.

Fix: one encoder allows tokens, printable targets and header values without control characters; a response that it refuses is logged and answered as an internal error. The client refuses HEAD and CONNECT, whose responses end otherwise. An instance name that a header can't carry is refused at start.

--- a/src/lagoonstair/proxy/_settings.py
+++ b/src/lagoonstair/proxy/_settings.py
@@ -21,6 +21,9 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 """A TCP port."""
 
+InstanceName = Annotated[str, msgspec.Meta(pattern=r"\A[ -~\xa0-\xff]+\Z")]
+"""A name that an HTTP header can carry."""
+
 
 class SettingsError(Exception):
     """The settings are missing or invalid; the message names the field."""
@@ -77,7 +80,7 @@
             fraction.
     """
 
-    instance: str
+    instance: InstanceName
     failure_domain: str
     host: str
     listen: Listen
--- a/src/lagoonstair/wire/_http_client.py
+++ b/src/lagoonstair/wire/_http_client.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from lagoonstair._types import Address
+from lagoonstair.wire._http_encoder import encode_request
 from lagoonstair.wire._http_parser import (
     BadHttpError,
     ParsedResponse,
@@ -136,14 +137,17 @@
         Raises:
             HttpError: The connection is not usable, no complete response was
                 received, or more than one.
-            ValueError: The method, the target or a header contains a line
-                break.
+            ValueError: The method, the target or a header contains characters
+                that it may not have; nothing was sent.
         """
         if not self.usable:
             raise HttpError("the connection can't carry another request")
+        message = encode_request(
+            method, target, (("host", str(self._address)), *headers), body
+        )
         self._is_free = False
         try:
-            await self._send(self._encode(method, target, body, headers))
+            await self._send(message)
             parsed = await self._receive()
             if not self._parser.idle:
                 self._report("second")
@@ -201,23 +205,6 @@
         if self._on_unexpected is not None:
             self._on_unexpected(reason)
 
-    def _encode(
-        self,
-        method: str,
-        target: str,
-        body: bytes,
-        headers: Sequence[tuple[str, str]],
-    ) -> bytes:
-        lines = [
-            f"{method} {target} HTTP/1.1",
-            f"host: {self._address}",
-            f"content-length: {len(body)}",
-            *(f"{name}: {value}" for name, value in headers),
-        ]
-        if any("\r" in line or "\n" in line for line in lines):
-            raise ValueError("request line or header contains a line break")
-        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
-
     async def _receive(self) -> ParsedResponse:
         while (parsed := self._parser.next_response()) is None:
             chunk = await self._stream.receive_some(READ_BYTES)
--- a/src/lagoonstair/wire/_http_server.py
+++ b/src/lagoonstair/wire/_http_server.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
-from http import HTTPStatus
 
 import msgspec
 import trio
 from loguru import logger
 
 from lagoonstair._faults import describe_exception
+from lagoonstair.wire._http_encoder import encode_response
 from lagoonstair.wire._http_parser import (
     BadHttpError,
     ParsedRequest,
@@ -25,11 +25,6 @@
 TOO_LARGE = frozenset({413, 431})
 """Status codes that are reported as an error of kind ``too_large``."""
 
-STATUS_LINES = {
-    status.value: f"HTTP/1.1 {status.value} {status.phrase}"
-    for status in HTTPStatus
-}
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpLimits:
@@ -189,7 +184,7 @@
                 parsed = await self._receive(stream, parser, conn_id)
             except BadHttpError as exc:
                 resp = _error_response(exc)
-                await stream.send_all(encode_response(resp, close=True))
+                await stream.send_all(_encode(resp, close=True))
                 return
             if parsed is None:
                 return
@@ -202,7 +197,9 @@
             )
             resp = await self._handle(req)
             close = self.draining or not parsed.keep_alive
-            await stream.send_all(encode_response(resp, close=close))
+            await stream.send_all(
+                _encode(resp, close=close, method=parsed.method)
+            )
             self._busy.discard(conn_id)
             if close:
                 return
@@ -249,22 +246,26 @@
         return parsed
 
 
-def encode_response(resp: HttpResponse, *, close: bool) -> bytes:
-    """Encodes the head and body of a response.
+def _encode(
+    resp: HttpResponse, *, close: bool, method: str | None = None
+) -> bytes:
+    """Encodes a response.
 
     Args:
-        resp: The response.
+        resp: The response; one with an invalid field is replaced by an
+            internal error.
         close: Whether to announce that the connection will be closed.
+        method: The method of the request, if it could be received.
     """
-    lines = [
-        STATUS_LINES[resp.status],
-        f"content-type: {resp.content_type}",
-        f"content-length: {len(resp.body)}",
-        *(f"{name}: {value}" for name, value in resp.headers),
-    ]
+    headers = [("content-type", resp.content_type), *resp.headers]
     if close:
-        lines.append("connection: close")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + resp.body
+        headers.append(("connection", "close"))
+    is_head = method == "HEAD"
+    try:
+        return encode_response(resp.status, headers, resp.body, is_head=is_head)
+    except ValueError as exc:
+        logger.error("response invalid: {}", exc)
+        return _encode(INTERNAL_ERROR, close=close, method=method)
 
 
 def _error_response(exc: BadHttpError) -> HttpResponse:
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -62,6 +62,9 @@
     ("change", "named"),
     [
         ({"instance": None}, "instance"),
+        ({"instance": "i\r\nx: y"}, "instance"),
+        ({"instance": "i1\n"}, "instance"),
+        ({"instance": "i\0"}, "instance"),
         ({"peer_ports": [1]}, "peer_ports"),
         ({"listen": {"entry": 7}}, "listen.entry"),
         ({"grace_s": "six"}, "grace_s"),
