Refuse HTTP requests that two readers may read differently

What callers saw: of two Authorization, Host or Content-Type headers the last one counted, where a reader in front may have taken the first; a trailer behind a chunked body replaced the header of its name, the key included; a chunked body in HTTP/1.0 and a request without a version were served. Refused requests left no trace.

Cause: the parser kept headers and trailers in one dict, whose later entries replace earlier ones, and didn't look at the version.

Fix: a repeated header that has one value is refused with 400 and a close, other repeated headers become a list, trailers are dropped, and only HTTP/1.0 and 1.1 are spoken, 1.0 without chunks. Each refusal is logged and counted by reason.

--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -44,7 +44,7 @@
 from lagoonstair.proxy._tables import Tables
 from lagoonstair.proxy._targets import TargetSelector
 from lagoonstair.proxy._transactions import TransactionManager
-from lagoonstair.wire import HttpRequest, HttpResponse, HttpServer
+from lagoonstair.wire import Handler, HttpRequest, HttpResponse, HttpServer
 
 READY_PATH = "/-/readiness"
 """Path of the readiness check; every path gets the same answer."""
@@ -328,6 +328,14 @@
             except StoreError:
                 self._metrics.count("proofs_failed")
 
+    def _make_server(self, handler: Handler) -> HttpServer:
+        return HttpServer(
+            handler,
+            on_refused=lambda reason: self._metrics.count(
+                "http_requests_refused", reason=reason
+            ),
+        )
+
     async def _serve_readiness(
         self, *, task_status: trio.TaskStatus[int]
     ) -> None:
@@ -337,7 +345,9 @@
             status = 200 if self._ready else 503
             return HttpResponse(status=status, body=b"")
 
-        await HttpServer(answer).serve(host, port, task_status=task_status)
+        await self._make_server(answer).serve(
+            host, port, task_status=task_status
+        )
 
     async def _serve_metrics(
         self, *, task_status: trio.TaskStatus[int]
@@ -349,7 +359,7 @@
                 content_type="text/plain; version=0.0.4",
             )
 
-        await HttpServer(answer).serve(
+        await self._make_server(answer).serve(
             self._settings.host,
             self._settings.peer_ports[0] + METRICS_PORT_OFFSET,
             task_status=task_status,
--- a/src/lagoonstair/service/_daemon.py
+++ b/src/lagoonstair/service/_daemon.py
@@ -272,6 +272,7 @@
                 request_timeout=limits.request,
                 max_connections=limits.connections,
             ),
+            on_refused=self._count_refused,
         )
         operators = OperatorHandler(
             api=OperatorApi(
@@ -282,7 +283,12 @@
             measurements=self._measurements,
             drain=self.daemon.request_drain,
         )
-        self.operator_server = HttpServer(operators.handle)
+        self.operator_server = HttpServer(
+            operators.handle, on_refused=self._count_refused
+        )
+
+    def _count_refused(self, reason: str) -> None:
+        self.metrics.count(f"http_requests_refused.{reason}")
 
     def _make_group(self, listed: ListedGroup) -> GroupRuntime:
         return GroupRuntime(
--- a/src/lagoonstair/wire/__init__.py
+++ b/src/lagoonstair/wire/__init__.py
@@ -17,6 +17,7 @@
 )
 from lagoonstair.wire._http_pool import ConnectionPool
 from lagoonstair.wire._http_server import (
+    Handler,
     HttpLimits,
     HttpRequest,
     HttpResponse,
@@ -29,6 +30,7 @@
     "ConnectionPool",
     "FrameReader",
     "FrameTooLargeError",
+    "Handler",
     "HttpConnection",
     "HttpError",
     "HttpLimits",
--- a/src/lagoonstair/wire/_http_parser.py
+++ b/src/lagoonstair/wire/_http_parser.py
@@ -14,17 +14,40 @@
 """Lowest status of a response that answers its request; a lower one announces
 that another follows."""
 
+VERSIONS = frozenset({"1.0", "1.1"})
+"""The HTTP versions that are spoken."""
+
+SINGLE_VALUED = frozenset(
+    {
+        "authorization",
+        "content-length",
+        "content-type",
+        "expect",
+        "host",
+        "idempotency-key",
+        "retry-after",
+        "transfer-encoding",
+    }
+)
+"""Headers that a message may have once; two readers may differ on which value
+of several counts. The values of other repeated headers form a list."""
+
 
 class BadHttpError(Exception):
     """A received message is malformed or incomplete, or exceeds a limit.
 
     Attributes:
         status: The HTTP status code to respond with.
+        reason: The kind of fault: ``malformed``, ``repeated_header``,
+            ``version``, ``too_large`` or ``slow``.
     """
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(
+        self, status: int, message: str, reason: str = "malformed"
+    ) -> None:
         super().__init__(message)
         self.status = status
+        self.reason = reason
 
 
 class ParsedRequest(NamedTuple):
@@ -75,6 +98,7 @@
         self._header_limit = header_bytes
         self._body_limit = body_bytes
         self._head_size = 0
+        self._head_done = False
         self.in_message = False
         self.target = bytearray()
         self.headers: dict[str, str] = {}
@@ -83,6 +107,7 @@
     def on_message_begin(self) -> None:
         self.in_message = True
         self._head_size = 0
+        self._head_done = False
         self.target = bytearray()
         self.headers = {}
         self.body = bytearray()
@@ -93,12 +118,26 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow_head(len(name) + len(value))
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        if self._head_done:
+            # A trailer is no header, and must not replace one.
+            return
+        key = name.decode("latin-1").lower()
+        text = value.decode("latin-1")
+        earlier = self.headers.get(key)
+        if earlier is not None:
+            if key in SINGLE_VALUED:
+                raise BadHttpError(
+                    400, f"header {key} is repeated", "repeated_header"
+                )
+            text = f"{earlier}, {text}"
+        self.headers[key] = text
 
     def on_body(self, part: bytes) -> None:
         self.body += part
         if len(self.body) > self._body_limit:
-            raise BadHttpError(413, f"body is over {self._body_limit} bytes")
+            raise BadHttpError(
+                413, f"body is over {self._body_limit} bytes", "too_large"
+            )
 
     def _grow_head(self, size: int) -> None:
         self._head_size += size
@@ -106,7 +145,21 @@
 
     def _check_head(self, size: int) -> None:
         if size > self._header_limit:
-            raise BadHttpError(431, f"head is over {self._header_limit} bytes")
+            raise BadHttpError(
+                431, f"head is over {self._header_limit} bytes", "too_large"
+            )
+
+    def _end_head(self, version: str) -> None:
+        """Checks a complete head.
+
+        Raises:
+            BadHttpError: The version is not spoken, or has no chunked bodies.
+        """
+        self._head_done = True
+        if version not in VERSIONS:
+            raise BadHttpError(400, "unknown HTTP version", "version")
+        if version == "1.0" and "transfer-encoding" in self.headers:
+            raise BadHttpError(400, "HTTP/1.0 has no transfer encodings")
 
 
 class RequestParser(_MessageBuilder):
@@ -127,7 +180,6 @@
         self._parser = httptools.HttpRequestParser(self)
         self._complete: deque[ParsedRequest] = deque()
         self._fed = 0
-        self._head_done = False
         self.wants_continue = False
 
     def feed(self, data: bytes) -> None:
@@ -156,7 +208,7 @@
 
     def on_headers_complete(self) -> None:
         """Records whether the client waits before it sends the body."""
-        self._head_done = True
+        self._end_head(self._parser.get_http_version())
         self.wants_continue = self.headers.get("expect") == CONTINUE
 
     def on_message_complete(self) -> None:
@@ -171,7 +223,6 @@
             )
         )
         self.in_message = False
-        self._head_done = False
         self._fed = 0
 
 
@@ -196,6 +247,10 @@
         """
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as exc:
+            if isinstance(exc.__context__, BadHttpError):
+                raise exc.__context__ from None
+            raise BadHttpError(502, "malformed response") from exc
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             raise BadHttpError(502, str(exc)) from exc
 
@@ -203,6 +258,10 @@
         """Removes and returns the next complete response, if any."""
         return self._complete.popleft() if self._complete else None
 
+    def on_headers_complete(self) -> None:
+        """Checks the head."""
+        self._end_head(self._parser.get_http_version())
+
     def on_message_complete(self) -> None:
         """Queues a complete response; drops an interim one."""
         self.in_message = False
--- a/src/lagoonstair/wire/_http_server.py
+++ b/src/lagoonstair/wire/_http_server.py
@@ -91,6 +91,7 @@
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 ConnectionHook = Callable[[int], None]
+RefusedHook = Callable[[str], None]
 
 
 class HttpServer:
@@ -101,6 +102,8 @@
             receives status 500 without the exception's message.
         limits: The limits of the server and its connections.
         on_close: Called with the ID of each connection that was closed.
+        on_refused: Called with the reason for which a connection is closed
+            whose next request could not be received.
 
     Attributes:
         draining: Whether new connections are rejected, and existing ones are
@@ -113,10 +116,12 @@
         *,
         limits: HttpLimits | None = None,
         on_close: ConnectionHook | None = None,
+        on_refused: RefusedHook | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits or HttpLimits()
         self._on_close = on_close
+        self._on_refused = on_refused
         self._open: dict[int, trio.CancelScope] = {}
         self._busy: set[int] = set()
         self._next_id = 0
@@ -183,6 +188,9 @@
             try:
                 parsed = await self._receive(stream, parser, conn_id)
             except BadHttpError as exc:
+                logger.warning("request refused: {}: {}", exc.reason, exc)
+                if self._on_refused is not None:
+                    self._on_refused(exc.reason)
                 resp = _error_response(exc)
                 await stream.send_all(_encode(resp, close=True))
                 return
@@ -241,7 +249,7 @@
                     await stream.send_all(CONTINUE)
                 parsed = parser.next_request()
         if parsed is None and parser.in_message:
-            raise BadHttpError(408, "the request did not arrive whole")
+            raise BadHttpError(408, "the request did not arrive whole", "slow")
         self._busy.add(conn_id)
         return parsed
 
