Send 100 Continue after the responses to earlier requests

What callers saw: of two pipelined requests of which the second expects 100 Continue, the interim response came before the response to the first, to which it then belongs; the second waited for one that never came.

Cause: it was sent as soon as a head that asks for it was parsed.

Evidence: the test failed before: no "/first" had been received when 100 Continue came ("subsection not found").

--- a/src/lagoonstair/wire/_http_parser.py
+++ b/src/lagoonstair/wire/_http_parser.py
@@ -223,6 +223,7 @@
             )
         )
         self.in_message = False
+        self.wants_continue = False
         self._fed = 0
 
 
--- a/src/lagoonstair/wire/_http_server.py
+++ b/src/lagoonstair/wire/_http_server.py
@@ -235,6 +235,11 @@
         parsed = parser.next_request()
         with trio.move_on_after(self._limits.idle_timeout) as scope:
             while parsed is None:
+                # Sent before the response to an earlier request, it would
+                # seem to belong to that one.
+                if parser.wants_continue:
+                    parser.wants_continue = False
+                    await stream.send_all(CONTINUE)
                 chunk = await stream.receive_some(READ_BYTES)
                 if not chunk:
                     return None
@@ -244,9 +249,6 @@
                         trio.current_time() + self._limits.request_timeout
                     )
                 parser.feed(chunk)
-                if parser.wants_continue:
-                    parser.wants_continue = False
-                    await stream.send_all(CONTINUE)
                 parsed = parser.next_request()
         if parsed is None and parser.in_message:
             raise BadHttpError(408, "the request did not arrive whole", "slow")
--- a/tests/test_wire_requests.py
+++ b/tests/test_wire_requests.py
@@ -124,3 +124,24 @@
     bodies = [part[-2:] for part in received.split(b"HTTP/1.1 200 OK")[1:]]
     assert bodies == [b"/0", b"/1", b"/2", b"/3", b"/4"]
     assert not server.reasons
+
+
+# Guards against an interim response that seems to belong to the request before.
+async def test_continue_follows_the_responses_to_earlier_requests(nursery):
+    server = Server()
+    port = await nursery.start(HttpServer(server.handle).serve, HOST, 0)
+    stream = await trio.open_tcp_stream(HOST, port)
+    await stream.send_all(
+        b"GET /first HTTP/1.1\r\nhost: a\r\n\r\n"
+        b"POST /second HTTP/1.1\r\nhost: a\r\n"
+        b"expect: 100-continue\r\ncontent-length: 1\r\n\r\n"
+    )
+    received = b""
+    with trio.fail_after(2):
+        while b"100 Continue" not in received:
+            received += await stream.receive_some()
+        assert received.index(b"/first") < received.index(b"100 Continue")
+        await stream.send_all(b"a")
+        while not received.endswith(b"/second"):
+            received += await stream.receive_some()
+    assert received.count(b"100 Continue") == 1
