Fail a message over the frame limit alone

What callers saw: a call or reply between instances above 8 MiB was sent; its receiver closed the connection, and every other call on it lost its reply.

Cause: the limit was checked by the receiver only.

Evidence: 2 of the 7 cases of test_peers_frames.py failed before with PeerLostError: "the connection broke before the reply", for the other call too. The other 5 pin that replies are matched by the id of their call: second, late and unknown ones reach nobody, and a frame that is cut, unreadable or too long ends its connection with PeerLostError.

Fix: the sender refuses the frame. The call fails as not sent; the reply becomes an internal error and is logged. All 7 cases pass, as do test_peers.py and test_proxy_gossip.py.

--- a/src/lagoonstair/peers/_client.py
+++ b/src/lagoonstair/peers/_client.py
@@ -21,7 +21,7 @@
     verify_mac,
 )
 from lagoonstair.peers._send_queue import CONNECTION_ERRORS, SendQueue
-from lagoonstair.wire import FrameReader, write_frame
+from lagoonstair.wire import FrameReader, FrameTooLargeError, write_frame
 
 NONCE_BYTES = 16
 """Bytes in the nonce that the server signs."""
@@ -44,7 +44,10 @@
 
 
 class PeerNotSentError(Exception):
-    """No connection to the peer could be opened; the call was not sent."""
+    """The call was not sent.
+
+    No connection to the peer could be opened, or the message is too large.
+    """
 
 
 class PeerLostError(Exception):
@@ -97,16 +100,20 @@
 
         Raises:
             PeerLostError: The connection broke before the reply.
+            PeerNotSentError: The message is too large.
         """
         self._next_id += 1
         call_id = self._next_id
+        body = msgspec.Raw(self._encoder.encode(message))
+        call = Call(call_id, type(message).__name__, body)
+        try:
+            self._send_queue.put(self._encoder.encode(call))
+        except FrameTooLargeError as exc:
+            raise PeerNotSentError(f"{call.kind}: {exc}") from exc
         pending = _PendingCall()
         self._pending[call_id] = pending
         self._expects_frame = True
         self._call_added.set()
-        body = msgspec.Raw(self._encoder.encode(message))
-        call = Call(call_id, type(message).__name__, body)
-        self._send_queue.put(self._encoder.encode(call))
         try:
             await pending.event.wait()
         finally:
--- a/src/lagoonstair/peers/_send_queue.py
+++ b/src/lagoonstair/peers/_send_queue.py
@@ -4,7 +4,7 @@
 import trio
 
 from lagoonstair.wire import FrameTooLargeError
-from lagoonstair.wire._frames import LENGTH
+from lagoonstair.wire._frames import LENGTH, MAX_FRAME_BYTES
 
 CONNECTION_ERRORS = (
     trio.BrokenResourceError,
@@ -26,7 +26,16 @@
         self._filled = trio.Event()
 
     def put(self, body: bytes) -> None:
-        """Queues a frame, to be sent in one batch with the others queued."""
+        """Queues a frame, to be sent in one batch with the others queued.
+
+        Raises:
+            FrameTooLargeError: The receiver would refuse the frame and close
+                the connection.
+        """
+        if len(body) > MAX_FRAME_BYTES:
+            raise FrameTooLargeError(
+                f"a frame of {len(body)} bytes exceeds the size limit"
+            )
         self._buf += LENGTH.pack(len(body))
         self._buf += body
         self._filled.set()
--- a/src/lagoonstair/peers/_server.py
+++ b/src/lagoonstair/peers/_server.py
@@ -25,6 +25,7 @@
 from lagoonstair.peers._send_queue import CONNECTION_ERRORS, SendQueue
 from lagoonstair.wire import (
     FrameReader,
+    FrameTooLargeError,
     listen,
     write_frame,
 )
@@ -195,4 +196,10 @@
             )
             failure = Failure(ErrorKind.INTERNAL, "internal error", None)
         reply = Reply(call.call_id, body, failure)
-        send_queue.put(self._encoder.encode(reply))
+        try:
+            send_queue.put(self._encoder.encode(reply))
+        except FrameTooLargeError as exc:
+            logger.error("reply to {} not sent: {}", call.kind, exc)
+            failure = Failure(ErrorKind.INTERNAL, "reply too large", None)
+            reply = Reply(call.call_id, NIL, failure)
+            send_queue.put(self._encoder.encode(reply))
