Refuse a statsd prefix that ends its datagram's fields

What callers saw: a prefix with ':', '|', a blank or an LF in the settings became other metrics or values.

Cause: the prefix was written into datagrams unchecked. Names come from the code and hold no separators.

Fix: the settings allow letters, digits, '_', '-' and '.'.

--- a/src/lagoonstair/settings/_settings.py
+++ b/src/lagoonstair/settings/_settings.py
@@ -1,6 +1,7 @@
 """The data classes of an instance's settings."""
 
 import functools
+import re
 from typing import Annotated, Literal
 
 from annotated_types import Ge, Gt, Le, MinLen
@@ -20,6 +21,9 @@
 SHA256_HEX_CHARACTERS = 64
 """Hexadecimal digits in a SHA-256."""
 
+STATSD_PREFIX = re.compile(r"[A-Za-z0-9_.-]*")
+"""Text without the separators of a statsd datagram."""
+
 settings_dataclass = functools.partial(
     dataclass,
     frozen=True,
@@ -36,6 +40,12 @@
     return value
 
 
+def _statsd_prefix(value: str) -> str:
+    if not STATSD_PREFIX.fullmatch(value):
+        raise ValueError("expected letters, digits, '_', '-' and '.'")
+    return value
+
+
 Name = Annotated[str, MinLen(1)]
 Secret = Annotated[str, MinLen(MIN_SECRET_CHARACTERS)]
 Seconds = Annotated[float, Gt(0), Le(3600)]
@@ -129,7 +139,7 @@
 
     host: IPvAnyAddress
     port: Port = 8125
-    prefix: str = "lagoonstair"
+    prefix: Annotated[str, AfterValidator(_statsd_prefix)] = "lagoonstair"
 
 
 @settings_dataclass()
