--- a/src/lagoonstair/wire/_http_server.py
+++ b/src/lagoonstair/wire/_http_server.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
-from http import HTTPStatus
 
 import msgspec
 import trio
 from loguru import logger
 
 from lagoonstair._faults import describe_exception
+from lagoonstair.wire._http_encoder import encode_response
 from lagoonstair.wire._http_parser import (
     BadHttpError,
     ParsedRequest,
@@ -25,11 +25,6 @@
 TOO_LARGE = frozenset({413, 431})
 """Status codes that are reported as an error of kind ``too_large``."""
 
-STATUS_LINES = {
-    status.value: f"HTTP/1.1 {status.value} {status.phrase}"
-    for status in HTTPStatus
-}
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpLimits:
@@ -96,6 +91,7 @@
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 ConnectionHook = Callable[[int], None]
+RefusedHook = Callable[[str], None]
 
 
 class HttpServer:
@@ -106,6 +102,8 @@
             receives status 500 without the exception's message.
         limits: The limits of the server and its connections.
         on_close: Called with the ID of each connection that was closed.
+        on_refused: Called with the reason for which a connection is closed
+            whose next request could not be received.
 
     Attributes:
         draining: Whether new connections are rejected, and existing ones are
@@ -118,10 +116,12 @@
         *,
         limits: HttpLimits | None = None,
         on_close: ConnectionHook | None = None,
+        on_refused: RefusedHook | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits or HttpLimits()
         self._on_close = on_close
+        self._on_refused = on_refused
         self._open: dict[int, trio.CancelScope] = {}
         self._busy: set[int] = set()
         self._next_id = 0
@@ -188,8 +188,11 @@
             try:
                 parsed = await self._receive(stream, parser, conn_id)
             except BadHttpError as exc:
+                logger.warning("request refused: {}: {}", exc.reason, exc)
+                if self._on_refused is not None:
+                    self._on_refused(exc.reason)
                 resp = _error_response(exc)
-                await stream.send_all(encode_response(resp, close=True))
+                await stream.send_all(_encode(resp, close=True))
                 return
             if parsed is None:
                 return
@@ -202,7 +205,9 @@
             )
             resp = await self._handle(req)
             close = self.draining or not parsed.keep_alive
-            await stream.send_all(encode_response(resp, close=close))
+            await stream.send_all(
+                _encode(resp, close=close, method=parsed.method)
+            )
             self._busy.discard(conn_id)
             if close:
                 return
@@ -230,6 +235,11 @@
         parsed = parser.next_request()
         with trio.move_on_after(self._limits.idle_timeout) as scope:
             while parsed is None:
+                # Sent before the response to an earlier request, it would
+                # seem to belong to that one.
+                if parser.wants_continue:
+                    parser.wants_continue = False
+                    await stream.send_all(CONTINUE)
                 chunk = await stream.receive_some(READ_BYTES)
                 if not chunk:
                     return None
@@ -239,32 +249,33 @@
                         trio.current_time() + self._limits.request_timeout
                     )
                 parser.feed(chunk)
-                if parser.wants_continue:
-                    parser.wants_continue = False
-                    await stream.send_all(CONTINUE)
                 parsed = parser.next_request()
         if parsed is None and parser.in_message:
-            raise BadHttpError(408, "the request did not arrive whole")
+            raise BadHttpError(408, "the request did not arrive whole", "slow")
         self._busy.add(conn_id)
         return parsed
 
 
-def encode_response(resp: HttpResponse, *, close: bool) -> bytes:
-    """Encodes the head and body of a response.
+def _encode(
+    resp: HttpResponse, *, close: bool, method: str | None = None
+) -> bytes:
+    """Encodes a response.
 
     Args:
-        resp: The response.
+        resp: The response; one with an invalid field is replaced by an
+            internal error.
         close: Whether to announce that the connection will be closed.
+        method: The method of the request, if it could be received.
     """
-    lines = [
-        STATUS_LINES[resp.status],
-        f"content-type: {resp.content_type}",
-        f"content-length: {len(resp.body)}",
-        *(f"{name}: {value}" for name, value in resp.headers),
-    ]
+    headers = [("content-type", resp.content_type), *resp.headers]
     if close:
-        lines.append("connection: close")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + resp.body
+        headers.append(("connection", "close"))
+    is_head = method == "HEAD"
+    try:
+        return encode_response(resp.status, headers, resp.body, is_head=is_head)
+    except ValueError as exc:
+        logger.error("response invalid: {}", exc)
+        return _encode(INTERNAL_ERROR, close=close, method=method)
 
 
 def _error_response(exc: BadHttpError) -> HttpResponse:
