Track relayed sessions by whole messages

What callers saw: by reading, not observed in a run of processes: a relayed session closed as idle while its statement ran, an answer lost without a word, or a failure for another statement than the one that was lost.

Cause: the relay looked for the ends of messages by itself, at any LF. Data of a row that held LF and READY ended an answer; a row was judged by its last 64 KiB; a statement with an LF counted as several. A READY ended all statements that the caller had sent, not the oldest one.

Chunks are forwarded as they come, except for data that no answer can have, behind which the session ends.

test_a_question_right_after_an_answer_is_still_open compared the bytes of the statement, which are not kept any more; it compares the parsed statement now.

--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -6,6 +6,7 @@
 
 from lagoonstair._types import Address
 from lagoonstair.platform import lines
+from lagoonstair.platform.tracking import SessionTracker
 from lagoonstair.proxy._sockets import is_readable
 from lagoonstair.statements import (
     ErrorCode,
@@ -46,14 +47,15 @@
 class RelayedSession:
     """A session that another instance runs.
 
-    The greeting is the first data that the home sends after the caller's first
-    line. It is forwarded to the caller before any other answer.
+    The greeting is the line with which the home answers the caller's first
+    one. It is forwarded to the caller before any other answer.
+
+    Data is forwarded as it comes, except for what can't be an answer.
 
     Attributes:
-        greeting: The first data that the home sent.
-        state: The session's state, as the home last reported it.
-        outstanding: The caller's data that the home has not answered.
-        outstanding_since: When the caller sent the first of it, in seconds.
+        greeting: The greeting, with its terminator.
+        waiting_since: Since when the caller has waited for the home's next
+            answer, in seconds; outdated if it does not wait.
         is_cut: Whether this instance ended it, not the home.
     """
 
@@ -63,15 +65,14 @@
         self._caller = caller
         self._home = home
         self.greeting = first
-        self._partial_answer = b""
+        self._tracker = SessionTracker()
+        self._has_caller_left = False
         self._scope = trio.CancelScope()
         self._ends_when_idle = False
         self._ends_when_answered = False
         self._is_refused = False
         self.is_cut = False
-        self.state = TransactionState.IDLE
-        self.outstanding = b""
-        self.outstanding_since = 0.0
+        self.waiting_since = 0.0
 
     @classmethod
     async def open(
@@ -98,7 +99,7 @@
                     TCP_USER_TIMEOUT_MS,
                 )
                 await home.send_all(start)
-                first = await home.receive_some(READ_BYTES)
+                greeting = await home.receive_some(READ_BYTES)
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
             # Without a connection and without a timeout, it was refused.
             is_refused = home is None and not isinstance(exc, trio.TooSlowError)
@@ -106,15 +107,30 @@
                 home.socket.close()
             cause = f"{address}: {exc or 'timed out'}"
             raise HomeLostError(cause, is_refused=is_refused) from exc
-        if not first:
+        if not greeting:
             home.socket.close()
             raise HomeLostError(f"{address}: connection closed without data")
-        return cls(caller, home, first)
+        return cls(caller, home, greeting)
+
+    @property
+    def state(self) -> TransactionState:
+        """The session's state, as the home last reported it."""
+        return self._tracker.state
+
+    @property
+    def has_outstanding(self) -> bool:
+        """Whether data of the caller is unanswered."""
+        return not self._has_caller_left and (self._tracker.has_unanswered)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the caller waits for the home."""
+        return self._tracker.has_unanswered
 
     @property
     def is_idle(self) -> bool:
         """Whether the session can be closed without losing work."""
-        return not self.outstanding and self.state is TransactionState.IDLE
+        return not self.has_outstanding and self.state is TransactionState.IDLE
 
     def cancel(self) -> None:
         """Ends the session."""
@@ -132,7 +148,7 @@
         from now on is refused.
         """
         self._ends_when_answered = True
-        if not self.outstanding and not is_readable(self._caller):
+        if not self.has_outstanding and not is_readable(self._caller):
             self.cancel()
 
     def close(self) -> None:
@@ -154,24 +170,16 @@
         Returns:
             The time in seconds; 0 if no answer is outstanding.
         """
-        return now - self.outstanding_since if self.outstanding else 0.0
+        return now - self.waiting_since if self.is_waiting else 0.0
 
     def outstanding_query(self) -> lines.Query | None:
-        """Returns the statement that the home has not answered.
+        """Returns the oldest statement that the home has not answered.
 
         Returns:
-            The statement; ``None`` if there is none, if it is incomplete or
-            unreadable, or if the caller sent several, any of which may have
-            run.
+            The statement; ``None`` if there is none, or if it is incomplete or
+            unreadable.
         """
-        line, end, more = self.outstanding.partition(b"\n")
-        if more or not end:
-            return None
-        try:
-            message = lines.parse_caller_line(line.rstrip(b"\r"))
-        except lines.BadLineError:
-            return None
-        return message if isinstance(message, lines.Query) else None
+        return self._tracker.first_query()
 
     async def run(self, early_data: bytes) -> Failure | None:
         """Relays data until either side closes its connection.
@@ -194,7 +202,10 @@
                     nursery.cancel_scope.cancel()
         finally:
             self._home.socket.close()
-        if not self.outstanding or self._partial_answer:
+        if not self._tracker.has_unanswered or self._has_caller_left:
+            return None
+        if self._tracker.has_partial_answer:
+            # An error would be read as a part of that answer.
             return None
         return self._outstanding_failure()
 
@@ -206,10 +217,9 @@
         try:
             while True:
                 if chunk:
-                    if not self.outstanding:
-                        self.outstanding_since = trio.current_time()
+                    if not self.has_outstanding:
                         self._is_refused = self._ends_when_answered
-                    self.outstanding += chunk
+                    self._track_request(chunk)
                     if self._is_refused:
                         self.cut()
                         return
@@ -221,8 +231,7 @@
             # Either side closed; the task that reads from the home finds out
             # which.
             return
-        # The caller has left, so no answer is outstanding.
-        self.outstanding = b""
+        self._has_caller_left = True
         scope.cancel()
 
     async def _forward_to_caller(self) -> None:
@@ -231,42 +240,53 @@
         while chunk:
             # Tracked before it is forwarded, because the caller may send its
             # next statement immediately after.
-            self._track_answer(chunk)
+            valid = self._track_answer(chunk)
             try:
-                await self._caller.send_all(chunk)
+                await self._caller.send_all(chunk[:valid])
             except (OSError, trio.BrokenResourceError):
-                # The caller has left, so no answer is outstanding.
-                self.outstanding = b""
+                self._has_caller_left = True
+                return
+            if self._tracker.fault:
                 return
             if self._ends_when_idle and self.is_idle:
                 return
-            if self._ends_when_answered and not self.outstanding:
+            if self._ends_when_answered and not self.has_outstanding:
                 return
             try:
                 chunk = await self._home.receive_some(READ_BYTES)
             except (OSError, trio.BrokenResourceError):
                 return
 
-    def _track_answer(self, chunk: bytes) -> None:
-        """Updates the session's state from a part of an answer."""
-        answer = (self._partial_answer + chunk)[-READ_BYTES:]
-        line = answer.rstrip(b"\r\n").rpartition(b"\n")[2]
-        if answer.endswith(b"\n") and line.startswith(b"READY "):
-            self.state = lines.parse_ready(line)
-            self.outstanding = b""
-            answer = b""
-        self._partial_answer = answer
+    def _track_request(self, chunk: bytes) -> None:
+        """Updates the session's state from data of the caller."""
+        if not self._tracker.has_unanswered:
+            self.waiting_since = trio.current_time()
+        self._tracker.feed_request(chunk)
+
+    def _track_answer(self, chunk: bytes) -> int:
+        """Updates the session's state from data of the home.
+
+        Returns:
+            The number of bytes that may be forwarded.
+        """
+        answered = self._tracker.answered
+        valid = self._tracker.feed_answer(chunk)
+        if self._tracker.answered > answered:
+            # From here on the home runs the caller's next statement.
+            self.waiting_since = trio.current_time()
+        return valid
 
     def _outstanding_failure(self) -> Failure:
         """Returns the failure for a statement that the home did not answer.
 
         Returns:
-            An abort if nothing of the statement can last; in doubt otherwise.
+            An abort if nothing of the statement can last; in doubt otherwise,
+            also if the caller sent several, any of which may have run.
         """
         if self._is_refused:
             # The home has not got it, and rolls back what came before.
             return Failure(ErrorCode.ABORTED, SHUTDOWN_MESSAGE)
-        query = self.outstanding_query()
+        query = self._tracker.only_query
         statement = None if query is None else query.statement
         return failure_without_answer(
             statement,
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -236,7 +236,7 @@
                     return
                 self.mark_lost(name, "silent")
                 for session in self._sessions_at(name):
-                    if session.is_idle or session.outstanding:
+                    if session.is_idle or session.is_waiting:
                         session.cancel()
         finally:
             self._being_checked.discard(name)
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -1,8 +1,10 @@
 """Tests of relayed sessions between two socket pairs, and of home routing."""
 
+import pytest
 import trio
 import trio.testing
 
+from lagoonstair.platform import lines
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._relay import HomeLostError, RelayedSession
 from lagoonstair.proxy._relays import (
@@ -10,7 +12,7 @@
     REFUSED_HOME_SKIP_SECONDS,
     HomeRouter,
 )
-from lagoonstair.statements import ErrorCode, TransactionState
+from lagoonstair.statements import ErrorCode, Read, TransactionState
 
 GREETING = b"READY I -\r\n"
 TIMEOUT_SECONDS = 5
@@ -123,7 +125,10 @@
             await ends.ask(b"QUERY q1 READ 1a4\r\n")
             await ends.home.send_all(b"ROW a\r\nCOMPLETE s\r\n" + GREETING)
             await trio.testing.wait_all_tasks_blocked()
-            assert ends.session.outstanding == statement
+            assert ends.session.has_outstanding
+            assert ends.session.outstanding_query() == lines.Query(
+                "q2", Read("READ 1a4")
+            )
             await ends.home.aclose()
     assert ends.failure.code is ErrorCode.ABORTED
 
@@ -299,3 +304,109 @@
             await ends.home.send_all(answer)
             assert await ends.caller.receive_some(100) == answer
     assert ends.failure is None
+
+
+READ_AND_COMMIT = b"QUERY q1 READ 1a4\r\nQUERY q2 COMMIT\r\n"
+ANSWER = b"ROW a\r\nCOMPLETE s\r\nREADY T -\r\n"
+
+
+async def _receive(stream, size):
+    received = b""
+    while len(received) < size:
+        received += await stream.receive_some(size - len(received))
+    return received
+
+
+async def _running(nursery, greeting=GREETING):
+    """Returns a session that runs and has forwarded its greeting."""
+    ends = await _ends(greeting)
+    await nursery.start(ends.run)
+    assert await _receive(ends.caller, len(greeting)) == greeting
+    return ends
+
+
+# Guards against: a session that is closed as idle while a statement runs,
+# because data of a row was read as the end of the answer.
+@pytest.mark.parametrize(
+    "row",
+    [
+        b"ROW x\nREADY I -\n",
+        b"ROW x\n\rREADY I -\n\r\r",
+        b"ROW x\nREADY I -" + b"\n" * 9,
+        # The last 64 KiB begin with the word.
+        b"ROW x" + b"READY I -".ljust(64 * 1024 - 1, b"x") + b"\n",
+    ],
+    ids=["lf", "cr", "lfs", "64-kib"],
+)
+async def test_data_that_looks_like_the_end_of_an_answer_ends_none(row):
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends = await _running(nursery)
+            await ends.ask(b"QUERY q1 WRITE 1a4 x\r\n")
+            await ends.home.send_all(row)
+            assert await _receive(ends.caller, len(row)) == row
+            assert not ends.session.is_idle
+            assert ends.session.outstanding_query().request_id == "q1"
+            rest = b"\r\nCOMPLETE s\r\n" + GREETING
+            await ends.home.send_all(rest)
+            assert await _receive(ends.caller, len(rest)) == rest
+            await trio.testing.wait_all_tasks_blocked()
+            assert ends.session.is_idle
+            ends.session.cancel()
+    assert ends.failure is None
+
+
+# Guards against: a statement with an LF in its data that counts as several.
+async def test_a_statement_that_holds_an_lf_is_one_statement():
+    failure = await _lose_home(
+        b"QUERY q1 WRITE 1a4 x\ny\r\n", b"", b"READY T -\r\n"
+    )
+    assert failure.code is ErrorCode.ABORTED
+
+
+# Guards against: a session that is closed as idle while the second of two
+# statements runs, because the first answer ended both.
+async def test_an_answer_ends_one_of_several_statements():
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends = await _running(nursery)
+            await ends.ask(
+                b"QUERY q1 READ 1a4\r\nQUERY q2 WRITE 1a4 x\r\n"
+                b"QUERY q3 READ 1a4\r\n"
+            )
+            asked_at = ends.session.waiting_since
+            answer = b"ROW a\r\nCOMPLETE s\r\n" + GREETING
+            await ends.home.send_all(answer)
+            assert await _receive(ends.caller, len(answer)) == answer
+            await trio.testing.wait_all_tasks_blocked()
+            # The home has begun the second statement just now.
+            assert ends.session.waiting_since > asked_at
+            assert not ends.session.is_idle
+            assert ends.session.waiting_seconds(trio.current_time() + 1) >= 1
+            await ends.home.send_all(answer + answer)
+            assert await _receive(ends.caller, 2 * len(answer)) == 2 * answer
+            await trio.testing.wait_all_tasks_blocked()
+            assert ends.session.is_idle
+            ends.session.cancel()
+    assert ends.failure is None
+
+
+# Guards against: a lost COMMIT whose caller gets no answer, or a promise made
+# for the statement before it.
+async def test_the_failure_is_that_of_the_first_unanswered_statement():
+    failure = await _lose_home(READ_AND_COMMIT, ANSWER)
+    assert failure.code is ErrorCode.IN_DOUBT
+    failure = await _lose_home(READ_AND_COMMIT)
+    assert failure.code is ErrorCode.IN_DOUBT
+    failure = await _lose_home(
+        b"QUERY q1 WRITE 1a4 x\r\nQUERY q2 WRITE 1a4 y\r\n", ANSWER
+    )
+    assert failure.code is ErrorCode.ABORTED
+
+
+# Guards against: an ERROR behind a part of an answer, when the home is lost
+# within a row, behind COMPLETE or between CR and LF.
+@pytest.mark.parametrize("cut", range(1, len(ANSWER)))
+async def test_nothing_follows_an_answer_that_was_cut_anywhere(cut):
+    failure = await _lose_home(READ_AND_COMMIT, ANSWER[:cut])
+    assert failure is None
