Keep a relayed session while its answer is being sent

What callers saw: by reading, an answer cut off although the relay had it whole, or an ERROR behind a part of an answer.

Cause: an answer counts as given once it is read from the home. A slow caller has not received it then, but the session counted as idle, and a failure for the next statement was sent behind the part.

While a send is in progress the session is neither idle nor answered, and ends without a failure. A caller that takes its answer slowly does not wait for the home, so that time is not held against the home.

--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -66,6 +66,7 @@
         self._home = home
         self.greeting = first
         self._tracker = SessionTracker()
+        self._is_sending = False
         self._has_caller_left = False
         self._scope = trio.CancelScope()
         self._ends_when_idle = False
@@ -119,13 +120,15 @@
 
     @property
     def has_outstanding(self) -> bool:
-        """Whether data of the caller is unanswered."""
-        return not self._has_caller_left and (self._tracker.has_unanswered)
+        """Whether data of the caller is unanswered or an answer is sent."""
+        return not self._has_caller_left and (
+            self._tracker.has_unanswered or self._is_sending
+        )
 
     @property
     def is_waiting(self) -> bool:
-        """Whether the caller waits for the home."""
-        return self._tracker.has_unanswered
+        """Whether the caller waits for the home, and has taken all before."""
+        return self._tracker.has_unanswered and not self._is_sending
 
     @property
     def is_idle(self) -> bool:
@@ -204,7 +207,7 @@
             self._home.socket.close()
         if not self._tracker.has_unanswered or self._has_caller_left:
             return None
-        if self._tracker.has_partial_answer:
+        if self._is_sending or self._tracker.has_partial_answer:
             # An error would be read as a part of that answer.
             return None
         return self._outstanding_failure()
@@ -241,11 +244,13 @@
             # Tracked before it is forwarded, because the caller may send its
             # next statement immediately after.
             valid = self._track_answer(chunk)
+            self._is_sending = True
             try:
                 await self._caller.send_all(chunk[:valid])
             except (OSError, trio.BrokenResourceError):
                 self._has_caller_left = True
                 return
+            self._is_sending = False
             if self._tracker.fault:
                 return
             if self._ends_when_idle and self.is_idle:
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -410,3 +410,63 @@
 async def test_nothing_follows_an_answer_that_was_cut_anywhere(cut):
     failure = await _lose_home(READ_AND_COMMIT, ANSWER[:cut])
     assert failure is None
+
+
+class _SlowCaller:
+    """A caller's stream that accepts a part of an answer, then waits."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.may_continue = trio.Event()
+        self.is_blocked = trio.Event()
+
+    async def send_all(self, data):
+        if data == GREETING:
+            await self._stream.send_all(data)
+            return
+        await self._stream.send_all(data[:4])
+        self.is_blocked.set()
+        await self.may_continue.wait()
+        await self._stream.send_all(data[4:])
+
+    def __getattr__(self, name):
+        return getattr(self._stream, name)
+
+
+async def _blocked(nursery, statements, answer):
+    """Returns a session that has sent the first bytes of an answer."""
+    ends = await _ends()
+    slow = ends.session._caller = _SlowCaller(ends.session._caller)
+    await nursery.start(ends.run)
+    await _receive(ends.caller, len(GREETING))
+    await ends.ask(statements)
+    await ends.home.send_all(answer)
+    await slow.is_blocked.wait()
+    return ends, slow
+
+
+# Guards against: a failure behind a part of an answer that a slow caller had
+# not received when its session was ended.
+async def test_nothing_follows_an_answer_that_was_not_sent_whole():
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends, _ = await _blocked(nursery, READ_AND_COMMIT, ANSWER)
+            ends.session.cut()
+    assert ends.failure is None
+
+
+# Guards against: an answer that is cut off because its session counted as idle
+# while a slow caller had not received it.
+@pytest.mark.parametrize("end", ["cancel_when_idle", "cancel_when_answered"])
+async def test_a_session_is_not_idle_while_its_answer_is_sent(end):
+    answer = b"ROW a\r\nCOMPLETE s\r\n" + GREETING
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends, slow = await _blocked(
+                nursery, b"QUERY q1 READ 1a4\r\n", answer
+            )
+            assert not ends.session.is_idle
+            getattr(ends.session, end)()
+            slow.may_continue.set()
+            assert await _receive(ends.caller, len(answer)) == answer
+    assert ends.failure is None
