Judge a home's greeting when its line is whole

What callers saw: by reading, a refusal (NODB, NOAUTH) of a home with an older configuration, or a session without a greeting, although another home could be tried.

Cause: the first chunk was taken for the greeting, whatever it held.

Evidence: a refusal cut behind any of its first 9 bytes opened a session, as did a connection that closed within the greeting, a ROW, and an unknown state.

The relay reads until the line is whole, within the time limit for opening, and passes over a home that sends anything else. Nothing has been sent to the caller by then.

--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -100,7 +100,7 @@
                     TCP_USER_TIMEOUT_MS,
                 )
                 await home.send_all(start)
-                greeting = await home.receive_some(READ_BYTES)
+                greeting = await _receive_greeting(home)
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
             # Without a connection and without a timeout, it was refused.
             is_refused = home is None and not isinstance(exc, trio.TooSlowError)
@@ -108,9 +108,10 @@
                 home.socket.close()
             cause = f"{address}: {exc or 'timed out'}"
             raise HomeLostError(cause, is_refused=is_refused) from exc
-        if not greeting:
+        except HomeLostError as exc:
+            assert home is not None
             home.socket.close()
-            raise HomeLostError(f"{address}: connection closed without data")
+            raise HomeLostError(f"{address}: {exc}") from exc
         return cls(caller, home, greeting)
 
     @property
@@ -299,3 +300,23 @@
             and query is not None,
             message=HOME_LOST_MESSAGE,
         )
+
+
+async def _receive_greeting(home: trio.SocketStream) -> bytes:
+    """Receives the whole line with which a home opens or refuses a session.
+
+    Raises:
+        HomeLostError: The home closed the connection before, or sent something
+            else.
+    """
+    tracker = SessionTracker()
+    greeting = b""
+    while not tracker.is_greeted:
+        chunk = await home.receive_some(READ_BYTES)
+        if not chunk:
+            raise HomeLostError("connection closed without a greeting")
+        greeting += chunk
+        tracker.feed_answer(chunk)
+        if tracker.fault:
+            raise HomeLostError(f"greeting refused: {tracker.fault}")
+    return greeting
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -470,3 +470,65 @@
             slow.may_continue.set()
             assert await _receive(ends.caller, len(answer)) == answer
     assert ends.failure is None
+
+
+class _Listener:
+    """A home that sends parts of a greeting, each when told to."""
+
+    def __init__(self, parts):
+        self._parts = parts
+        self.address = None
+
+    async def serve(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = listener.socket.getsockname()[:2]
+        async with listener:
+            task_status.started()
+            async with await listener.accept() as stream:
+                for part in self._parts:
+                    await stream.send_all(part)
+                    await trio.testing.wait_all_tasks_blocked(0.01)
+                await stream.receive_some(100)
+
+
+async def _open_at(parts):
+    """Returns a router's session at a home that greets in parts."""
+    home = _Listener(parts)
+    metrics = Metrics()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(home.serve)
+        router = HomeRouter(
+            _Fleet(["h1"]), metrics, lambda name: home.address, None
+        )
+        caller, _ = await _pair()
+        session = await router._open("h1", caller, b"START d k\r\n")
+        if session is not None:
+            session.close()
+        nursery.cancel_scope.cancel()
+    return session, metrics.render()
+
+
+# Guards against: a home's refusal that is passed on to an authorized caller,
+# because its first bytes alone were judged.
+@pytest.mark.parametrize("cut", range(1, len(NO_DATABASE)))
+async def test_a_refusal_is_judged_when_its_line_is_whole(cut):
+    session, metrics = await _open_at([NO_DATABASE[:cut], NO_DATABASE[cut:]])
+    assert session is None
+    assert "homes_outdated_total 1" in metrics
+
+
+async def test_a_greeting_in_parts_opens_a_session():
+    session, _ = await _open_at([b"REA", b"DY I -\r", b"\n"])
+    assert session.greeting == GREETING
+
+
+# Guards against: a session that is opened at a home without a whole or valid
+# greeting, although another home could be tried.
+@pytest.mark.parametrize(
+    "parts",
+    [[b"READY I -\r"], [b"REA", b""], [b"ROW x\r\n"], [b"READY Q -\r\n"]],
+)
+async def test_a_home_without_a_valid_greeting_opens_no_session(parts):
+    session, metrics = await _open_at(parts)
+    assert session is None
+    assert "homes_lost_total 1" in metrics
