Tell what a home sent that is no answer

What callers saw: by reading, messages of a home that nobody asked for, or that are no answer, and then nothing.

Cause: the relay forwarded whatever came. An unknown state raised out of the session, and sent an ERROR behind what had been forwarded.

Both are logged and counted with home, reason and request, and explain names them. An answer that was cut off because the home was lost had no log line either.

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -148,6 +148,9 @@
     unexpected = [e for e in lines if e["event"] == "answer unexpected"]
     if unexpected:
         return _explain_unexpected_answer(unexpected[-1], outcome)
+    from_home = [e for e in lines if e["event"].startswith("home answer ")]
+    if from_home:
+        return _explain_bad_home_answer(from_home)
     if "over its rate" in logged_cause:
         return _explain_rate_limit(last, beliefs)
     if "may be out of date" in logged_cause:
@@ -185,6 +188,18 @@
     return f"{outcome}: {logged_cause}"
 
 
+def _explain_bad_home_answer(events: list[Event]) -> str:
+    """Describes why a home's answer did not reach the caller whole."""
+    peer = events[0].get("peer")
+    refused = [e for e in events if e["event"] == "home answer refused"]
+    reason = (
+        f"sent data that is no answer to it ({refused[0].get('cause')})"
+        if refused
+        else "was lost in the middle of its answer"
+    )
+    return f"its home {peer} {reason}, so the session was ended"
+
+
 def _explain_rate_limit(last: Event, beliefs: tuple[Event, ...]) -> str:
     """Describes why a request was refused for its workspace's rate."""
     changed = _find_latest(beliefs, "limit changed")
--- a/src/lagoonstair/platform/tracking.py
+++ b/src/lagoonstair/platform/tracking.py
@@ -27,6 +27,7 @@
         self._requests = lines.LineSplitter()
         self.first: bytes | None = None
         self._has_result = False
+        self._has_error = False
         self.state = TransactionState.IDLE
         self.answered = 0
         self.is_greeted = False
@@ -43,6 +44,11 @@
         """Whether a message of the caller, or a part of one, is unanswered."""
         return self.is_waiting or self._requests.pending > 0
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the last message is an error, which may end the session."""
+        return self._has_error and not self._answers.pending
+
     def first_query(self) -> lines.Query | None:
         """Returns the oldest unanswered statement.
 
@@ -122,7 +128,7 @@
                 self._has_result = True
                 return False
             case b"ERROR" if not self._has_result:
-                self._has_result = True
+                self._has_result = self._has_error = True
                 self.is_greeted = True
                 return False
             case b"READY" if not self.is_greeted:
@@ -131,7 +137,7 @@
                 return True
             case b"READY" if self._has_result and self.is_waiting:
                 self.state = lines.parse_ready(line)
-                self._has_result = False
+                self._has_result = self._has_error = False
                 self.answered += 1
                 self._take_request()
                 return True
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -6,7 +6,7 @@
 
 from lagoonstair._types import Address
 from lagoonstair.platform import lines
-from lagoonstair.platform.tracking import SessionTracker
+from lagoonstair.platform.tracking import SessionTracker, parse_query
 from lagoonstair.proxy._sockets import is_readable
 from lagoonstair.statements import (
     ErrorCode,
@@ -30,6 +30,8 @@
 
 HOME_LOST_MESSAGE = "the instance that ran the session was lost"
 
+HOME_FAULT_MESSAGE = "the instance that ran the session sent no valid answer"
+
 
 class HomeLostError(Exception):
     """The home is unreachable, or did not open the session.
@@ -67,6 +69,7 @@
         self.greeting = first
         self._tracker = SessionTracker()
         self._is_sending = False
+        self._answering: bytes | None = None
         self._has_caller_left = False
         self._scope = trio.CancelScope()
         self._ends_when_idle = False
@@ -119,6 +122,25 @@
         """The session's state, as the home last reported it."""
         return self._tracker.state
 
+    @property
+    def fault(self) -> str:
+        """Why data of the home was refused; empty if none was."""
+        return self._tracker.fault
+
+    @property
+    def is_answer_cut(self) -> bool:
+        """Whether the caller has a part of an answer, after the session ended.
+
+        An error without a ``READY`` is whole, because the home refuses a
+        message that it can't read in this way.
+        """
+        return not self._has_caller_left and (
+            self._is_sending
+            or (
+                self._tracker.has_partial_answer and not self._tracker.has_ended
+            )
+        )
+
     @property
     def has_outstanding(self) -> bool:
         """Whether data of the caller is unanswered or an answer is sent."""
@@ -185,6 +207,12 @@
         """
         return self._tracker.first_query()
 
+    def cut_query(self) -> lines.Query | None:
+        """Returns the statement whose answer is refused or being sent."""
+        if self._is_sending:
+            return parse_query(self._answering)
+        return self._tracker.first_query()
+
     async def run(self, early_data: bytes) -> Failure | None:
         """Relays data until either side closes its connection.
 
@@ -276,6 +304,7 @@
             The number of bytes that may be forwarded.
         """
         answered = self._tracker.answered
+        self._answering = self._tracker.first
         valid = self._tracker.feed_answer(chunk)
         if self._tracker.answered > answered:
             # From here on the home runs the caller's next statement.
@@ -298,7 +327,7 @@
             statement,
             in_transaction=self.state is not TransactionState.IDLE
             and query is not None,
-            message=HOME_LOST_MESSAGE,
+            message=HOME_FAULT_MESSAGE if self.fault else HOME_LOST_MESSAGE,
         )
 
 
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -183,10 +183,36 @@
             failure = await session.run(early_data)
         finally:
             del self._sessions[session]
+        self._log_bad_answer(session, name, database)
         if failure is not None and not session.is_cut:
             self.mark_lost(name, failure.code.value)
         return failure
 
+    def _log_bad_answer(
+        self, session: RelayedSession, name: str, database: str
+    ) -> None:
+        """Logs and counts an answer that was refused, cut off, or both."""
+        query = session.cut_query()
+        request = "" if query is None else query.request_id
+        if session.fault:
+            self._metrics.count("home_answers_refused", cause=session.fault)
+            log_event(
+                "home answer refused",
+                peer=name,
+                cause=session.fault,
+                request=request,
+                database=database,
+            )
+        if session.is_answer_cut:
+            self._metrics.count("home_answers_cut")
+            log_event(
+                "home answer cut off",
+                peer=name,
+                cause="shutdown" if session.is_cut else "home lost",
+                request=request,
+                database=database,
+            )
+
     async def end_silent_sessions(self) -> None:
         """Ends sessions whose home does not answer; runs until cancelled.
 
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -3,6 +3,7 @@
 import io
 import json
 
+import pytest
 import trio
 
 from lagoonstair.cli import Exit
@@ -117,3 +118,25 @@
     assert json.loads(capsys.readouterr().out)["request"] == "q1"
     assert run(["explain", "q2", str(path)]) == Exit.ATTENTION
     assert run(["explain", "q2", str(tmp_path / "none")]) == Exit.USAGE
+
+
+@pytest.mark.parametrize(
+    ("event", "words"),
+    [
+        ("home answer refused", "no answer to it (unasked answer)"),
+        ("home answer cut off", "in the middle of its answer"),
+    ],
+)
+def test_a_request_whose_home_gave_no_whole_answer_is_explained(event, words):
+    fields = {
+        "time": 1.0,
+        "event": event,
+        "instance": "i1",
+        "request": "q2",
+        "peer": "i2",
+        "cause": "unasked answer",
+    }
+    log = io.StringIO(json.dumps(fields) + "\n")
+    cause = explain_request("q2", read_events([log])).cause
+    assert "its home i2" in cause
+    assert words in cause
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -3,8 +3,10 @@
 import pytest
 import trio
 import trio.testing
+from loguru import logger
 
 from lagoonstair.platform import lines
+from lagoonstair.platform.lines import MAX_LINE_BYTES
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._relay import HomeLostError, RelayedSession
 from lagoonstair.proxy._relays import (
@@ -15,6 +17,7 @@
 from lagoonstair.statements import ErrorCode, Read, TransactionState
 
 GREETING = b"READY I -\r\n"
+REFUSED = "home answer refused"
 TIMEOUT_SECONDS = 5
 """Time limit of a test, in seconds."""
 
@@ -453,6 +456,8 @@
             ends, _ = await _blocked(nursery, READ_AND_COMMIT, ANSWER)
             ends.session.cut()
     assert ends.failure is None
+    assert ends.session.is_answer_cut
+    assert ends.session.cut_query().request_id == "q1"
 
 
 # Guards against: an answer that is cut off because its session counted as idle
@@ -532,3 +537,137 @@
     session, metrics = await _open_at(parts)
     assert session is None
     assert "homes_lost_total 1" in metrics
+
+
+async def _relay(asked, answer, received, *, closes=False):
+    """Relays a session whose home sends invalid data, or closes behind it.
+
+    Returns:
+        The failure, the metrics and the events logged, after the caller has
+        received the given bytes and nothing else.
+    """
+    ends = await _ends()
+    metrics = Metrics()
+    router = HomeRouter(_Fleet(["h1"]), metrics, lambda name: None, None)
+    events = []
+    sink = logger.add(
+        lambda message: events.append(
+            (message.record["message"], message.record["extra"])
+        )
+    )
+    failure = None
+
+    async def run():
+        nonlocal failure
+        failure = await router.relay(ends.session, "h1", "d", b"")
+        await ends.session._caller.aclose()
+
+    try:
+        with trio.fail_after(TIMEOUT_SECONDS):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(run)
+                await _receive(ends.caller, len(GREETING))
+                if asked:
+                    await ends.ask(asked)
+                await ends.home.send_all(answer)
+                if closes:
+                    await ends.home.aclose()
+                got = b"".join([chunk async for chunk in ends.caller])
+    finally:
+        logger.remove(sink)
+    assert got == received
+    return failure, metrics.render(), events
+
+
+WRITE = b"QUERY q1 WRITE 1a4 x\r\n"
+READ = b"QUERY q1 READ 1a4\r\n"
+READ_ANSWER = b"ROW a\r\nCOMPLETE s\r\n" + GREETING
+
+
+# Guards against: data of a home that no statement of the caller led to, or
+# that is no answer, in the hands of the caller; and an ERROR behind a part.
+@pytest.mark.parametrize(
+    ("asked", "answer", "received", "code"),
+    [
+        (b"", READ_ANSWER, b"", None),
+        (b"", b"RE", b"", None),
+        (READ, READ_ANSWER + READ_ANSWER, READ_ANSWER, None),
+        (READ, b"HELLO\r\n", b"", ErrorCode.ABORTED),
+        (WRITE, b"HELLO\r\n", b"", ErrorCode.IN_DOUBT),
+        (WRITE, GREETING, b"", ErrorCode.IN_DOUBT),
+        (WRITE, b"COMPLETE s\r\nROW a\r\n", b"", ErrorCode.IN_DOUBT),
+        (WRITE, b"COMPLETE s\r\nREADY Q -\r\n", b"", ErrorCode.IN_DOUBT),
+        (WRITE, b"COMPLETE s\r\nREADY\r\n", b"", ErrorCode.IN_DOUBT),
+        (
+            READ + b"QUERY q2 WRITE 1a4 x\r\n",
+            READ_ANSWER + b"ROW a\r\nHELLO\r\n",
+            READ_ANSWER,
+            ErrorCode.IN_DOUBT,
+        ),
+    ],
+)
+async def test_a_home_that_breaks_the_protocol_ends_the_session(
+    asked, answer, received, code
+):
+    failure, metrics, events = await _relay(asked, answer, received)
+    assert (failure and failure.code) == code
+    assert "home_answers_refused_total{" in metrics
+    (fields,) = [extra for event, extra in events if event == REFUSED]
+    assert fields["peer"] == "h1"
+    assert fields["cause"]
+    statement = asked.removeprefix(READ) if received else asked
+    assert (
+        fields["request"] == (statement.split(b" ")[1:2] or [b""])[0].decode()
+    )
+
+
+# Guards against: a message without an end that fills the memory.
+async def test_a_message_of_a_home_that_is_too_long_ends_the_session():
+    """What was forwarded of it can be followed by nothing."""
+    ends = await _ends()
+    received = 0
+    row = b"ROW " + b"x" * (2 * MAX_LINE_BYTES)
+
+    async def send():
+        with pytest.raises(trio.BrokenResourceError):
+            await ends.home.send_all(row)
+
+    async def run():
+        await ends.run()
+        await ends.session._caller.aclose()
+
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            await _receive(ends.caller, len(GREETING))
+            await ends.ask(READ)
+            nursery.start_soon(send)
+            async for chunk in ends.caller:
+                received += len(chunk)
+    assert ends.failure is None
+    assert received <= MAX_LINE_BYTES + 2
+    assert ends.session.fault
+
+
+# Guards against: a request whose answer was cut off, and that no log names.
+@pytest.mark.parametrize("cut", [1, len(ANSWER) - 1])
+async def test_an_answer_that_is_cut_off_is_logged(cut):
+    failure, metrics, events = await _relay(
+        READ, ANSWER[:cut], ANSWER[:cut], closes=True
+    )
+    assert failure is None
+    assert "home_answers_cut_total 1" in metrics
+    (fields,) = [
+        extra for event, extra in events if event == "home answer cut off"
+    ]
+    assert (fields["peer"], fields["request"]) == ("h1", "q1")
+
+
+async def test_a_refusal_of_a_message_is_no_cut_answer():
+    refusal = b"ERROR MALFORMED unknown message\r\n"
+    failure, metrics, events = await _relay(
+        b"HELLO\r\n", refusal, refusal, closes=True
+    )
+    assert failure is None
+    assert not metrics.strip()
+    assert not events
