Keep a home whose caller released its session or paused

What callers saw: an ERROR (INDOUBT) in answer to RELEASE, if they waited for the close; and homes skipped for 2 s by other sessions, because one caller released its session or paused within a statement.

Cause: any data of the caller that had no answer counted as a statement that the home left unanswered, RELEASE and an incomplete message too.

Evidence: the failure after RELEASE was IN_DOUBT ("the instance that ran the session was lost"), and an incomplete statement waited for 9.0 s.

A session whose oldest unanswered message is RELEASE ends without a failure. The wait for an answer begins when the statement is whole.

--- a/src/lagoonstair/platform/tracking.py
+++ b/src/lagoonstair/platform/tracking.py
@@ -63,6 +63,11 @@
         """The unanswered statement; ``None`` if there are none or several."""
         return None if self._requests.pending else self.first_query()
 
+    @property
+    def is_released(self) -> bool:
+        """Whether all that is unanswered is the end of the session."""
+        return isinstance(_parse(self.first), lines.Release)
+
     def feed_request(self, chunk: bytes) -> None:
         """Tracks data of the caller."""
         self._requests.feed(chunk)
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -151,7 +151,7 @@
     @property
     def is_waiting(self) -> bool:
         """Whether the caller waits for the home, and has taken all before."""
-        return self._tracker.has_unanswered and not self._is_sending
+        return self._tracker.is_waiting and not self._is_sending
 
     @property
     def is_idle(self) -> bool:
@@ -234,7 +234,11 @@
                     nursery.cancel_scope.cancel()
         finally:
             self._home.socket.close()
-        if not self._tracker.has_unanswered or self._has_caller_left:
+        if (
+            not self._tracker.has_unanswered
+            or self._has_caller_left
+            or self._tracker.is_released
+        ):
             return None
         if self._is_sending or self._tracker.has_partial_answer:
             # An error would be read as a part of that answer.
@@ -293,7 +297,7 @@
 
     def _track_request(self, chunk: bytes) -> None:
         """Updates the session's state from data of the caller."""
-        if not self._tracker.has_unanswered:
+        if not self._tracker.is_waiting:
             self.waiting_since = trio.current_time()
         self._tracker.feed_request(chunk)
 
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -649,6 +649,28 @@
     assert ends.session.fault
 
 
+# Guards against: a home that is skipped because a caller released its session
+# and waited for the end of the connection.
+@pytest.mark.parametrize("release", [b"RELEASE\r\n", b"RELEASE \r\n"])
+async def test_a_released_session_ends_without_a_failure(release):
+    assert await _lose_home(release) is None
+
+
+# Guards against: a home that counts as silent because a caller paused within
+# its statement.
+async def test_a_part_of_a_statement_waits_for_no_answer():
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends = await _running(nursery)
+            await ends.ask(READ[:-1])
+            assert ends.session.waiting_seconds(trio.current_time() + 9) == 0
+            assert not ends.session.is_idle
+            await ends.ask(READ[-1:])
+            assert ends.session.waiting_seconds(trio.current_time() + 9) >= 9
+            ends.session.cancel()
+    assert ends.failure.code is ErrorCode.ABORTED
+
+
 # Guards against: a request whose answer was cut off, and that no log names.
 @pytest.mark.parametrize("cut", [1, len(ANSWER) - 1])
 async def test_an_answer_that_is_cut_off_is_logged(cut):
