Bound the unanswered data of a relayed session

What callers saw: nothing; a caller that sends on without reading its answers grows the relay's memory.

Cause: all that the caller had sent was kept until a READY.

The caller is not read while more than one message of the greatest size is unanswered. Each answer lets it go on.

--- a/src/lagoonstair/platform/tracking.py
+++ b/src/lagoonstair/platform/tracking.py
@@ -44,6 +44,11 @@
         """Whether a message of the caller, or a part of one, is unanswered."""
         return self.is_waiting or self._requests.pending > 0
 
+    @property
+    def unanswered_bytes(self) -> int:
+        """Size (bytes) of the caller's data that is not answered."""
+        return self._requests.pending + len(self.first or b"")
+
     @property
     def has_ended(self) -> bool:
         """Whether the last message is an error, which may end the session."""
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -32,6 +32,10 @@
 
 HOME_FAULT_MESSAGE = "the instance that ran the session sent no valid answer"
 
+MAX_UNANSWERED_BYTES = lines.MAX_LINE_BYTES + len(lines.LINE_END)
+"""Size (bytes) of unanswered data from which on a caller is not read further.
+The longest message fits."""
+
 
 class HomeLostError(Exception):
     """The home is unreachable, or did not open the session.
@@ -68,6 +72,7 @@
         self._home = home
         self.greeting = first
         self._tracker = SessionTracker()
+        self._answered = trio.Event()
         self._is_sending = False
         self._answering: bytes | None = None
         self._has_caller_left = False
@@ -260,6 +265,9 @@
                         self.cut()
                         return
                     await self._home.send_all(chunk)
+                while self._tracker.unanswered_bytes > MAX_UNANSWERED_BYTES:
+                    self._answered = trio.Event()
+                    await self._answered.wait()
                 chunk = await self._caller.receive_some(READ_BYTES)
                 if not chunk:
                     break
@@ -313,6 +321,7 @@
         if self._tracker.answered > answered:
             # From here on the home runs the caller's next statement.
             self.waiting_since = trio.current_time()
+            self._answered.set()
         return valid
 
     def _outstanding_failure(self) -> Failure:
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -8,7 +8,7 @@
 from lagoonstair.platform import lines
 from lagoonstair.platform.lines import MAX_LINE_BYTES
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._relay import HomeLostError, RelayedSession
+from lagoonstair.proxy._relay import READ_BYTES, HomeLostError, RelayedSession
 from lagoonstair.proxy._relays import (
     HOME_SEARCH_PAUSE_SECONDS,
     REFUSED_HOME_SKIP_SECONDS,
@@ -649,6 +649,31 @@
     assert ends.session.fault
 
 
+# Guards against: a caller that sends on without an answer fills the memory.
+async def test_a_caller_is_read_no_further_than_one_message_ahead():
+    statement = WRITE.replace(b"x", b"x" * 10_000)
+    ends = await _ends()
+    forwarded = 0
+
+    async def read_home():
+        nonlocal forwarded
+        async for chunk in ends.home:
+            forwarded += len(chunk)
+
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(ends.run)
+            nursery.start_soon(read_home)
+            nursery.start_soon(ends.caller.send_all, statement * 1000)
+            await trio.testing.wait_all_tasks_blocked(0.1)
+            assert forwarded <= MAX_LINE_BYTES + 2 * READ_BYTES + 20_000
+            before = forwarded
+            await ends.home.send_all((b"COMPLETE s\r\n" + GREETING) * 50)
+            await trio.testing.wait_all_tasks_blocked(0.1)
+            assert forwarded > before + 400_000
+            nursery.cancel_scope.cancel()
+
+
 # Guards against: a home that is skipped because a caller released its session
 # and waited for the end of the connection.
 @pytest.mark.parametrize("release", [b"RELEASE\r\n", b"RELEASE \r\n"])
