--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -163,6 +163,18 @@
     assert ends.failure.code is ErrorCode.ABORTED
 
 
+# Guards against: a silent home that is not noticed while its caller sends on.
+async def test_a_later_statement_does_not_begin_the_wait_anew():
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends = await _running(nursery)
+            await ends.ask(b"QUERY q1 READ 1a4\r\n")
+            waiting_since = ends.session.waiting_since
+            await ends.ask(b"QUERY q2 READ 1a4\r\n")
+            assert ends.session.waiting_since == waiting_since
+            ends.session.cancel()
+
+
 class _Homes:
     """A fixed list of candidate homes."""
 
