--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -6,6 +6,7 @@
 
 from lagoonstair._types import Address
 from lagoonstair.platform import lines
+from lagoonstair.platform.tracking import SessionTracker, parse_query
 from lagoonstair.proxy._sockets import is_readable
 from lagoonstair.statements import (
     ErrorCode,
@@ -29,6 +30,12 @@
 
 HOME_LOST_MESSAGE = "the instance that ran the session was lost"
 
+HOME_FAULT_MESSAGE = "the instance that ran the session sent no valid answer"
+
+MAX_UNANSWERED_BYTES = lines.MAX_LINE_BYTES + len(lines.LINE_END)
+"""Size (bytes) of unanswered data from which on a caller is not read further.
+The longest message fits."""
+
 
 class HomeLostError(Exception):
     """The home is unreachable, or did not open the session.
@@ -46,14 +53,15 @@
 class RelayedSession:
     """A session that another instance runs.
 
-    The greeting is the first data that the home sends after the caller's first
-    line. It is forwarded to the caller before any other answer.
+    The greeting is the line with which the home answers the caller's first
+    one. It is forwarded to the caller before any other answer.
+
+    Data is forwarded as it comes, except for what can't be an answer.
 
     Attributes:
-        greeting: The first data that the home sent.
-        state: The session's state, as the home last reported it.
-        outstanding: The caller's data that the home has not answered.
-        outstanding_since: When the caller sent the first of it, in seconds.
+        greeting: The greeting, with its terminator.
+        waiting_since: Since when the caller has waited for the home's next
+            answer, in seconds; outdated if it does not wait.
         is_cut: Whether this instance ended it, not the home.
     """
 
@@ -63,15 +71,17 @@
         self._caller = caller
         self._home = home
         self.greeting = first
-        self._partial_answer = b""
+        self._tracker = SessionTracker()
+        self._answered = trio.Event()
+        self._is_sending = False
+        self._answering: bytes | None = None
+        self._has_caller_left = False
         self._scope = trio.CancelScope()
         self._ends_when_idle = False
         self._ends_when_answered = False
         self._is_refused = False
         self.is_cut = False
-        self.state = TransactionState.IDLE
-        self.outstanding = b""
-        self.outstanding_since = 0.0
+        self.waiting_since = 0.0
 
     @classmethod
     async def open(
@@ -98,7 +108,7 @@
                     TCP_USER_TIMEOUT_MS,
                 )
                 await home.send_all(start)
-                first = await home.receive_some(READ_BYTES)
+                greeting = await _receive_greeting(home)
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
             # Without a connection and without a timeout, it was refused.
             is_refused = home is None and not isinstance(exc, trio.TooSlowError)
@@ -106,15 +116,52 @@
                 home.socket.close()
             cause = f"{address}: {exc or 'timed out'}"
             raise HomeLostError(cause, is_refused=is_refused) from exc
-        if not first:
+        except HomeLostError as exc:
+            assert home is not None
             home.socket.close()
-            raise HomeLostError(f"{address}: connection closed without data")
-        return cls(caller, home, first)
+            raise HomeLostError(f"{address}: {exc}") from exc
+        return cls(caller, home, greeting)
+
+    @property
+    def state(self) -> TransactionState:
+        """The session's state, as the home last reported it."""
+        return self._tracker.state
+
+    @property
+    def fault(self) -> str:
+        """Why data of the home was refused; empty if none was."""
+        return self._tracker.fault
+
+    @property
+    def is_answer_cut(self) -> bool:
+        """Whether the caller has a part of an answer, after the session ended.
+
+        An error without a ``READY`` is whole, because the home refuses a
+        message that it can't read in this way.
+        """
+        return not self._has_caller_left and (
+            self._is_sending
+            or (
+                self._tracker.has_partial_answer and not self._tracker.has_ended
+            )
+        )
+
+    @property
+    def has_outstanding(self) -> bool:
+        """Whether data of the caller is unanswered or an answer is sent."""
+        return not self._has_caller_left and (
+            self._tracker.has_unanswered or self._is_sending
+        )
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the caller waits for the home, and has taken all before."""
+        return self._tracker.is_waiting and not self._is_sending
 
     @property
     def is_idle(self) -> bool:
         """Whether the session can be closed without losing work."""
-        return not self.outstanding and self.state is TransactionState.IDLE
+        return not self.has_outstanding and self.state is TransactionState.IDLE
 
     def cancel(self) -> None:
         """Ends the session."""
@@ -132,7 +179,7 @@
         from now on is refused.
         """
         self._ends_when_answered = True
-        if not self.outstanding and not is_readable(self._caller):
+        if not self.has_outstanding and not is_readable(self._caller):
             self.cancel()
 
     def close(self) -> None:
@@ -154,24 +201,22 @@
         Returns:
             The time in seconds; 0 if no answer is outstanding.
         """
-        return now - self.outstanding_since if self.outstanding else 0.0
+        return now - self.waiting_since if self.is_waiting else 0.0
 
     def outstanding_query(self) -> lines.Query | None:
-        """Returns the statement that the home has not answered.
+        """Returns the oldest statement that the home has not answered.
 
         Returns:
-            The statement; ``None`` if there is none, if it is incomplete or
-            unreadable, or if the caller sent several, any of which may have
-            run.
+            The statement; ``None`` if there is none, or if it is incomplete or
+            unreadable.
         """
-        line, end, more = self.outstanding.partition(b"\n")
-        if more or not end:
-            return None
-        try:
-            message = lines.parse_caller_line(line.rstrip(b"\r"))
-        except lines.BadLineError:
-            return None
-        return message if isinstance(message, lines.Query) else None
+        return self._tracker.first_query()
+
+    def cut_query(self) -> lines.Query | None:
+        """Returns the statement whose answer is refused or being sent."""
+        if self._is_sending:
+            return parse_query(self._answering)
+        return self._tracker.first_query()
 
     async def run(self, early_data: bytes) -> Failure | None:
         """Relays data until either side closes its connection.
@@ -194,7 +239,14 @@
                     nursery.cancel_scope.cancel()
         finally:
             self._home.socket.close()
-        if not self.outstanding or self._partial_answer:
+        if (
+            not self._tracker.has_unanswered
+            or self._has_caller_left
+            or self._tracker.is_released
+        ):
+            return None
+        if self._is_sending or self._tracker.has_partial_answer:
+            # An error would be read as a part of that answer.
             return None
         return self._outstanding_failure()
 
@@ -206,14 +258,16 @@
         try:
             while True:
                 if chunk:
-                    if not self.outstanding:
-                        self.outstanding_since = trio.current_time()
+                    if not self.has_outstanding:
                         self._is_refused = self._ends_when_answered
-                    self.outstanding += chunk
+                    self._track_request(chunk)
                     if self._is_refused:
                         self.cut()
                         return
                     await self._home.send_all(chunk)
+                while self._tracker.unanswered_bytes > MAX_UNANSWERED_BYTES:
+                    self._answered = trio.Event()
+                    await self._answered.wait()
                 chunk = await self._caller.receive_some(READ_BYTES)
                 if not chunk:
                     break
@@ -221,8 +275,7 @@
             # Either side closed; the task that reads from the home finds out
             # which.
             return
-        # The caller has left, so no answer is outstanding.
-        self.outstanding = b""
+        self._has_caller_left = True
         scope.cancel()
 
     async def _forward_to_caller(self) -> None:
@@ -231,46 +284,81 @@
         while chunk:
             # Tracked before it is forwarded, because the caller may send its
             # next statement immediately after.
-            self._track_answer(chunk)
+            valid = self._track_answer(chunk)
+            self._is_sending = True
             try:
-                await self._caller.send_all(chunk)
+                await self._caller.send_all(chunk[:valid])
             except (OSError, trio.BrokenResourceError):
-                # The caller has left, so no answer is outstanding.
-                self.outstanding = b""
+                self._has_caller_left = True
+                return
+            self._is_sending = False
+            if self._tracker.fault:
                 return
             if self._ends_when_idle and self.is_idle:
                 return
-            if self._ends_when_answered and not self.outstanding:
+            if self._ends_when_answered and not self.has_outstanding:
                 return
             try:
                 chunk = await self._home.receive_some(READ_BYTES)
             except (OSError, trio.BrokenResourceError):
                 return
 
-    def _track_answer(self, chunk: bytes) -> None:
-        """Updates the session's state from a part of an answer."""
-        answer = (self._partial_answer + chunk)[-READ_BYTES:]
-        line = answer.rstrip(b"\r\n").rpartition(b"\n")[2]
-        if answer.endswith(b"\n") and line.startswith(b"READY "):
-            self.state = lines.parse_ready(line)
-            self.outstanding = b""
-            answer = b""
-        self._partial_answer = answer
+    def _track_request(self, chunk: bytes) -> None:
+        """Updates the session's state from data of the caller."""
+        if not self._tracker.is_waiting:
+            self.waiting_since = trio.current_time()
+        self._tracker.feed_request(chunk)
+
+    def _track_answer(self, chunk: bytes) -> int:
+        """Updates the session's state from data of the home.
+
+        Returns:
+            The number of bytes that may be forwarded.
+        """
+        answered = self._tracker.answered
+        self._answering = self._tracker.first
+        valid = self._tracker.feed_answer(chunk)
+        if self._tracker.answered > answered:
+            # From here on the home runs the caller's next statement.
+            self.waiting_since = trio.current_time()
+            self._answered.set()
+        return valid
 
     def _outstanding_failure(self) -> Failure:
         """Returns the failure for a statement that the home did not answer.
 
         Returns:
-            An abort if nothing of the statement can last; in doubt otherwise.
+            An abort if nothing of the statement can last; in doubt otherwise,
+            also if the caller sent several, any of which may have run.
         """
         if self._is_refused:
             # The home has not got it, and rolls back what came before.
             return Failure(ErrorCode.ABORTED, SHUTDOWN_MESSAGE)
-        query = self.outstanding_query()
+        query = self._tracker.only_query
         statement = None if query is None else query.statement
         return failure_without_answer(
             statement,
             in_transaction=self.state is not TransactionState.IDLE
             and query is not None,
-            message=HOME_LOST_MESSAGE,
+            message=HOME_FAULT_MESSAGE if self.fault else HOME_LOST_MESSAGE,
         )
+
+
+async def _receive_greeting(home: trio.SocketStream) -> bytes:
+    """Receives the whole line with which a home opens or refuses a session.
+
+    Raises:
+        HomeLostError: The home closed the connection before, or sent something
+            else.
+    """
+    tracker = SessionTracker()
+    greeting = b""
+    while not tracker.is_greeted:
+        chunk = await home.receive_some(READ_BYTES)
+        if not chunk:
+            raise HomeLostError("connection closed without a greeting")
+        greeting += chunk
+        tracker.feed_answer(chunk)
+        if tracker.fault:
+            raise HomeLostError(f"greeting refused: {tracker.fault}")
+    return greeting
