Tell refusals from copies by the log's growth, and verify the rest

An instance knows the log's end of a moment ago, so that most connections did not suit a transaction, and each opening took a slot.

Change: a refusal whose position is beyond those of all earlier ones on the connection can't be a copy, if it also has the state that the statement leads to. A BEGIN is tried where its answer may turn out doubtful, and repeated on a connection where it can't. A doubtful refusal in a transaction ends it with ABORTED. The check of a refusal expects a connection without a transaction.

--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -53,6 +53,7 @@
             the cause.
         is_reachable: Whether the endpoint has answered, so that it is not out
             of reach although the connection can't be used.
+        is_doubtful: Whether an answer can't be told from a copy.
     """
 
     def __init__(
@@ -62,19 +63,30 @@
         *,
         is_fault: bool = False,
         is_reachable: bool = False,
+        is_doubtful: bool = False,
     ) -> None:
         super().__init__(message)
         self.refusal = refusal
         self.is_fault = is_fault
-        self.is_reachable = is_reachable or refusal is not None
+        self.is_reachable = is_reachable or is_doubtful or refusal is not None
+        self.is_doubtful = is_doubtful
 
 
 class LinkUse(enum.Enum):
-    """What a connection is needed for."""
+    """What a connection is needed for.
+
+    Attributes:
+        READ: A read, which can be tried again.
+        WRITE: A write; its refusal must be certain.
+        TRANSACTION: A transaction; that it was begun must be certain.
+        TRANSACTION_ATTEMPT: A transaction, which can be begun on another
+            connection if it is not certain on this one.
+    """
 
     READ = "read"
     WRITE = "write"
     TRANSACTION = "transaction"
+    TRANSACTION_ATTEMPT = "transaction_attempt"
 
 
 class _Message(NamedTuple):
@@ -123,7 +135,7 @@
         self._name_numbers = itertools.count(1)
         self._matcher = AnswerMatcher()
         self._is_in_step = True
-        self._was_refused = False
+        self._is_doubtful = False
         self.endpoint = endpoint
         self.workspace = workspace
         self.state = TransactionState.IDLE
@@ -198,23 +210,24 @@
                 from a copy.
         """
         data = lines.encode_query(request_id, text)
-        may_be_copy = self._was_refused
         before = self.state
         (reply,) = await self._exchange([_Message(data, expected, request_id)])
-        if not (may_be_copy and isinstance(reply.result, Failure)):
+        if not self._is_doubtful:
             return reply
-        is_single = expected is Expected.SIGNED and (
-            before is TransactionState.IDLE
+        is_single = before is TransactionState.IDLE and (
+            expected is Expected.SIGNED
         )
-        if is_single and (has_effect or self.can_begin(reply.position)):
+        if is_single and (
+            has_effect or self._matcher.can_begin(reply.position)
+        ):
             return await self._verify_refusal(reply, request_id)
         self._is_in_step = False
         self.position = None
-        if expected is Expected.COMMITTED:
-            raise LinkError(
-                f"{self.endpoint.name}: doubtful answer", is_reachable=True
-            )
-        return reply
+        if is_single:
+            return reply
+        raise LinkError(
+            f"{self.endpoint.name}: doubtful answer", is_doubtful=True
+        )
 
     async def run_internal(
         self, text: str, expected: Expected = Expected.UNCHANGED
@@ -289,20 +302,16 @@
             position: The end of the endpoint's log, if known.
         """
         match use:
-            case LinkUse.READ:
+            case LinkUse.READ | LinkUse.TRANSACTION_ATTEMPT:
                 return True
             case LinkUse.WRITE:
-                return not self._was_refused or self.can_begin(position)
+                return self._matcher.can_refuse(
+                    position
+                ) or self._matcher.can_begin(position)
             case LinkUse.TRANSACTION:
-                return self.can_begin(position)
-
-    def can_begin(self, position: Position | None) -> bool:
-        """Returns whether the answer to a BEGIN can be told from a copy.
-
-        Args:
-            position: The end of the endpoint's log, if known.
-        """
-        return self._matcher.can_begin(position)
+                return self._matcher.can_begin(
+                    position
+                ) and self._matcher.can_refuse(position)
 
     def is_alive(self) -> bool:
         """Returns whether the endpoint has neither closed it nor sent data."""
@@ -369,15 +378,13 @@
             raise LinkError(f"{self.endpoint.name}: not usable")
         # A cancelled exchange leaves the connection unusable.
         self.is_usable = False
+        self._is_doubtful = False
         replies: list[Reply] = []
         with self._connection_errors(messages[0]):
             await self._stream.send_all(b"".join(m.data for m in messages))
             for message in messages:
                 replies.append(await self._receive_answer(message))
         self.is_usable = True
-        self._was_refused |= any(
-            isinstance(reply.result, Failure) for reply in replies
-        )
         self.last_used_at = trio.current_time()
         self.state = replies[-1].state
         self.position = replies[-1].position
@@ -415,13 +422,14 @@
                 own, position = await self._receive_until_begun(
                     reply, request_id
                 )
-                await self._receive_answer(messages[1])
+                ended = await self._receive_answer(messages[1])
+                self._is_in_step &= isinstance(ended.result, Success)
             self.is_usable = True
             self.state = TransactionState.IDLE
             self.position = position
             return own._replace(position=position)
         raise LinkError(
-            f"{self.endpoint.name}: doubtful answer", is_reachable=True
+            f"{self.endpoint.name}: doubtful answer", is_doubtful=True
         )
 
     async def _receive_until_begun(
@@ -444,13 +452,17 @@
                     expected = Expected.SIGNED
                 case _:
                     expected = Expected.BEGUN
-            mismatch = self._matcher.check(expected, self.state, reply)
-            if isinstance(reply.result, Success) and mismatch is None:
-                if expected is Expected.BEGUN:
-                    return own, reply.position
-                own = reply
-            # Two answers came to one statement, so one of them is a copy.
-            self._note_mismatch(mismatch or Mismatch.REPEATED, request_id)
+            mismatch = self._matcher.check(
+                expected, TransactionState.IDLE, reply
+            )
+            if isinstance(reply.result, Failure):
+                # One of two refusals is the statement's own.
+                mismatch = Mismatch.REPEATED
+            elif mismatch is None and expected is Expected.BEGUN:
+                return own, reply.position
+            elif mismatch is None:
+                own, mismatch = reply, Mismatch.REPEATED
+            self._note_mismatch(mismatch, request_id)
 
     async def _receive_answer(self, message: _Message) -> Reply:
         """Receives the answer to a message, and skips what can't be it.
@@ -463,6 +475,9 @@
             mismatch = self._matcher.check(message.expected, self.state, reply)
             if mismatch is None:
                 return reply
+            if isinstance(reply.result, Failure):
+                self._is_doubtful = True
+                return reply
             self._note_mismatch(mismatch, message.request_id)
 
     def _note_mismatch(self, mismatch: Mismatch, request_id: str) -> None:
@@ -474,7 +489,7 @@
         self._is_in_step = False
         if mismatch is Mismatch.DOUBTFUL:
             raise LinkError(
-                f"{self.endpoint.name}: doubtful answer", is_reachable=True
+                f"{self.endpoint.name}: doubtful answer", is_doubtful=True
             )
         self._report_unexpected(mismatch.value, request_id)
 
--- a/src/lagoonstair/proxy/_orders.py
+++ b/src/lagoonstair/proxy/_orders.py
@@ -193,7 +193,7 @@
                 return None
             except LinkError as exc:
                 if exc.refusal is None:
-                    pool.record_failure(started_at)
+                    pool.record_link_error(started_at, exc)
                 return None
             finally:
                 if link is not None:
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -286,10 +286,12 @@
 
         Args:
             started_at: When the attempt began, in seconds.
-            exc: What ended it. An endpoint that has answered something is
-                avoided for a while, but not out of reach.
+            exc: What ended it. An endpoint that has answered something is not
+                out of reach; it is avoided for a while if the answer was odd.
         """
-        if exc.is_reachable:
+        if exc.is_doubtful:
+            self.record_reachable()
+        elif exc.is_reachable:
             self._suspect_until = trio.current_time() + SUSPECT_SECONDS
             self.record_reachable()
         else:
@@ -425,21 +427,23 @@
         return self.budget
 
     def _acquire_idle(self, workspace: str, use: LinkUse) -> Link | None:
-        unsuited: Link | None = None
-        for link in reversed(self._idle):
-            if link.workspace != workspace:
-                continue
-            if not link.suits(use, self.position):
-                unsuited = unsuited or link
-                continue
+        links = [
+            link
+            for link in reversed(self._idle)
+            if link.workspace == workspace and link.suits(use, self.position)
+        ]
+        if use is LinkUse.TRANSACTION_ATTEMPT:
+            links.sort(
+                key=lambda link: (
+                    not link.suits(LinkUse.TRANSACTION, self.position)
+                )
+            )
+        for link in links:
             self._idle.remove(link)
             if link.is_alive():
                 return link
             self.discard(link)
             return self._acquire_idle(workspace, use)
-        if unsuited is not None:
-            # Makes room for one that suits, so that no more are open.
-            self.discard(unsuited)
         return None
 
     def _close_oldest_idle(self) -> None:
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -315,7 +315,34 @@
         target: Target,
         deadline: float,
     ) -> Failure | None:
-        """Begins a transaction at one endpoint; ``None`` on success."""
+        """Begins a transaction at one endpoint; ``None`` on success.
+
+        If it is not certain on a connection that it was begun, it is begun on
+        one that makes it certain.
+        """
+        for use in (LinkUse.TRANSACTION_ATTEMPT, LinkUse.TRANSACTION):
+            try:
+                return await self._pin_to_link(
+                    caller, tx, target, deadline, use
+                )
+            except LinkError:
+                continue
+        return Failure(ErrorCode.BUSY, "no transaction could be begun")
+
+    async def _pin_to_link(
+        self,
+        caller: Caller,
+        tx: Transaction,
+        target: Target,
+        deadline: float,
+        use: LinkUse,
+    ) -> Failure | None:
+        """Begins a transaction on one connection; ``None`` on success.
+
+        Raises:
+            LinkError: It is not certain whether it was begun; the connection
+                is closed.
+        """
         pool = target.pool
         route = tx.route
         try:
@@ -323,7 +350,7 @@
                 caller.workspace,
                 deadline=deadline,
                 priority=route.priority,
-                use=LinkUse.TRANSACTION,
+                use=use,
             )
         except NoLinkError as exc:
             return exc.failure
@@ -349,6 +376,9 @@
                 self._targets.record_refusal(pool, reply.result)
                 failure = reply.result
         except LinkError as exc:
+            if exc.is_doubtful:
+                pool.discard(link)
+                raise
             pool.record_link_error(started_at, exc)
             failure = Failure(ErrorCode.BUSY, str(exc))
         pool.release(link)
--- a/src/lagoonstair/statements/_matching.py
+++ b/src/lagoonstair/statements/_matching.py
@@ -69,21 +69,45 @@
     DOUBTFUL = "doubtful"
 
 
+class _Latest:
+    """The latest log position of answers of one kind on a connection."""
+
+    def __init__(self) -> None:
+        self._position: Position | None = None
+        self.is_empty = True
+
+    def note(self, position: Position | None) -> None:
+        """Notes an answer's position; ``None`` if it has none."""
+        if position is None or self.is_empty:
+            self._position = position
+        elif self._position is not None:
+            self._position = max(self._position, position)
+        self.is_empty = False
+
+    def is_before(self, position: Position | None) -> bool:
+        """Returns whether an answer with a position can't be a copy."""
+        if self.is_empty:
+            return True
+        if position is None or self._position is None:
+            return False
+        return position > self._position
+
+
 class AnswerMatcher:
     """Tells the answers that one connection's statements can have led to.
 
     A signature that was not seen before is certainly the awaited one, because
     one statement at a time awaits a signature. So is the first failure on a
     connection, provided that the endpoint does not refuse to set a variable or
-    to prepare a statement; a later one may be its copy. That a transaction was
-    begun is certain only if no earlier answer on the connection can have said
-    so: the log has grown since the last one in a transaction.
+    to prepare a statement. A later one may be its copy, unless the log has
+    grown since. In the same way, that a transaction was begun is certain only
+    if no earlier answer in a transaction can be repeated by it.
     """
 
     def __init__(self) -> None:
         self._signatures: set[int] = set()
-        self._was_open = False
-        self._open_position: Position | None = None
+        self._failures = _Latest()
+        self._open = _Latest()
 
     @property
     def is_exhausted(self) -> bool:
@@ -97,18 +121,20 @@
             position: The end of the endpoint's log, which the answer will
                 reach; ``None`` if it is unknown.
         """
-        if not self._was_open:
-            return True
-        return (
-            position is not None
-            and self._open_position is not None
-            and position > self._open_position
-        )
+        return self._open.is_before(position)
+
+    def can_refuse(self, position: Position | None) -> bool:
+        """Returns whether a failure can be told from a copy of another one.
+
+        Args:
+            position: The end of the endpoint's log, as for ``can_begin``.
+        """
+        return self._failures.is_before(position)
 
     def check(
         self, expected: Expected, before: TransactionState, reply: Reply
     ) -> Mismatch | None:
-        """Checks an answer, and remembers its signature.
+        """Checks an answer, and remembers what it can be repeated by.
 
         Args:
             expected: The answer that the statement can lead to.
@@ -120,7 +146,7 @@
         """
         match reply.result:
             case Failure():
-                return None
+                return self._check_failure(before, reply)
             case Success(rows, signature):
                 mismatch = self._check_kind(
                     expected, signature, bool(rows)
@@ -130,10 +156,22 @@
         if expected is Expected.BEGUN and not self.can_begin(reply.position):
             return Mismatch.DOUBTFUL
         if reply.state is TransactionState.OPEN:
-            self._was_open = True
-            self._open_position = reply.position
+            self._open.note(reply.position)
         return None
 
+    def _check_failure(
+        self, before: TransactionState, reply: Reply
+    ) -> Mismatch | None:
+        is_open = before is not TransactionState.IDLE
+        has_expected_state = is_open is not (
+            reply.state is TransactionState.IDLE
+        )
+        is_certain = self._failures.is_empty or (
+            has_expected_state and self.can_refuse(reply.position)
+        )
+        self._failures.note(reply.position)
+        return None if is_certain else Mismatch.DOUBTFUL
+
     def _check_kind(
         self, expected: Expected, signature: str, has_rows: bool
     ) -> Mismatch | None:
--- a/tests/test_statements_matching.py
+++ b/tests/test_statements_matching.py
@@ -68,6 +68,35 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("first", "second", "is_certain"),
+    [
+        (Position(3, 7), Position(3, 8), True),
+        (Position(3, 7), Position(4, 1), True),
+        (Position(3, 7), Position(3, 7), False),
+        (Position(3, 8), Position(3, 7), False),
+        (None, Position(3, 8), False),
+        (Position(3, 7), None, False),
+    ],
+)
+# Guards against a copy of a refusal that is taken for that of a later write.
+def test_a_second_refusal_is_told_from_the_first_by_the_position(
+    first, second, is_certain
+):
+    matcher = AnswerMatcher()
+    failure = Failure(ErrorCode.BUSY, "d1")
+
+    def check(position):
+        return matcher.check(
+            Expected.SIGNED, IDLE, Reply(failure, IDLE, position)
+        )
+
+    assert matcher.can_refuse(first)
+    assert check(first) is None
+    assert matcher.can_refuse(second) is is_certain
+    assert check(second) is (None if is_certain else Mismatch.DOUBTFUL)
+
+
 def test_a_signature_answers_one_statement_only():
     matcher = AnswerMatcher()
     reply = Reply(SIGNED, IDLE, None)
