Let the stand-in endpoints reject what is not one valid message

What the tests could not see: a line to an endpoint with another verb than QUERY or START was taken for one, a bad one ended the whole test with ValueError instead of counting as UNASKED, and a message of exactly 1 MiB that arrived cut between CR and LF was rejected although it is valid.

Cause: the stand-in split messages into fields by position without a look at the verb, and counted a trailing CR, the first byte of the end, as data.

Now split_start and split_query raise StrictError, which the endpoint keeps in rejected and which find_differences reports as UNASKED; the size is counted without a trailing CR. A strict session closes its connection if its greeting does not come.

test_a_message_of_the_greatest_size_may_be_split_before_its_lf failed before with StrictError "a message is too long"; the other tests are new functions' own.

--- a/src/lagoonstair/standins/statements/_codec.py
+++ b/src/lagoonstair/standins/statements/_codec.py
@@ -54,7 +54,9 @@
         StrictError: A message is too long.
     """
     *messages, rest = bytes(buffer).split(END)
-    if any(len(text) > MAX_MESSAGE_BYTES for text in (*messages, rest)):
+    # A CR at the end may be the first byte of the message's end.
+    unfinished = rest.removesuffix(b"\r")
+    if any(len(text) > MAX_MESSAGE_BYTES for text in (*messages, unfinished)):
         raise StrictError("a message is too long")
     buffer[:] = rest
     return messages
@@ -73,6 +75,31 @@
     return text + END
 
 
+def split_start(message: bytes) -> tuple[str, list[str]]:
+    """Returns the group and the expected endpoint's name, if any, of a START.
+
+    Raises:
+        StrictError: It is not a START for an endpoint.
+    """
+    verb, *fields = message.decode("latin-1").split(" ")
+    if verb != "START" or len(fields) not in (2, 3) or not all(fields):
+        raise StrictError(f"not a START: {message!r}")
+    return fields[0], fields[2:]
+
+
+def split_query(message: bytes) -> tuple[str, str]:
+    """Returns request id and text of a QUERY.
+
+    Raises:
+        StrictError: It is not a QUERY.
+    """
+    verb, _, rest = message.decode("latin-1").partition(" ")
+    request_id, blank, text = rest.partition(" ")
+    if verb != "QUERY" or not request_id or not blank:
+        raise StrictError(f"not a QUERY: {message!r}")
+    return request_id, text
+
+
 def parse_statement(text: str) -> Parsed:
     """Parses a statement's text.
 
@@ -83,7 +110,7 @@
     if verb == "AFTER":
         position, _, statement = rest.partition(" ")
         term, dot, number = position.partition(".")
-        if not dot:
+        if not (dot and term.isdecimal() and number.isdecimal()):
             raise StrictError(f"not a position: {position}")
         parsed = parse_statement(statement)
         return parsed._replace(after=(int(term), int(number)))
--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -12,8 +12,11 @@
 from lagoonstair.standins.statements._codec import (
     Parsed,
     Prepared,
+    StrictError,
     encode_message,
     parse_statement,
+    split_query,
+    split_start,
     take_messages,
 )
 
@@ -217,6 +220,7 @@
         signed: Its signed answers, by signature.
         stutter: How it answers oddly.
         copies_sent: How many answers it has sent a second time.
+        rejected: What it received that is not a valid message.
     """
 
     def __init__(
@@ -252,6 +256,7 @@
         self.signed: dict[str, SignedAnswer] = {}
         self.stutter = Stutter()
         self.copies_sent = 0
+        self.rejected: list[str] = []
         self._connection_numbers = itertools.count(1)
 
     @property
@@ -378,6 +383,8 @@
         number = next(self._connection_numbers)
         try:
             await _Connection(self, stream, number).run()
+        except* StrictError as exc:
+            self.rejected += [str(error) for error in exc.exceptions]
         except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # The client has disconnected, or the database has crashed.
             pass
@@ -414,7 +421,7 @@
         if not await self._handshake(nursery):
             return
         while (message := await self._read_message()) is not None:
-            _, request_id, text = message.decode("latin-1").split(" ", 2)
+            request_id, text = split_query(message)
             if text == "STATUS":
                 await trio.sleep(self._db.status_seconds)
             elif request_id != "-":
@@ -433,7 +440,7 @@
         message = await self._read_message()
         if message is None:
             return False
-        _, group, _, *names = message.decode("latin-1").split(" ")
+        group, names = split_start(message)
         if group != self._db._group.name or names not in ([], [self._db.name]):
             await self._stream.send_all(self._error("MISROUTED", "wrong"))
             return False
--- a/tests/strict_callers.py
+++ b/tests/strict_callers.py
@@ -112,12 +112,18 @@
     async def open(cls, port, database, key):
         """Opens a session; ``None`` if it was refused."""
         self = cls(await trio.open_tcp_stream("127.0.0.1", port))
-        await self._stream.send_all(f"START {database} {key}".encode() + END)
-        with trio.fail_after(ANSWER_SECONDS):
-            message = await self._message()
+        message = None
+        try:
+            await self._stream.send_all(
+                f"START {database} {key}".encode() + END
+            )
+            with trio.fail_after(ANSWER_SECONDS):
+                message = await self._message()
+        finally:
+            if message != b"READY I -":
+                self.close()
         if message == b"READY I -":
             return self
-        self.close()
         if message is None or message.startswith(b"ERROR "):
             return None
         raise StrictError(f"greeting {message!r}")
@@ -317,6 +323,7 @@
     for statement in sent.values():
         found += _wrong_answer(statement, signed)
     for database in databases:
+        found += [f"UNASKED {message}" for message in database.rejected]
         connections = {}
         for run in database.runs:
             found += _wrong_run(run, sent.get(run.request_id), connections)
--- /dev/null
+++ b/tests/test_strict_codecs.py
@@ -0,0 +1,74 @@
+"""Tests of the codecs of stand-ins and of tests, which are not the proxy's."""
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonstair.standins.statements._codec import (
+    MAX_MESSAGE_BYTES,
+    StrictError,
+    parse_statement,
+    split_query,
+    split_start,
+    take_messages,
+)
+
+FIELDS = st.text(st.characters(codec="latin-1"), min_size=1, max_size=6).filter(
+    lambda text: "\r\n" not in f"{text}\n" and " " not in text
+)
+
+
+def test_a_message_of_the_greatest_size_may_be_split_before_its_lf():
+    buffer = bytearray(b"x" * MAX_MESSAGE_BYTES + b"\r")
+    assert take_messages(buffer) == []
+    buffer += b"\n"
+    assert take_messages(buffer) == [b"x" * MAX_MESSAGE_BYTES]
+
+
+def test_a_longer_message_is_rejected_before_its_end():
+    with pytest.raises(StrictError):
+        take_messages(bytearray(b"x" * (MAX_MESSAGE_BYTES + 1)))
+
+
+@given(st.lists(FIELDS, max_size=5), st.lists(st.integers(0, 60), max_size=3))
+def test_messages_are_the_same_however_they_arrive(messages, places):
+    stream = b"".join(text.encode("latin-1") + b"\r\n" for text in messages)
+    bounds = [0, *sorted(min(p, len(stream)) for p in places), len(stream)]
+    buffer, taken = bytearray(), []
+    for start, end in itertools.pairwise(bounds):
+        buffer += stream[start:end]
+        taken += take_messages(buffer)
+    assert [text.decode("latin-1") for text in taken] == messages
+    assert not buffer
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        b"",
+        b"START",
+        b"START g",
+        b"START g ",
+        b"START g t d1 x",
+        b"QUERY 1 READ a",
+    ],
+)
+def test_what_is_not_a_start_is_rejected(message):
+    with pytest.raises(StrictError):
+        split_start(message)
+
+
+@pytest.mark.parametrize(
+    "message", [b"", b"QUERY", b"QUERY 1", b"QUERY  READ a", b"WRITE a b c"]
+)
+def test_what_is_not_a_query_is_rejected(message):
+    with pytest.raises(StrictError):
+        split_query(message)
+
+
+@pytest.mark.parametrize("position", ["", "3", "3.", ".4", "3.x", "-1.2"])
+def test_a_prefix_without_a_position_is_rejected(position):
+    with pytest.raises(StrictError):
+        parse_statement(f"AFTER {position} READ a")
