End a line at CR LF alone in the callers of the tests

Caller of proxy_fleet, which most tests of processes use, ended a line at any LF and took the CRs before it away, as the proxy once did. So an answer that was cut or joined at an LF looked whole to it, and a byte above 0x7f ended the test with UnicodeDecodeError.

It now takes CR LF as the only end and decodes latin-1; it uses none of the proxy's code.

--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -103,7 +103,7 @@
 
 
 class Caller:
-    """A client session."""
+    """A client session; only CR LF ends a line."""
 
     def __init__(self, stream):
         self._stream = stream
@@ -145,7 +145,7 @@
         self.close()
 
     async def _line(self):
-        while b"\n" not in self._buffer:
+        while b"\r\n" not in self._buffer:
             try:
                 chunk = await self._stream.receive_some(65536)
             except trio.BrokenResourceError:
@@ -153,8 +153,8 @@
             if not chunk:
                 return None
             self._buffer += chunk
-        line, _, self._buffer = self._buffer.partition(b"\n")
-        return line.decode().rstrip("\r")
+        line, _, self._buffer = self._buffer.partition(b"\r\n")
+        return line.decode("latin-1")
 
 
 class ProxyFleet:
--- a/tests/test_strict_codecs.py
+++ b/tests/test_strict_codecs.py
@@ -3,6 +3,7 @@
 import itertools
 
 import pytest
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -14,6 +15,7 @@
     split_start,
     take_messages,
 )
+from proxy_fleet import Caller
 
 FIELDS = st.text(st.characters(codec="latin-1"), min_size=1, max_size=6).filter(
     lambda text: "\r\n" not in f"{text}\n" and " " not in text
@@ -72,3 +74,27 @@
 def test_a_prefix_without_a_position_is_rejected(position):
     with pytest.raises(StrictError):
         parse_statement(f"AFTER {position} READ a")
+
+
+# Guards against a caller of the tests that ends a line at a lone LF, as the
+# proxy once did, and so can't see that an answer is cut or joined.
+async def test_a_caller_of_the_tests_ends_lines_at_cr_lf_alone():
+    async def serve(stream):
+        await stream.receive_some(100)
+        await stream.send_all(b"READY I -\r\n")
+        await stream.receive_some(100)
+        await stream.send_all(b"ROW a\nREADY I -\r\xff\r")
+        await stream.send_all(b"\nCOMPLETE d1.1\r\nREADY I -\r\n")
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        caller = await Caller.open(listeners[0].socket.getsockname()[1])
+        answer = await caller.ask("1", "READ a")
+        caller.close()
+        nursery.cancel_scope.cancel()
+    assert answer == [
+        "ROW a\nREADY I -\r\xff",
+        "COMPLETE d1.1",
+        "READY I -",
+    ]
