Run odd fields and odd answers through all faults of the soak

What the soak could not show: its callers sent plain fields, its endpoints answered each statement once and whole, and only the callers' own items were checked. So neither an LF in a field nor an answer of another statement failed a seed.

Beside the callers, eight strict ones now send any bytes in all fields. The endpoints repeat a share of their answers up to 0.3 s later, refuse writes, add odd rows, and cut answers anywhere, between a CR and its LF or after a message; the connection is then closed or silent, or the whole follows if the cut is behind all rows (the rows of two answers can't be told apart). All statements, also those of the other callers, are compared with what ran. Everything is drawn from streams of its own, so a seed keeps its other faults; run_seed(..., stutters=False) is a seed as it was, and the earlier seeds of the tests run so. The number of instances is a parameter.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 SEED ?= 1
 SEEDS ?= 50
+INSTANCES ?= 4
 
 demo: $(RUNTIME)
 	$(BIN)/python -m lagoonstair.demo
@@ -58,9 +59,11 @@
 capacity: $(STAMP)
 	$(BIN)/python -m lagoonstair.capacity
 
-# Real processes under randomized faults: SEEDS seeds from SEED on.
+# Real processes under randomized faults: SEEDS seeds from SEED on, each with
+# INSTANCES instances.
 soak-faults: $(STAMP)
-	cd tests && PYTHONPATH=../src ../$(BIN)/python fault_soak.py $(SEED) $(SEEDS)
+	cd tests && PYTHONPATH=../src ../$(BIN)/python fault_soak.py $(SEED) $(SEEDS) \
+		$(INSTANCES)
 
 soak: $(STAMP)
 	SOAK=20 $(BIN)/python -m pytest -k 'history or state or decisions'
--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -10,6 +11,7 @@
 
 from lagoonstair._types import Position
 from lagoonstair.standins.statements._codec import (
+    END,
     Parsed,
     Prepared,
     StrictError,
@@ -82,6 +84,8 @@
         repeat_share: The share of its answers that it sends twice.
         repeat_seconds: How much later the copy comes at most, in seconds.
         refused_share: The share of writes that it refuses with BUSY.
+        cut_share: The share of its answers that end early. Their connection is
+            closed or goes silent, or the whole answer follows later.
         odd_rows: Returns the rows of a read beside its item's.
         rng: Draws what is repeated and refused, and when.
     """
@@ -89,10 +93,21 @@
     repeat_share: float = 0.0
     repeat_seconds: float = 0.12
     refused_share: float = 0.0
+    cut_share: float = 0.0
     odd_rows: Callable[[], list[str]] = list
     rng: random.Random = random.Random(0)
 
 
+def cut_answer(answer: bytes, rng: random.Random) -> bytes:
+    """Returns the beginning of an answer, without the end of its READY.
+
+    It ends anywhere, between a CR and its LF, or after a whole message.
+    """
+    ends = [match.end() for match in re.finditer(END, answer)]
+    lengths = (rng.randrange(len(answer)), rng.choice(ends) - 1, *ends[:-1])
+    return answer[: rng.choice(lengths)]
+
+
 class Group:
     """A group of one primary and its replicas.
 
@@ -220,6 +235,7 @@
         signed: Its signed answers, by signature.
         stutter: How it answers oddly.
         copies_sent: How many answers it has sent a second time.
+        answers_cut: How many answers it has ended early.
         rejected: What it received that is not a valid message.
     """
 
@@ -256,6 +272,7 @@
         self.signed: dict[str, SignedAnswer] = {}
         self.stutter = Stutter()
         self.copies_sent = 0
+        self.answers_cut = 0
         self.rejected: list[str] = []
         self._connection_numbers = itertools.count(1)
 
@@ -406,6 +423,7 @@
         self._buffer = bytearray()
         self._messages: deque[bytes] = deque()
         self._sending = trio.Lock()
+        self._is_cut = False
         self._state = "I"
         self._read_only = False
         self._writes: list[tuple[str, str, str]] = []
@@ -434,7 +452,8 @@
             if self._db.answers_to_drop and request_id != "-":
                 self._db.answers_to_drop -= 1
                 await trio.sleep_forever()
-            await self._send(answer + self._ready(), nursery)
+            if not await self._send(answer + self._ready(), nursery):
+                return
 
     async def _handshake(self, nursery: trio.Nursery) -> bool:
         message = await self._read_message()
@@ -447,22 +466,60 @@
         if len(self._db._open) > self._db._max_connections:
             await self._stream.send_all(self._error("CONGESTED", "full"))
             return False
-        await self._send(self._ready(), nursery)
-        return True
+        return await self._send(self._ready(), nursery)
 
-    async def _send(self, answer: bytes, nursery: trio.Nursery) -> None:
-        """Sends an answer, and at times a copy of it later."""
+    async def _send(self, answer: bytes, nursery: trio.Nursery) -> bool:
+        """Sends an answer, at times only its beginning or a copy of it later.
+
+        Returns:
+            Whether the connection goes on.
+        """
+        stutter = self._db.stutter
+        if stutter.rng.random() < stutter.cut_share:
+            return await self._send_beginning(answer, nursery)
         async with self._sending:
             await self._stream.send_all(answer)
-        stutter = self._db.stutter
         if stutter.rng.random() < stutter.repeat_share:
             seconds = stutter.rng.uniform(0, stutter.repeat_seconds)
             nursery.start_soon(self._send_copy, answer, seconds)
+        return True
+
+    async def _send_beginning(
+        self, answer: bytes, nursery: trio.Nursery
+    ) -> bool:
+        """Ends an answer early.
+
+        Then it closes, waits until the client closes, or sends the whole
+        answer later. The latter only if the cut is behind all rows, because
+        those of two answers could otherwise not be told apart.
+
+        Returns:
+            Whether the connection goes on.
+        """
+        stutter = self._db.stutter
+        part = cut_answer(answer, stutter.rng)
+        way = stutter.rng.choice(("close", "wait", "repeat"))
+        ends = [match.end() for match in re.finditer(END, answer)]
+        rows_end = ends[-3] if len(ends) > 2 else 0
+        repeats = way == "repeat" and (not rows_end or len(part) > rows_end)
+        async with self._sending:
+            self._is_cut = not repeats
+            await self._stream.send_all(part)
+        self._db.answers_cut += 1
+        if repeats:
+            seconds = stutter.rng.uniform(0, stutter.repeat_seconds)
+            nursery.start_soon(self._send_copy, answer, seconds)
+        elif way != "close":
+            while await self._stream.receive_some(READ_BYTES):
+                pass
+        return repeats
 
     async def _send_copy(self, answer: bytes, seconds: float) -> None:
         await trio.sleep(seconds)
         try:
             async with self._sending:
+                if self._is_cut:
+                    return
                 await self._stream.send_all(answer)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The connection has ended, so nobody can be misled any more.
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -7,9 +7,11 @@
 """
 
 import contextlib
+import functools
 import itertools
 import pathlib
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -18,11 +20,26 @@
 import trio
 
 from faulty_link import FaultyLink, Mode
+from lagoonstair.standins.statements import Stutter
 from lagoonstair.standins.statements._store import StoreFault
 from proxy_fleet import HOST, ProxyFleet, config
+from strict_callers import (
+    Answer,
+    Sent,
+    StrictCaller,
+    find_differences,
+    odd_text,
+)
 
 INSTANCES = 4
 CALLERS = 12
+
+STRICT_CALLERS = 8
+"""How many callers of odd fields run beside the others."""
+
+FIRST_STRICT_CALLER = 100
+"""Number of the first of them, so that ids and items are their own."""
+
 FAULT_SECONDS = 8.0
 """How long a seed injects faults by default, in seconds."""
 
@@ -82,6 +99,23 @@
 SILENCES = 3
 """How many times at most a seed makes open connections silent for good."""
 
+STUTTER_SECONDS = (0.5, 2.0)
+"""How long databases keep one way of answering oddly at least and at most, in
+seconds."""
+
+CALM_STUTTER_SECONDS = 2.0
+"""How long the databases go on to answer oddly after the last fault, in
+seconds; with some seeds nothing is served before."""
+
+REPEAT_SHARE = 0.1
+REFUSED_SHARE = 0.3
+CUT_SHARE = 0.03
+"""The greatest shares of answers that come twice, of writes that are refused
+and of answers that end early."""
+
+REPEAT_SECONDS = 0.3
+"""How much later the copy of an answer comes at most, in seconds."""
+
 ODD_ENTRIES = (
     b"[" * 60_000,
     b'{"more":' + b'{"a":' * 10_000 + b"1" + b"}" * 10_001,
@@ -207,12 +241,26 @@
     return violations
 
 
+class LastWrites:
+    """The writes after the faults, as ``find_differences`` takes them.
+
+    Attributes:
+        sent: The statements, in order; their answers are not compared.
+        errors: Always empty.
+    """
+
+    def __init__(self):
+        self.sent = []
+        self.errors = ()
+
+
 class SoakFleet(ProxyFleet):
     """A fleet that reaches its databases and stores through faulty links.
 
     Attributes:
         database_links: The link to each database, by the database's name.
         store_links: The link to the store of each instance, by its name.
+        last_writes: The writes that show that instances serve again.
         ended: Name, signal and exit status of each instance that was ended;
             an entry of the fleet itself says that it did not recover.
     """
@@ -221,6 +269,7 @@
         super().__init__(tmp_path, nursery)
         self.database_links = {}
         self.store_links = {}
+        self.last_writes = LastWrites()
         self.ended = []
 
     async def link(self, port):
@@ -258,11 +307,34 @@
         return entry
 
 
+ITEM_ROW = re.compile(r"ROW \d+:(c\d+-\d+)")
+"""A row that tells which request wrote the item."""
+
+
+def sent_statement(request_id, text, operation=0, state="I"):
+    """Returns a statement without an answer, sent without session values."""
+    return Sent(request_id, text, None, {}, operation, state, None)
+
+
+def whole_answer(lines):
+    """Returns an answer from its lines, of which the last is READY."""
+    *rows, end, ready = lines
+    word, _, rest = end.partition(" ")
+    return Answer(
+        tuple(row.partition(" ")[2] for row in rows),
+        rest if word == "COMPLETE" else "",
+        rest.partition(" ")[0] if word == "ERROR" else "",
+        ready.split(" ")[1],
+    )
+
+
 class SoakCaller:
     """Writes and reads an item of its own and records the outcomes.
 
     Attributes:
         operations: The operations so far, in order.
+        sent: The statements so far, in order.
+        errors: Always empty; see ``StrictCaller``.
     """
 
     def __init__(self, fleet, number, rng):
@@ -273,7 +345,11 @@
         self._session = None
         self._session_number = 0
         self._began = 0.0
+        self._state = "I"
+        self._operation_number = 0
         self.operations = []
+        self.sent = []
+        self.errors = ()
 
     async def run(self, stop):
         while not stop.is_set():
@@ -297,17 +373,24 @@
             name = self._rng.choice(sorted(self._fleet.processes))
             self._session = await self._fleet.caller("s", instance=name)
             self._session_number += 1
+            self._state = "I"
             if self._session.greeting != ["READY I -"]:
                 self._close_session()
                 return
         kind = self._rng.choice(["write", "commit", "read", "read"])
         self._began = trio.current_time()
+        self._operation_number += 1
         await getattr(self, f"_{kind}")()
 
     def _next_request_id(self):
         return f"c{self._number}-{next(self._ids)}"
 
     async def _ask(self, request_id, text):
+        sent = sent_statement(
+            request_id, text, self._operation_number, self._state
+        )
+        # Recorded before the answer, because an endpoint may run it first.
+        self.sent.append(sent)
         try:
             answer = await self._session.ask(request_id, text)
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
@@ -315,6 +398,8 @@
         if not answer or not answer[-1].startswith("READY"):
             self._close_session()
             return GONE, answer
+        self.sent[-1] = sent._replace(answer=whole_answer(answer))
+        self._state = self.sent[-1].answer.state
         for line in answer:
             verb, _, rest = line.partition(" ")
             if verb == "ERROR":
@@ -356,8 +441,9 @@
         request_id = self._next_request_id()
         text = f"READ item{self._number}"
         outcome, answer = await self._ask(request_id, text)
-        rows = [line for line in answer if line.startswith("ROW ")]
-        seen = rows[0].partition(":")[2] if rows else ""
+        # Odd rows may follow the item's row.
+        row = ITEM_ROW.fullmatch(answer[0]) if answer else None
+        seen = row[1] if row else ""
         self._record("read", (request_id,), outcome, answer, term, seen)
 
     async def _commit(self):
@@ -576,6 +662,48 @@
             self._fleet.store.put("servers", f"odd{number}", entry)
 
 
+class Stutterer:
+    """Makes the databases repeat, cut and refuse answers, and add odd rows.
+
+    It draws from streams of its own, so that a seed keeps its other faults.
+    """
+
+    def __init__(self, fleet, seed):
+        self._fleet = fleet
+        self._seed = seed
+
+    async def run(self, seconds):
+        """Changes how each database answers until the time is over."""
+        async with trio.open_nursery() as nursery:
+            for name, database in self._fleet.group.databases.items():
+                rng = random.Random(f"{self._seed}/stutter/{name}")
+                nursery.start_soon(self._run_database, database, rng, seconds)
+
+    async def _run_database(self, database, rng, seconds):
+        # Answers draw from another stream, so that the shares and their times
+        # don't depend on how many statements run.
+        rng_answers = random.Random(rng.random())
+
+        def odd_rows():
+            count = rng_answers.randint(0, 2)
+            return [odd_text(rng_answers, blanks=True) for _ in range(count)]
+
+        with trio.move_on_after(seconds):
+            while True:
+                database.stutter = Stutter(
+                    repeat_share=rng.uniform(0, REPEAT_SHARE),
+                    repeat_seconds=REPEAT_SECONDS,
+                    refused_share=rng.choice(
+                        (0, rng.uniform(0, REFUSED_SHARE))
+                    ),
+                    cut_share=rng.choice((0, rng.uniform(0, CUT_SHARE))),
+                    odd_rows=odd_rows,
+                    rng=rng_answers,
+                )
+                await trio.sleep(rng.uniform(*STUTTER_SECONDS))
+        database.stutter = Stutter(odd_rows=odd_rows)
+
+
 async def _check_config(fleet, injector):
     """Returns the instances that do not apply a last change in time.
 
@@ -604,7 +732,14 @@
 
 
 async def run_seed(
-    seed, tmp_path, *, seconds=FAULT_SECONDS, restores=True, intrudes=True
+    seed,
+    tmp_path,
+    *,
+    seconds=FAULT_SECONDS,
+    restores=True,
+    intrudes=True,
+    stutters=True,
+    instances=INSTANCES,
 ):
     """Runs one seed.
 
@@ -614,6 +749,9 @@
         seconds: How long faults are injected, in seconds.
         restores: Whether the store is restored from older copies too.
         intrudes: Whether connections go silent and odd entries appear too.
+        stutters: Whether databases repeat, cut and refuse answers, and callers
+            with odd fields run too.
+        instances: The number of instances.
 
     Returns:
         The violations, the schedule of faults and the number of operations.
@@ -627,14 +765,26 @@
         rng_promotions = random.Random(f"{seed}/promotions")
         fleet.group.promotion_seconds.extend(_promotion_seconds(rng_promotions))
         try:
-            await fleet.start(INSTANCES)
+            await fleet.start(instances)
             callers = [
                 SoakCaller(fleet, number, random.Random(f"{seed}/{number}"))
                 for number in range(CALLERS)
             ]
+            strict_callers = [
+                StrictCaller(
+                    number,
+                    random.Random(f"{seed}/strict/{number}"),
+                    lambda: [fleet.ports[name] for name in sorted(fleet.ports)],
+                    odd_text,
+                )
+                for number in range(
+                    FIRST_STRICT_CALLER, FIRST_STRICT_CALLER + STRICT_CALLERS
+                )
+                if stutters
+            ]
             injector = FaultInjector(fleet, rng, nursery)
             async with trio.open_nursery() as work:
-                for caller in callers:
+                for caller in (*callers, *strict_callers):
                     work.start_soon(caller.run, stop)
                 async with trio.open_nursery() as faults:
                     faults.start_soon(injector.run, seconds)
@@ -650,17 +800,30 @@
                             injector.schedule,
                         )
                         faults.start_soon(intruder.run, seconds)
+                    if stutters:
+                        faults.start_soon(
+                            Stutterer(fleet, seed).run,
+                            seconds + CALM_STUTTER_SECONDS,
+                        )
                 await _wait_recovered(fleet)
                 late = await _check_config(fleet, injector) if intrudes else []
                 stop.set()
-            violations = check_results(fleet, callers) + late
+            violations = [
+                *check_results(fleet, callers),
+                *find_differences(
+                    [*callers, *strict_callers, fleet.last_writes],
+                    [*fleet.group.databases.values()],
+                ),
+                *late,
+            ]
         finally:
             fleet.stop()
             nursery.cancel_scope.cancel()
     return (
         violations,
         injector.schedule,
-        sum(len(c.operations) for c in callers),
+        sum(len(c.operations) for c in callers)
+        + sum(len(c.sent) for c in strict_callers),
     )
 
 
@@ -680,7 +843,11 @@
     for number in itertools.count():
         with contextlib.suppress(OSError, trio.TooSlowError):
             caller = await fleet.caller("p", instance=name)
-            answer = await caller.ask(f"last-{name}-{number}", "WRITE z 1")
+            request_id = f"last.{name}.{number}-0"
+            fleet.last_writes.sent.append(
+                sent_statement(request_id, "WRITE z 1")
+            )
+            answer = await caller.ask(request_id, "WRITE z 1")
             caller.close()
             if any(line.startswith("COMPLETE") for line in answer):
                 return
@@ -748,15 +915,16 @@
         raise
 
 
-def main(seeds):
+def main(seeds, instances=INSTANCES):
     """Runs seeds in order; returns the number of seeds with violations."""
+    run = functools.partial(run_seed, instances=instances)
     failed = 0
     for seed in seeds:
         with (
             tempfile.TemporaryDirectory() as tmp_path,
             logs_kept_on_error(seed, tmp_path),
         ):
-            violations, schedule, count = trio.run(run_seed, seed, tmp_path)
+            violations, schedule, count = trio.run(run, seed, tmp_path)
             print(
                 f"seed {seed}: {count} operations, {len(schedule)} faults: ",
                 violations if violations else "ok",
@@ -769,5 +937,5 @@
 
 
 if __name__ == "__main__":
-    first, count = int(sys.argv[1]), int(sys.argv[2])
-    sys.exit(1 if main(range(first, first + count)) else 0)
+    first, count, *more = map(int, sys.argv[1:])
+    sys.exit(1 if main(range(first, first + count), *more) else 0)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -28,19 +28,27 @@
 restore the store too. With seed 1219, silent connections of killed instances
 once filled a database, which had not dropped them."""
 
+STUTTER_SEEDS = (1, 2, 3)
+"""Seeds with all faults, in which databases also repeat, cut and refuse answers
+and callers with odd fields run. Each of them once gave callers an answer of
+another statement, or one that another answer had completed."""
+
 SECONDS = 5.0
 """How long a seed injects faults, in seconds; about ten faults."""
 
 
 @pytest.mark.parametrize(
-    ("seed", "restores", "intrudes"),
+    ("seed", "restores", "intrudes", "stutters"),
     [
-        *((seed, False, False) for seed in (*CI_SEEDS, *REGRESSIONS)),
-        *((seed, True, False) for seed in RESTORE_SEEDS),
-        *((seed, restores, True) for seed, restores in INTRUDER_SEEDS.items()),
+        *((seed, False, False, False) for seed in (*CI_SEEDS, *REGRESSIONS)),
+        *((seed, True, False, False) for seed in RESTORE_SEEDS),
+        *((s, restores, True, False) for s, restores in INTRUDER_SEEDS.items()),
+        *((seed, True, True, True) for seed in STUTTER_SEEDS),
     ],
 )
-async def test_guarantees_hold_under_faults(seed, restores, intrudes, tmp_path):
+async def test_guarantees_hold_under_faults(
+    seed, restores, intrudes, stutters, tmp_path
+):
     with logs_kept_on_error(seed, tmp_path):
         violations, schedule, count = await run_seed(
             seed,
@@ -48,6 +56,7 @@
             seconds=SECONDS,
             restores=restores,
             intrudes=intrudes,
+            stutters=stutters,
         )
         assert violations == [], schedule
     assert count > 0
--- a/tests/test_strict_codecs.py
+++ b/tests/test_strict_codecs.py
@@ -1,6 +1,7 @@
 """Tests of the codecs of stand-ins and of tests, which are not the proxy's."""
 
 import itertools
+import random
 
 import pytest
 import trio
@@ -15,7 +16,9 @@
     split_start,
     take_messages,
 )
+from lagoonstair.standins.statements._database import cut_answer
 from proxy_fleet import Caller
+from soak import examples
 
 FIELDS = st.text(st.characters(codec="latin-1"), min_size=1, max_size=6).filter(
     lambda text: "\r\n" not in f"{text}\n" and " " not in text
@@ -76,6 +79,23 @@
         parse_statement(f"AFTER {position} READ a")
 
 
+@given(st.integers(), st.lists(FIELDS, max_size=3))
+def test_a_cut_answer_is_never_whole(seed, rows):
+    texts = [*(f"ROW {row}" for row in rows), "COMPLETE d1.1", "READY I 1.1"]
+    answer = b"".join(text.encode("latin-1") + b"\r\n" for text in texts)
+    part = cut_answer(answer, random.Random(seed))
+    assert answer.startswith(part)
+    assert len(part) < len(answer)
+
+
+def test_cuts_reach_each_kind_of_place():
+    answer = b"ROW a\r\nCOMPLETE d1.1\r\nREADY I 1.1\r\n"
+    rng = random.Random(1)
+    parts = {cut_answer(answer, rng) for _ in range(examples(1000))}
+    assert b"ROW a\r\nCOMPLETE d1.1\r\n" in parts
+    assert {b"ROW a\r", answer[:-1], b"ROW a\r\nCOM", b""} <= parts
+
+
 # Guards against a caller of the tests that ends a line at a lone LF, as the
 # proxy once did, and so can't see that an answer is cut or joined.
 async def test_a_caller_of_the_tests_ends_lines_at_cr_lf_alone():
