Count a changed row of an instance once it is read

An instance that wrote a row of an instance (a suspicion, its denial, a registration) took it into its own copy at the version of the write, and so reported to know the instances up to it, although changes and promotions written in between by others were unknown to it. Reports of a newer set of instances are what keeps a proof from being used too long, so such a report proves more than it should.

The copy now changes when the row is read, in the order of the store.

--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -240,6 +240,10 @@
     ) -> Committed | None:
         """Writes rows if none of them has changed in the store.
 
+        Rows of instances are not changed in the local copy before they are
+        read: whoever knows of such a change must know every promotion and every
+        change of the instances that was recorded before.
+
         Args:
             values: The rows to write, by key.
             unchanged: Keys of further rows that must not have changed. Several
@@ -263,6 +267,8 @@
         )
         if committed is not None:
             for put in puts:
+                if put.key.startswith(MEMBER_PREFIX):
+                    continue
                 self.apply(StoredRow(put.key, put.value, committed.version))
         return committed
 
--- a/tests/test_proxy_reconcile.py
+++ b/tests/test_proxy_reconcile.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from msgspec.structs import replace
 
 from lagoonstair.platform.store import (
     Committed,
@@ -184,6 +185,7 @@
     assert registry.load(store.table())
     if rows:
         assert await registry.write(rows)
+        assert registry.load(store.table())
     return registry
 
 
@@ -277,6 +279,7 @@
     names = [f"i{number}" for number in range(200)]
     for name in names:
         assert await registry.write({f"member/{name}": MEMBER})
+    assert registry.load(store.table())
     store.restore(copy)
     registry.load(store.table())
     assert await _reconcile(registry, store)
@@ -302,6 +305,21 @@
     assert receiver.changes_since(sender.era + 1, 0) == ()
 
 
+async def test_who_changes_an_instance_knows_it_once_it_is_read():
+    """A peer may have the newer version, but not what was written before."""
+    store = _Store()
+    writer = await _registry(store, {**COPY})
+    other = await _registry(store)
+    assert await other.write({"group/g": NEW})
+    version = writer.members_version
+    suspected = replace(MEMBER, suspected=3.0)
+    assert await writer.write({"member/i1": suspected})
+    assert writer.members_version == version
+    assert writer.load(store.table())
+    assert writer.members_version > version
+    assert writer.groups["g"] == NEW
+
+
 class RegistryMachine(RuleBasedStateMachine):
     """Instances that promote while the store goes back to older copies.
 
