Test that who stops while the store is away keeps its seat

The store refuses, is silent, or loses its answers while an instance stops: it ends within its grace period of 6 s, has its seat when it starts again, and a leaving primary is replaced.

--- a/tests/test_proxy_seats.py
+++ b/tests/test_proxy_seats.py
@@ -3,7 +3,9 @@
 import signal
 
 import pytest
+import trio
 
+from lagoonstair.standins.statements._store import StoreFault
 from proxy_fleet import proxy_fleet
 
 INSTANCES = 7
@@ -14,6 +16,9 @@
 """Time limit of a promotion, in seconds: detection, the turns of three
 instances, the wait for proofs and a margin for a busy machine."""
 
+GRACE_SECONDS = 6
+"""Time in seconds within which a process that stops must end."""
+
 SEAT_SECONDS = 40
 """Time limit in seconds in which several instances take seats one by one."""
 
@@ -88,3 +93,26 @@
             lambda: fleet.group.primary is not old, PROMOTION_SECONDS
         )
         await _is_served(fleet, "q1", "i2")
+
+
+# The wait for the store must not keep a process from ending in time.
+@pytest.mark.parametrize(
+    "fault", [StoreFault.BUSY, StoreFault.SILENT, StoreFault.LOSES_ANSWERS]
+)
+async def test_who_stops_while_the_store_is_away_keeps_its_seat(
+    tmp_path, fault
+):
+    async with proxy_fleet(tmp_path, instances=3) as fleet:
+        fleet.store.fault = fault
+        fleet.signal("i1", signal.SIGTERM)
+        with trio.fail_after(GRACE_SECONDS):
+            assert await fleet.wait_ended("i1") == 0
+        fleet.store.fault = StoreFault.NONE
+        await fleet.start_instance("i1")
+        await fleet.wait_ready("i1")
+        assert _seated(fleet) == {"i1", "i2", "i3"}
+        old = fleet.group.primary
+        _withdraw(fleet, old)
+        await fleet.until(
+            lambda: fleet.group.primary is not old, PROMOTION_SECONDS
+        )
