--- a/src/lagoonstair/queueing/__init__.py
+++ b/src/lagoonstair/queueing/__init__.py
@@ -2,10 +2,22 @@
 
 from lagoonstair.queueing._queue import (
     FairQueue,
+    QueueEffect,
     QueueSettings,
     Reject,
     Start,
 )
 from lagoonstair.queueing._scheduler import SlotScheduler
+from lagoonstair.queueing._work import ROUTINE, SlotQueue, Work
 
-__all__ = ["FairQueue", "QueueSettings", "Reject", "SlotScheduler", "Start"]
+__all__ = [
+    "ROUTINE",
+    "FairQueue",
+    "QueueEffect",
+    "QueueSettings",
+    "Reject",
+    "SlotQueue",
+    "SlotScheduler",
+    "Start",
+    "Work",
+]
--- a/src/lagoonstair/queueing/_queue.py
+++ b/src/lagoonstair/queueing/_queue.py
@@ -115,6 +115,7 @@
         *,
         deadline: float = math.inf,
         key_id: str = "",
+        work: object = None,
     ) -> list[QueueEffect]:
         """Adds an entry, or rejects it if its expected wait is too long.
 
@@ -124,6 +125,7 @@
             ticket: Identifies the entry; must not be reused.
             deadline: The time by which the entry must have started, in seconds.
             key_id: The ID of the key that the request carried.
+            work: Ignored; all classes of work are served alike.
         """
         flow = self._flow(workspace)
         if not flow.waiting and not flow.running:
--- a/src/lagoonstair/queueing/_scheduler.py
+++ b/src/lagoonstair/queueing/_scheduler.py
@@ -14,6 +14,7 @@
     Reject,
     Start,
 )
+from lagoonstair.queueing._work import ROUTINE, SlotQueue, Work
 
 REJECTION_MESSAGES = {
     ErrorKind.OVERLOADED: "the database is busy; nothing was run",
@@ -40,6 +41,7 @@
         slots: int,
         *,
         settings: QueueSettings | None = None,
+        queue: SlotQueue | None = None,
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
         """Creates a scheduler with all slots free.
@@ -47,10 +49,12 @@
         Args:
             slots: Number of calls that the database runs concurrently.
             settings: Limits of the queue.
+            queue: Decides who gets a slot, in place of a ``FairQueue`` for
+                all; it has the same number of slots and the same limits.
             clock: Returns the monotonic time in seconds.
         """
         self._settings = settings or QueueSettings()
-        self._queue = FairQueue(slots, self._settings)
+        self._queue: SlotQueue = queue or FairQueue(slots, self._settings)
         self._clock = clock
         self._waiters: dict[int, _Waiter] = {}
         self._last_ticket = 0
@@ -62,6 +66,7 @@
         *,
         deadline: float = math.inf,
         key_id: str = "",
+        work: Work = ROUTINE,
     ) -> AsyncIterator[None]:
         """Holds a slot inside the block; a transaction holds it until it ends.
 
@@ -70,6 +75,7 @@
             deadline: The time by which a slot must have been obtained, on the
                 scheduler's clock, in seconds.
             key_id: The ID of the request's key, for ``withdraw``.
+            work: Its urgency, for a queue that orders by it.
 
         Raises:
             LagoonstairError: ``OVERLOADED`` or, after ``withdraw``,
@@ -78,7 +84,7 @@
         self._last_ticket += 1
         ticket = self._last_ticket
         try:
-            await self._wait(workspace, ticket, deadline, key_id)
+            await self._wait(workspace, ticket, deadline, key_id, work)
             yield
         finally:
             self._perform(self._queue.leave(self._clock(), ticket))
@@ -101,14 +107,24 @@
         return self._queue.waiting(workspace)
 
     async def _wait(
-        self, workspace: str, ticket: int, deadline: float, key_id: str
+        self,
+        workspace: str,
+        ticket: int,
+        deadline: float,
+        key_id: str,
+        work: Work,
     ) -> None:
         waiter = _Waiter()
         self._waiters[ticket] = waiter
         try:
             now = self._clock()
             effects = self._queue.enter(
-                now, workspace, ticket, deadline=deadline, key_id=key_id
+                now,
+                workspace,
+                ticket,
+                deadline=deadline,
+                key_id=key_id,
+                work=work,
             )
             self._perform(effects)
             deadline = min(deadline, now + self._settings.max_wait)
