Use the limit and the order with overload control

Cause: the scheduler of the slots and the waiters for connections knew only the priority, and an operation took a token of its workspace's rate before the queue rejected it.

Change: the waiters for connections are in a module of their own. A pool has an admission: by default that of before, with overload control one with the limit of the endpoint's process, the ordered queue and the line for connections. Operations that no queue can serve in time are refused before the rate; a rejected statement that no other endpoint can run is not offered again before its hint.

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -32,6 +32,7 @@
     "promotion put off": "group",
     "promotion without candidates": "group",
     "endpoint gone": "group",
+    "endpoint limit lowered": "endpoint",
     "answer malformed": "endpoint",
     "answer unexpected": "endpoint",
     "store lost": "",
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -5,8 +5,10 @@
 
 import trio
 
+from lagoonstair.admission import WorkKind
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.platform import lines
+from lagoonstair.proxy._admission import is_rejection, work_of
 from lagoonstair.proxy._link import LinkError, LinkUse
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
@@ -28,6 +30,7 @@
     Target,
     TargetSelector,
 )
+from lagoonstair.queueing import Work
 from lagoonstair.routing import Consistency, Route
 from lagoonstair.statements import (
     NOT_RUN_CODES,
@@ -122,6 +125,7 @@
                 target,
                 attempt_deadline,
                 deadline,
+                work_of(route, arrived_at, in_transaction=False),
             )
             if isinstance(result, Success):
                 return result
@@ -136,6 +140,12 @@
                 if await _sleep_before_retry(delays, deadline):
                     continue
                 break
+            if (
+                (is_last or route.consistency is Consistency.PRIMARY)
+                and target.pool.admission.rejections_are_final
+                and is_rejection(sent, failure)
+            ):
+                break
             attempts += 1
             if sent is DeliveryStatus.UNANSWERED and run.writes:
                 break
@@ -165,6 +175,7 @@
         target: Target,
         attempt_deadline: float,
         deadline: float,
+        work: Work,
     ) -> tuple[DeliveryStatus, Result]:
         """Runs the statement once at the target endpoint."""
         pool = target.pool
@@ -172,8 +183,8 @@
             link = await pool.acquire(
                 caller.workspace,
                 deadline=attempt_deadline,
-                priority=route.priority,
                 use=LinkUse.WRITE if run.writes else LinkUse.READ,
+                work=work,
             )
         except NoLinkError as exc:
             return DeliveryStatus.NOT_SENT, exc.failure
@@ -185,7 +196,7 @@
             with self._targets.primary_use(route.group, target.is_primary):
                 with trio.move_on_at(attempt_deadline):
                     async with pool.statement_slot(
-                        caller.workspace, attempt_deadline
+                        caller.workspace, attempt_deadline, work
                     ):
                         prepared_name = await link.apply_session(
                             caller.session.values, run.shape
@@ -207,6 +218,11 @@
                         reply = await link.run(
                             request_id, text, has_effect=run.writes
                         )
+                        pool.admission.record_result(
+                            WorkKind(route.priority, run.writes),
+                            started_at,
+                            reply.result,
+                        )
                         is_done = isinstance(reply.result, Success)
                         self._targets.record_answer(
                             caller,
@@ -236,6 +252,7 @@
             pool.record_link_error(started_at, link_error)
         elif sent is DeliveryStatus.UNANSWERED:
             pool.record_failure(started_at)
+            pool.admission.record_unanswered(started_at)
         if sent is DeliveryStatus.UNANSWERED:
             log_event(
                 "statement unanswered",
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -9,6 +9,7 @@
 from lagoonstair._types import Position
 from lagoonstair.features import Features
 from lagoonstair.primacy import GroupRecord, GroupReport, Primacy
+from lagoonstair.proxy._admission import Admission, EndpointAdmission
 from lagoonstair.proxy._departures import Departures, SynchronousReplicas
 from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
 from lagoonstair.proxy._log import log_event
@@ -146,9 +147,11 @@
                 budget,
                 self._note_endpoint_position,
                 self.supervisor,
+                self._admission_of(endpoint),
             )
         else:
             pool.endpoint = endpoint
+            pool.admission.set_slots(endpoint.slots)
         log_event(
             "endpoint changed",
             endpoint=endpoint.name,
@@ -366,6 +369,11 @@
             else -1.0,
         )
 
+    def _admission_of(self, endpoint: Endpoint) -> Admission:
+        if self.features.overload_control:
+            return EndpointAdmission(endpoint, self._metrics)
+        return Admission(endpoint.slots)
+
     def _budget(self, endpoint: Endpoint) -> int:
         if self.config is None:
             return MIN_CONNECTION_BUDGET
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -9,6 +9,7 @@
 from lagoonstair._faults import describe_exception
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.platform import lines
+from lagoonstair.proxy._admission import refuse_unservable
 from lagoonstair.proxy._conversation import CallerConnection
 from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet
@@ -447,6 +448,14 @@
         if isinstance(route, Failure):
             return route
         assert connection.caller is not None
+        refusal = refuse_unservable(
+            self._fleet,
+            self._metrics,
+            route,
+            connection.caller.workspace,
+        )
+        if refusal is not None:
+            return refusal
         try:
             await self._quota.admit(connection.caller.workspace)
         except LagoonstairError as exc:
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -1,6 +1,5 @@
 """Pool of the connections that one instance has to one endpoint."""
 
-import heapq
 import itertools
 import math
 from collections.abc import AsyncIterator, Callable
@@ -9,10 +8,12 @@
 import trio
 
 from lagoonstair._types import Position
+from lagoonstair.proxy._admission import Admission
 from lagoonstair.proxy._link import Link, LinkError, LinkUse
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._supervisor import Supervisor
-from lagoonstair.queueing import QueueSettings, SlotScheduler
+from lagoonstair.proxy._waiters import ConnectionWaiters
+from lagoonstair.queueing import ROUTINE, Work
 from lagoonstair.routing import Endpoint, EndpointLoad
 from lagoonstair.statements import ErrorCode, Failure
 
@@ -78,7 +79,7 @@
     Attributes:
         endpoint: The endpoint.
         budget: Maximum number of connections of this instance.
-        slots: Schedules the endpoint's slots fairly among the workspaces.
+        admission: Decides which statements run.
         position: The end of the endpoint's log as it last reported it.
         answered_at: When the endpoint last answered, in seconds.
         unreachable_since: Start, in seconds, of the first attempt of the
@@ -94,6 +95,7 @@
         budget: int,
         on_position: Callable[["EndpointPool", float], None] | None = None,
         supervisor: Supervisor | None = None,
+        admission: Admission | None = None,
     ) -> None:
         """Creates a pool without connections.
 
@@ -103,13 +105,16 @@
             on_position: Called with the pool and the time of the request, in
                 seconds, when the endpoint has reported its log position.
             supervisor: Counts unexpected exceptions.
+            admission: Decides which statements run; by default the one
+                without overload control.
         """
         self._on_position = on_position
         self._supervisor = supervisor or Supervisor(Metrics())
         self.endpoint = endpoint
         self.budget = budget
-        self.slots = SlotScheduler(
-            endpoint.slots, settings=QueueSettings(max_wait=10.0)
+        self.admission = admission or Admission(endpoint.slots)
+        self._waiters = ConnectionWaiters(
+            self.admission.line, self._connection_limit
         )
         self.position: Position | None = None
         self.answered_at = -math.inf
@@ -124,7 +129,6 @@
         self._busy = 0
         self._running_since: dict[int, float] = {}
         self._sequence = itertools.count()
-        self._waiters: list[tuple[int, int, trio.Event]] = []
         self._congested_until = -math.inf
         self._reported_until = -math.inf
         self._repeats_until = -math.inf
@@ -178,16 +182,19 @@
         workspace: str,
         *,
         deadline: float,
-        priority: int,
+        priority: int = 0,
         use: LinkUse = LinkUse.READ,
+        work: Work | None = None,
     ) -> Link:
         """Acquires a connection on behalf of a workspace.
 
         Args:
             workspace: The workspace; connections aren't shared with others.
             deadline: When to give up, in seconds.
-            priority: Order among the waiters; lower values come first.
+            priority: Order among the waiters if ``work`` is not given; lower
+                values come first.
             use: What it is needed for.
+            work: The urgency of what it is needed for.
 
         Returns:
             A connection without a transaction; return it by ``release`` or
@@ -196,17 +203,34 @@
         Raises:
             NoLinkError: No connection was available; nothing was sent.
         """
+        work = work or Work(priority=priority)
+        link = await self._acquire(workspace, deadline, use, work)
+        if use is LinkUse.TRANSACTION:
+            self._waiters.pinned.add(link)
+        return link
+
+    async def _acquire(
+        self, workspace: str, deadline: float, use: LinkUse, work: Work
+    ) -> Link:
+        is_woken = False
         while not self._closed:
+            if use is LinkUse.TRANSACTION and not self._waiters.may_pin():
+                if is_woken:
+                    self._waiters.wake_next()
+                await self._wait_for_release(deadline, work)
+                is_woken = True
+                continue
             link = self._acquire_idle(workspace, use)
             if link is not None:
                 return link
             if len(self._links) + self._opening >= self._connection_limit():
                 self._close_oldest_idle()
             if len(self._links) + self._opening >= self._connection_limit():
-                await self._wait_for_release(deadline, priority)
+                await self._wait_for_release(deadline, work)
+                is_woken = True
                 continue
             try:
-                return await self._open(workspace, deadline)
+                return await self._open(workspace, deadline, use)
             except NoLinkError as exc:
                 if (
                     exc.failure.code is not ErrorCode.CONGESTED
@@ -223,6 +247,7 @@
 
         It is closed unless another operation may use it.
         """
+        self._waiters.pinned.discard(link)
         if link not in self._links:
             return
         obstacle = link.reuse_obstacle
@@ -236,32 +261,34 @@
             self.discard(link)
             return
         self._idle.append(link)
-        self._wake_next_waiter()
+        self._waiters.wake_next()
 
     def discard(self, link: Link) -> None:
         """Closes a connection and removes it from the pool."""
         link.close()
         self._links.discard(link)
+        self._waiters.pinned.discard(link)
         if link in self._idle:
             self._idle.remove(link)
-        self._wake_next_waiter()
+        self._waiters.wake_next()
 
     @asynccontextmanager
     async def statement_slot(
-        self, workspace: str, deadline: float
+        self, workspace: str, deadline: float, work: Work = ROUTINE
     ) -> AsyncIterator[None]:
         """Holds one of the endpoint's slots while a statement runs.
 
         Args:
             workspace: The workspace that the statement belongs to.
             deadline: Time by which it must be answered, in seconds.
+            work: Its urgency.
 
         Raises:
             LagoonstairError: No slot will be free in time; nothing was run.
         """
         self._busy += 1
         try:
-            async with self.slots.slot(workspace, deadline=deadline):
+            async with self.admission.slot(workspace, deadline, work):
                 statement_id = next(self._sequence)
                 self._running_since[statement_id] = trio.current_time()
                 try:
@@ -404,8 +431,8 @@
         self._closed = True
         for link in [*self._idle]:
             self.discard(link)
-        while self._waiters:
-            self._wake_next_waiter()
+        self.admission.close()
+        self._waiters.wake_all()
 
     def close_all(self) -> None:
         """Closes every connection immediately, whatever runs on it."""
@@ -467,13 +494,16 @@
         self._links.add(link)
         self.release(link)
 
-    async def _open(self, workspace: str, deadline: float) -> Link:
+    async def _open(
+        self, workspace: str, deadline: float, use: LinkUse
+    ) -> Link:
         """Opens a connection.
 
         Raises:
             NoLinkError: The endpoint is unreachable or refused.
         """
         self._opening += 1
+        self._waiters.pinning += use is LinkUse.TRANSACTION
         started_at = trio.current_time()
         seconds = min(OPEN_TIMEOUT_SECONDS, max(0.0, deadline - started_at))
         try:
@@ -494,36 +524,22 @@
             raise NoLinkError(failure) from exc
         finally:
             self._opening -= 1
-            self._wake_next_waiter()
+            self._waiters.pinning -= use is LinkUse.TRANSACTION
+            self._waiters.wake_next()
         self.opened_count += 1
         self.record_reachable()
         self._record_position(link, started_at)
         self._links.add(link)
         return link
 
-    async def _wait_for_release(self, deadline: float, priority: int) -> None:
+    async def _wait_for_release(self, deadline: float, work: Work) -> None:
         """Waits until a connection may be available.
 
         Raises:
             NoLinkError: None became available before the deadline.
         """
-        event = trio.Event()
-        entry = (priority, next(self._sequence), event)
-        heapq.heappush(self._waiters, entry)
         try:
-            with trio.fail_after(max(0.0, deadline - trio.current_time())):
-                await event.wait()
+            await self._waiters.wait(deadline, work)
         except trio.TooSlowError as exc:
-            if event.is_set():
-                self._wake_next_waiter()
             failure = Failure(ErrorCode.BUSY, "no connection was free in time")
             raise NoLinkError(failure) from exc
-        finally:
-            if entry in self._waiters:
-                self._waiters.remove(entry)
-                heapq.heapify(self._waiters)
-
-    def _wake_next_waiter(self) -> None:
-        if self._waiters:
-            _, _, event = heapq.heappop(self._waiters)
-            event.set()
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -5,8 +5,10 @@
 
 import trio
 
+from lagoonstair.admission import WorkKind
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.platform import lines
+from lagoonstair.proxy._admission import work_of
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._link import Link, LinkError, LinkUse
 from lagoonstair.proxy._pool import EndpointPool, NoLinkError
@@ -161,7 +163,12 @@
                 sent = DeliveryStatus.UNANSWERED
                 failure = Failure(ErrorCode.ABORTED, "no answer in time")
                 result = await self._exchange(
-                    caller, tx, request_id, text, deadline
+                    caller,
+                    tx,
+                    request_id,
+                    text,
+                    deadline,
+                    WorkKind(tx.route.priority, run.writes),
                 )
                 sent = DeliveryStatus.ANSWERED
                 if isinstance(result, Success):
@@ -350,8 +357,8 @@
             link = await pool.acquire(
                 caller.workspace,
                 deadline=deadline,
-                priority=route.priority,
                 use=LinkUse.TRANSACTION,
+                work=work_of(route, tx.began, in_transaction=True),
             )
         except NoLinkError as exc:
             return exc.failure
@@ -374,6 +381,7 @@
                         self._targets.begin_primary_use(route.group)
                     self._open[id(tx)] = tx
                     return None
+                pool.admission.record_result(None, started_at, reply.result)
                 self._targets.record_refusal(pool, reply.result)
                 failure = reply.result
         except LinkError as exc:
@@ -392,6 +400,7 @@
         request_id: str,
         text: str,
         deadline: float,
+        kind: WorkKind | None = None,
     ) -> Result:
         """Sends a statement on a transaction's connection.
 
@@ -402,7 +411,8 @@
         """
         assert tx.link is not None
         assert tx.pool is not None
-        async with tx.pool.statement_slot(caller.workspace, deadline):
+        work = work_of(tx.route, tx.began, in_transaction=True)
+        async with tx.pool.statement_slot(caller.workspace, deadline, work):
             # The primary's proof may have expired during the wait for a slot.
             if not self._is_usable(tx):
                 raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED_MESSAGE)
@@ -415,6 +425,11 @@
             except LinkError as exc:
                 tx.pool.record_link_error(started_at, exc)
                 raise
+            except trio.Cancelled:
+                if trio.current_time() >= deadline:
+                    tx.pool.admission.record_unanswered(started_at)
+                raise
+            tx.pool.admission.record_result(kind, started_at, reply.result)
             commits_writes = (
                 tx.has_written
                 and text == "COMMIT"
--- a/src/lagoonstair/queueing/__init__.py
+++ b/src/lagoonstair/queueing/__init__.py
@@ -7,10 +7,11 @@
     Reject,
     Start,
 )
-from lagoonstair.queueing._scheduler import SlotScheduler
+from lagoonstair.queueing._scheduler import REJECTION_MESSAGES, SlotScheduler
 from lagoonstair.queueing._work import ROUTINE, SlotQueue, Work
 
 __all__ = [
+    "REJECTION_MESSAGES",
     "ROUTINE",
     "FairQueue",
     "QueueEffect",
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -337,20 +337,20 @@
 
 
 @asynccontextmanager
-async def one_endpoint():
+async def one_endpoint(features=None, slots=1, metrics=None):
     """Provides the fleet of one instance with one database, the primary."""
     group = Group("g", lambda database: None)
-    database = group.add("d1", slots=1, max_connections=9)
+    database = group.add("d1", slots=slots, max_connections=9)
     async with trio.open_nursery() as nursery:
         await nursery.start(database.serve, HOST)
-        fleet = Fleet("i1", "a", Metrics())
+        fleet = Fleet("i1", "a", metrics or Metrics(), features)
         fleet.set_endpoint(
             Endpoint(
                 name="d1",
                 group="g",
                 address=Address(HOST, database.port),
                 failure_domain="a",
-                slots=1,
+                slots=slots,
                 leaving=False,
                 says_primary=True,
                 started=1,
