Move sessions to homes that reach their primary

Cause: a primary that some homes can't reach while others do is not replaced, so sessions at those homes were refused ("no primary can be used") although another home would have served them.

Change: with overload control or several regions, a home that has not reached a group's recorded primary for 0.5 s, without a promotion in progress, refuses relayed sessions of primary and read_your_writes routes and closes its idle ones in parts. The entry tries up to 8 homes and skips those that refused for 1 s, as long as the group's record is the same. If none opens it, a primary session is refused at once with a hint; a read_your_writes session runs at the first candidate, on a fourth peer port.

Passed: test_load_primary_reach, test_proxy_primary_reach (small fakes), test_proxy_isolation, test_proxy_throttle, test_proxy_shutdown, test_proxy_path, test_load_isolation, test_load_throttling, test_proxy_relay, test_proxy_front, test_proxy_parts, test_proxy_supervisor, test_cli_docs, test_cli_explain and test_features. Not run: a partial cut of a primary on real processes, and fleets of two builds.

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -39,6 +39,7 @@
     "store regained": "",
     "instance lost": "",
     "instance regained": "",
+    "home without primary": "group",
     "instance isolated": "",
     "instance in contact": "",
     "home lost": "",
--- a/src/lagoonstair/proxy/_conversation.py
+++ b/src/lagoonstair/proxy/_conversation.py
@@ -36,6 +36,8 @@
             none does.
         relayed: The session at the workspace's home if another instance is
             the home.
+        is_movable: Whether another instance relays the session here and may
+            open it at another home.
     """
 
     stream: trio.SocketStream
@@ -48,6 +50,7 @@
     wait_scope: trio.CancelScope | None = None
     statement_scope: trio.CancelScope | None = None
     relayed: RelayedSession | None = None
+    is_movable: bool = False
 
     @property
     def is_idle(self) -> bool:
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -37,7 +37,7 @@
 from lagoonstair.proxy._reaper import Reaper
 from lagoonstair.proxy._reconciler import Reconciler
 from lagoonstair.proxy._registry import Registry
-from lagoonstair.proxy._relays import HomeRouter
+from lagoonstair.proxy._relays import UNMOVED_PORT_STEP, HomeRouter
 from lagoonstair.proxy._settings import (
     InstanceSettings,
     SettingsError,
@@ -244,6 +244,11 @@
                 await callers.start(
                     self._accept, front.serve_relayed, relayed, callers
                 )
+                if front.primary_reach is not None:
+                    await self._listen_for_unmoved(front, callers)
+                    nursery.start_soon(
+                        supervise, "primary reach", front.primary_reach.run
+                    )
                 self._ready = True
                 if self._isolation is not None:
                     self._isolation.close_idle_sessions = (
@@ -259,6 +264,25 @@
             nursery.cancel_scope.cancel()
         self._stopped.set()
 
+    async def _listen_for_unmoved(
+        self, front: CallerServer, callers: trio.Nursery
+    ) -> None:
+        """Listens for relayed sessions that this instance runs in any case.
+
+        Without a port for it, other instances refuse these sessions.
+        """
+        first, last = self._settings.peer_ports
+        port = first + RELAY_PORT_OFFSET + UNMOVED_PORT_STEP
+        if port > last:
+            log_event("no port for sessions without a primary", port=port)
+            return
+        listeners = await trio.open_tcp_listeners(
+            port, host=self._settings.host, backlog=BACKLOG
+        )
+        await callers.start(
+            self._accept, front.serve_unmoved, listeners, callers
+        )
+
     async def _listen(self) -> list[trio.SocketListener]:
         host, port = parse_address(self._settings.listen.entry)
         return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
--- a/src/lagoonstair/proxy/_entry.py
+++ b/src/lagoonstair/proxy/_entry.py
@@ -10,6 +10,7 @@
 from lagoonstair.proxy._isolation import IsolationWatch
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._primary_reach import NEEDS_PRIMARY
 from lagoonstair.proxy._relay import RelayedSession
 from lagoonstair.proxy._relays import HomeRouter
 from lagoonstair.proxy._throttle import EntryThrottle
@@ -63,12 +64,21 @@
         """
         assert connection.caller is not None
         workspace = connection.caller.workspace
-        refusal = self._isolation_refusal(workspace) or self._throttle_refusal(
-            workspace, connection.database
-        )
+        isolation = self._isolation_refusal(workspace)
+        if isolation is not None:
+            await self._refuse(connection, isolation, "isolated")
+            return
+        refusal = self._throttle_refusal(workspace, connection.database)
         if refusal is not None:
             await connection.send_refusal(refusal)
             return
+        route = authorize(connection)
+        needs_primary = (
+            self._fleet.features.sheds_unreachable
+            and not self._fleet.homes.is_direct
+            and isinstance(route, Route)
+            and route.consistency in NEEDS_PRIMARY
+        )
         found = await self._router.open_session(
             workspace,
             connection.stream,
@@ -77,10 +87,14 @@
                 not isinstance(authorize(connection), Failure)
                 and self._isolation_refusal(workspace) is None
             ),
+            route if needs_primary and isinstance(route, Route) else None,
         )
         if found is None:
             await self._refuse_start(connection, authorize)
             return
+        if isinstance(found, Failure):
+            await self._refuse(connection, found, "no_primary")
+            return
         home_name, connection.relayed = found
         if connection.relayed is None:
             await run_session(connection)
@@ -91,18 +105,14 @@
         """Returns the refusal of a session if no home is in reach."""
         if self._isolation is None:
             return None
-        refusal = self._isolation.refusal(workspace)
-        if refusal is not None:
-            self._metrics.count("starts_refused", code="isolated")
-        return refusal
+        return self._isolation.refusal(workspace)
 
     def _throttle_refusal(
         self, workspace: str, database: str
     ) -> Failure | None:
         """Returns the refusal of a session of a throttled workspace."""
-        if self._router.candidates(workspace)[:1] == [self._fleet.name]:
-            return None
-        if self._throttle is None:
+        home = next(iter(self._router.candidates(workspace)), None)
+        if self._throttle is None or home == self._fleet.name:
             return None
         return self._throttle.refuse(workspace, database, stage="start")
 
@@ -118,17 +128,25 @@
             return
         isolation = self._isolation_refusal(connection.caller.workspace)
         if isolation is not None:
-            await connection.send_refusal(isolation)
+            await self._refuse(connection, isolation, "isolated")
             return
-        self._metrics.count("starts_refused", code="no_home")
+        failure = Failure(ErrorCode.BUSY, NO_HOME_MESSAGE)
+        await self._refuse(connection, failure, "no_home")
+
+    async def _refuse(
+        self, connection: CallerConnection, failure: Failure, code: str
+    ) -> None:
+        """Counts, logs and sends the refusal of a session."""
+        assert connection.caller is not None
+        self._metrics.count("starts_refused", code=code)
         log_event(
             "session refused",
-            cause=NO_HOME_MESSAGE,
+            cause=failure.message,
             database=connection.database,
             workspace=connection.caller.workspace,
             line=self._router.candidates(connection.caller.workspace),
         )
-        await connection.send_refusal(Failure(ErrorCode.BUSY, NO_HOME_MESSAGE))
+        await connection.send_refusal(failure)
 
     async def _relay(
         self,
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -16,6 +16,7 @@
 from lagoonstair.proxy._isolation import IsolationWatch
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._primary_reach import PrimaryReach
 from lagoonstair.proxy._quota import Quota
 from lagoonstair.proxy._relay import SHUTDOWN_MESSAGE
 from lagoonstair.proxy._relays import HomeRouter
@@ -68,6 +69,8 @@
         draining: Whether sessions are closed as soon as they are idle.
         refusing: Whether no statement is begun any more. What was read whole
             is refused, and what runs is answered before its session ends.
+        primary_reach: Turns relayed sessions away whose primary is out of
+            reach; ``None`` where callers are not shed.
     """
 
     def __init__(
@@ -92,6 +95,11 @@
         self._connections: dict[int, CallerConnection] = {}
         self.draining = False
         self.refusing = False
+        self.primary_reach: PrimaryReach | None = None
+        if fleet.features.sheds_unreachable:
+            self.primary_reach = PrimaryReach(
+                fleet, metrics, lambda: [*self._connections.values()]
+            )
         fleet.config_listeners.append(self._close_unauthorized)
 
     @property
@@ -155,12 +163,37 @@
         Args:
             stream: The connection to the relaying instance.
         """
+        await self._serve_for_peer(stream, self._run_movable)
+
+    async def serve_unmoved(self, stream: trio.SocketStream) -> None:
+        """Serves a relayed session also if its primary is out of reach.
+
+        Args:
+            stream: The connection to the relaying instance.
+        """
+        await self._serve_for_peer(stream, self._run_session)
+
+    async def _serve_for_peer(
+        self,
+        stream: trio.SocketStream,
+        run_session: Callable[[CallerConnection], Awaitable[None]],
+    ) -> None:
         if self.draining:
             # Without a greeting, the other instance tries the next home.
             self._metrics.count("relays_refused")
             await stream.aclose()
             return
-        await self._serve(stream, self._run_session)
+        await self._serve(stream, run_session)
+
+    async def _run_movable(self, connection: CallerConnection) -> None:
+        """Runs a relayed session unless its primary is out of reach."""
+        if self.primary_reach is not None:
+            refusal = self.primary_reach.refusal(connection.database)
+            if refusal is not None:
+                await connection.send_refusal(refusal)
+                return
+            connection.is_movable = True
+        await self._run_session(connection)
 
     async def _serve(
         self,
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -10,8 +10,11 @@
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._primary_reach import unreached_group
 from lagoonstair.proxy._relay import HomeLostError, RelayedSession
-from lagoonstair.statements import Failure
+from lagoonstair.reachability import OUT_OF_REACH_MESSAGE, RefusingHomes
+from lagoonstair.routing import Consistency, Route
+from lagoonstair.statements import ErrorCode, Failure
 
 LOST_HOME_SKIP_SECONDS = 2.0
 """Time in seconds for which a home that could not be reached is skipped."""
@@ -40,6 +43,16 @@
 home counts as dead; the home enforces the limit itself, so its answer should
 have come before."""
 
+UNMOVED_PORT_STEP = 1
+"""Offset from a home's port for relayed sessions to the one on which it runs
+them also if their primary is out of reach."""
+
+MIN_RETRY_SECONDS = 0.5
+"""Least retry hint in seconds when no home reaches the primary; they have not
+reached it for this long."""
+
+NO_PRIMARY_IN_REACH_MESSAGE = "no home reaches the primary"
+
 DEFAULT_TIMEOUT_SECONDS = 1.5
 """Time limit in seconds of a statement whose route was removed."""
 
@@ -75,6 +88,7 @@
         self._sessions: dict[RelayedSession, tuple[str, str]] = {}
         self._being_checked: set[str] = set()
         self.home_answered_at = -math.inf
+        self._refusing = RefusingHomes()
 
     def candidates(self, workspace: str) -> Sequence[str]:
         """Returns the instances to try for a workspace, in order.
@@ -96,7 +110,8 @@
         caller: trio.SocketStream,
         start: bytes,
         is_authorized: Callable[[], bool],
-    ) -> tuple[str, RelayedSession | None] | None:
+        route: Route | None = None,
+    ) -> tuple[str, RelayedSession | None] | Failure | None:
         """Opens a session at the first candidate home that is reachable.
 
         When all instances restart, some are up before the homes are. A caller
@@ -114,30 +129,112 @@
             caller: The caller's connection.
             start: The caller's first line.
             is_authorized: Returns whether the session is authorized here.
+            route: The session's route if it needs the primary and homes that
+                can't reach it refuse the session; else ``None``.
 
         Returns:
             The home's name, and the session there unless the home is this
             instance; ``None`` if no home opened it in time, or if it is not
-            authorized any more.
+            authorized any more; the refusal if no home reaches the primary.
         """
         give_up_at = trio.current_time() + HOME_SEARCH_SECONDS
         while is_authorized():
-            for name in self.candidates(workspace):
+            order = self._start_order(workspace, route)
+            is_refused = not order
+            for name in order:
                 if name == self._fleet.name:
-                    return name, None
+                    if not unreached_group(self._fleet, route):
+                        return name, None
+                    is_refused = True
+                    continue
                 session = await self._open(name, caller, start)
-                if session is not None:
+                if session is None:
+                    continue
+                if route is None or not self._is_moved(name, session, route):
                     return name, session
+                is_refused = True
+            if route is not None and is_refused:
+                return await self._open_unmoved(workspace, caller, start, route)
             if trio.current_time() + HOME_SEARCH_PAUSE_SECONDS > give_up_at:
                 return None
             await trio.sleep(HOME_SEARCH_PAUSE_SECONDS)
         return None
 
+    def _start_order(
+        self, workspace: str, route: Route | None
+    ) -> Sequence[str]:
+        """Returns the homes to ask for a session, in order."""
+        candidates = self.candidates(workspace)
+        if route is None:
+            return candidates
+        return self._refusing.order(
+            trio.current_time(),
+            route.group,
+            self._fleet.primacy.records.get(route.group),
+            candidates=candidates,
+            homes=self._fleet.homes.names,
+        )
+
+    def _is_moved(
+        self, name: str, session: RelayedSession, route: Route
+    ) -> bool:
+        """Returns whether a home refused a session for lack of a primary."""
+        expected = Failure(ErrorCode.BUSY, OUT_OF_REACH_MESSAGE)
+        if session.greeting != lines.encode_failure(expected):
+            return False
+        session.close()
+        record = self._fleet.primacy.records.get(route.group)
+        now = trio.current_time()
+        self._metrics.count("starts_moved")
+        if self._refusing.note(now, name, route.group, record):
+            log_event("start moved", peer=name, group=route.group)
+        return True
+
+    async def _open_unmoved(
+        self,
+        workspace: str,
+        caller: trio.SocketStream,
+        start: bytes,
+        route: Route,
+    ) -> tuple[str, RelayedSession | None] | Failure:
+        """Opens a session for which no home reaches the primary.
+
+        If the route allows reads elsewhere, the first candidate runs it.
+        """
+        seconds = self._fleet.estimate_recovery(route.group)
+        retry_ms = int(max(seconds, MIN_RETRY_SECONDS) * 1000)
+        failure = Failure(
+            ErrorCode.BUSY,
+            f"{NO_PRIMARY_IN_REACH_MESSAGE}; retry_after_ms={retry_ms}",
+        )
+        if route.consistency is Consistency.PRIMARY:
+            return failure
+        for name in self.candidates(workspace):
+            if name == self._fleet.name:
+                return name, None
+            session = await self._open(
+                name, caller, start, port_step=UNMOVED_PORT_STEP
+            )
+            if session is not None:
+                return name, session
+        return failure
+
     async def _open(
-        self, name: str, caller: trio.SocketStream, start: bytes
+        self,
+        name: str,
+        caller: trio.SocketStream,
+        start: bytes,
+        *,
+        port_step: int = 0,
     ) -> RelayedSession | None:
         """Opens a session at a home.
 
+        Args:
+            name: The name of the home.
+            caller: The caller's connection.
+            start: The caller's first line.
+            port_step: What to add to the port for relayed sessions.
+
         Returns:
             The session, or ``None`` if the home is unreachable or holds
             another configuration than this instance.
@@ -145,9 +242,14 @@
         address = self._address_of(name)
         if address is None:
             return None
+        if port_step:
+            address = Address(address.host, address.port + port_step)
         try:
             session = await RelayedSession.open(caller, address, start)
         except HomeLostError as exc:
+            if port_step:
+                # An earlier build does not listen there.
+                return None
             seconds = (
                 REFUSED_HOME_SKIP_SECONDS
                 if exc.is_refused
--- a/src/lagoonstair/proxy/_settings.py
+++ b/src/lagoonstair/proxy/_settings.py
@@ -56,8 +56,10 @@
         host: The IP address at which other instances reach this one.
         listen: The addresses for callers and for the readiness check.
         peer_ports: First and last port reserved for the instance. The first
-            port serves calls between instances, the second the metrics, and
-            the third the sessions that other instances relay.
+            port serves calls between instances, the second the metrics,
+            the third the sessions that other instances relay, and the fourth,
+            where callers are shed, those of them that are run although the
+            primary is out of reach.
         store: The address of the metadata store, as ``IP:PORT``.
         duties: The address, as ``IP:PORT``, of the platform calls that only
             one instance at a time may make.
