--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -21,6 +21,7 @@
 from lagoonstair.proxy._follower import Follower
 from lagoonstair.proxy._front import CallerServer
 from lagoonstair.proxy._gossip import CONTACT_SECONDS, Gossip
+from lagoonstair.proxy._isolation import IsolationWatch
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._orders import EndpointCommands
@@ -29,13 +30,14 @@
 from lagoonstair.proxy._quota import (
     LIMIT_SETTINGS,
     MEMBERSHIP_FRESHNESS_SECONDS,
+    OVERLOAD_LIMIT_SETTINGS,
     Quota,
     Tolerance,
 )
 from lagoonstair.proxy._reaper import Reaper
 from lagoonstair.proxy._reconciler import Reconciler
 from lagoonstair.proxy._registry import Registry
-from lagoonstair.proxy._relays import HomeRouter
+from lagoonstair.proxy._relays import UNMOVED_PORT_STEP, HomeRouter
 from lagoonstair.proxy._settings import (
     InstanceSettings,
     SettingsError,
@@ -95,6 +97,7 @@
         self._metrics = metrics
         self._ready = False
         self._resumed = False
+        self._isolation: IsolationWatch | None = None
         self._store = Store(
             parse_address(settings.store),
             lambda reason: metrics.count("responses_unexpected", reason=reason),
@@ -142,6 +145,9 @@
                     excess=settings.quota_excess,
                     slack=settings.quota_slack,
                 ),
+                OVERLOAD_LIMIT_SETTINGS
+                if settings.features.overload_control
+                else LIMIT_SETTINGS,
             )
             self._quota = quota
             tables = Tables(
@@ -208,6 +214,10 @@
                 gossip.reaches,
             )
             nursery.start_soon(supervise, "relays", relays.end_silent_sessions)
+            if settings.features.sheds_unreachable:
+                self._isolation = IsolationWatch(
+                    self._fleet, relays, gossip.reaches, self._metrics
+                )
             front = CallerServer(
                 self._fleet,
                 executor,
@@ -216,6 +226,7 @@
                 self._metrics,
                 settings.max_descriptors,
                 relays,
+                self._isolation,
             )
             with trio.move_on_after(MAX_FRESHNESS_WAIT_SECONDS):
                 while not self._is_fresh():
@@ -233,7 +244,19 @@
                 await callers.start(
                     self._accept, front.serve_relayed, relayed, callers
                 )
+                if front.primary_reach is not None:
+                    await self._listen_for_unmoved(front, callers)
+                    nursery.start_soon(
+                        supervise, "primary reach", front.primary_reach.run
+                    )
                 self._ready = True
+                if self._isolation is not None:
+                    self._isolation.close_idle_sessions = (
+                        front.close_idle_relayed
+                    )
+                    nursery.start_soon(
+                        supervise, "isolation", self._isolation.run
+                    )
                 log_event("ready", members=len(self._registry.members))
                 await stop.wait()
                 await self._drain(front, accepting)
@@ -241,6 +264,25 @@
             nursery.cancel_scope.cancel()
         self._stopped.set()
 
+    async def _listen_for_unmoved(
+        self, front: CallerServer, callers: trio.Nursery
+    ) -> None:
+        """Listens for relayed sessions that this instance runs in any case.
+
+        Without a port for it, other instances refuse these sessions.
+        """
+        first, last = self._settings.peer_ports
+        port = first + RELAY_PORT_OFFSET + UNMOVED_PORT_STEP
+        if port > last:
+            log_event("no port for sessions without a primary", port=port)
+            return
+        listeners = await trio.open_tcp_listeners(
+            port, host=self._settings.host, backlog=BACKLOG
+        )
+        await callers.start(
+            self._accept, front.serve_unmoved, listeners, callers
+        )
+
     async def _listen(self) -> list[trio.SocketListener]:
         host, port = parse_address(self._settings.listen.entry)
         return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
@@ -348,7 +390,10 @@
         host, port = parse_address(self._settings.listen.ready)
 
         async def answer(req: HttpRequest) -> HttpResponse:
-            status = 200 if self._ready else 503
+            is_isolated = (
+                self._isolation is not None and self._isolation.turns_away_all
+            )
+            status = 200 if self._ready and not is_isolated else 503
             return HttpResponse(status=status, body=b"")
 
         await self._make_server(answer).serve(
