Decide about cold endpoints and home regions without I/O

Cause: routes and workspaces may have home regions, and an endpoint that has just started may get only so many statements a second; nothing decoded or decided either. Change: home regions and cold-start values are decoded; an invalid value is named and costs nothing else of the row. Homes can be limited to failure domains and ranked for an endpoint's rate. A limiter spends a token for a request that does not wait, and notes the demand of those that find none. Nothing uses this yet.

--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -158,6 +158,30 @@
         self._workspace_by_ticket[ticket] = workspace
         return []
 
+    def has_token(self, now: float, workspace: str, *, fresh: bool) -> bool:
+        """Returns whether a request would be admitted at once.
+
+        If not, it counts as demand, so that tokens are borrowed for later
+        ones.
+        """
+        if not fresh or self._limit(workspace) is None:
+            return False
+        queue = self._queues.setdefault(workspace, WaitQueue())
+        if (
+            not queue.waiting
+            and self.available(now, workspace) >= MICROS_PER_TOKEN
+        ):
+            return True
+        queue.count_request(now)
+        return False
+
+    def try_spend(self, now: float, workspace: str, *, fresh: bool) -> bool:
+        """Spends a token for a request that does not wait, if there is one."""
+        if not self.has_token(now, workspace, fresh=fresh):
+            return False
+        self._queues[workspace].count_request(now)
+        return self._spend(now, workspace)
+
     def cancel(self, ticket: int) -> None:
         """Removes a queued request."""
         workspace = self._workspace_by_ticket.pop(ticket, None)
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -91,6 +91,7 @@
         self._last_accepted_version = -1
         self._waiters: dict[int, _Waiter] = {}
         self._last_ticket = 0
+        self._demand_noted_at = float("-inf")
         self._asks: list[SendAsk] = []
         self._wake = trio.Event()
         self._workspaces: set[str] = set()
@@ -186,6 +187,37 @@
                 retry_after=waiter.refusal.retry_after,
             )
 
+    def has_token(self, workspace: str) -> bool:
+        """Returns whether a request would be admitted at once.
+
+        If not, it counts as demand, so that tokens are borrowed for later
+        ones.
+        """
+        now = self._clock()
+        found = self._limiter.has_token(now, workspace, fresh=self._fresh(now))
+        return self._note_demand(now, found)
+
+    def try_admit(self, workspace: str) -> bool:
+        """Admits a request that does not wait, if there is a token."""
+        now = self._clock()
+        fresh = self._fresh(now)
+        admitted = self._limiter.try_spend(now, workspace, fresh=fresh)
+        self._counts["admitted"] += admitted
+        return self._note_demand(now, admitted)
+
+    def _note_demand(self, now: float, is_met: bool) -> bool:
+        """Asks for tokens soon if demand is not met, and returns the latter.
+
+        Many requests may be turned away in a row, so this does not wake the
+        loop more often than it asks.
+        """
+        if not is_met and (
+            now - self._demand_noted_at >= self._settings.ask_interval
+        ):
+            self._demand_noted_at = now
+            self._wake.set()
+        return is_met
+
     async def run(self) -> None:
         """Sends asks and completes waiting requests until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/src/lagoonstair/platform/discovery.py
+++ b/src/lagoonstair/platform/discovery.py
@@ -1,6 +1,7 @@
 """Decoding of the discovery entries that endpoints write into the store."""
 
 import ipaddress
+import math
 from typing import Annotated, Literal
 
 import msgspec
@@ -39,6 +40,8 @@
     # Distinguishes successive processes with the same id. Some deployments
     # lack it.
     born: Number = 0
+    # Decoded apart, so that an invalid value costs nothing else of the entry.
+    cold_left_ms: msgspec.Raw = msgspec.Raw(b"0")
 
 
 def decode_endpoint(key: str, value: bytes) -> Endpoint | None:
@@ -66,9 +69,19 @@
         says_primary=wire.db_role == "primary",
         started=wire.born,
         sequence=wire.seq_no,
+        cold_left=_cold_left(wire.cold_left_ms),
     )
 
 
+def _cold_left(value: msgspec.Raw) -> float:
+    """Returns the rest of the cold time in seconds; NaN if it is invalid."""
+    try:
+        milliseconds = float(bytes(value))
+    except ValueError:
+        return math.nan
+    return milliseconds / 1000 if milliseconds >= 0 else math.nan
+
+
 def parse_address(text: str) -> Address:
     """Parses ``IP:PORT``.
 
--- a/src/lagoonstair/platform/operator.py
+++ b/src/lagoonstair/platform/operator.py
@@ -1,5 +1,8 @@
 """Decoding of the operator's configuration as stored in the metadata store."""
 
+import contextlib
+import math
+
 import msgspec
 
 from lagoonstair.platform import lines
@@ -30,6 +33,10 @@
 """The consistency of reads by the name that a route's configuration uses."""
 
 
+UNREADABLE_REGION = ""
+"""Stands for home regions that can't be read; no failure domain is in it."""
+
+
 class _WireRoute(msgspec.Struct):
     name: str
     database: str
@@ -41,12 +48,16 @@
     max_staleness_ms: float = 0
     # The wire name of ``allows_anonymous``: the route needs no key.
     public: bool = False
+    # Raw fields are decoded apart, so that an invalid one costs nothing else.
+    home_regions: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _WireService(msgspec.Struct):
     name: str
     max_conns: int = 30
     sync_replicas: int = 0
+    cold_start_s: msgspec.Raw = msgspec.Raw(b"0")
+    cold_per_s: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class _WireLimits(msgspec.Struct):
@@ -58,6 +69,7 @@
     api_keys: list[str] = []
     rate_per_s: float = 0
     burst: float = 0
+    home_regions: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _WireConfig(msgspec.Struct):
@@ -83,16 +95,23 @@
         wire = decode_json(value, _WireConfig)
         # The workspace's name is told to the endpoints as a field of a line.
         tenants = [row for row in wire.tenants if lines.is_field(row.name)]
+        faults: list[str] = []
         return RoutingConfig(
             version=wire.version,
             # Here ``database`` is the name that callers request, not an
             # endpoint.
-            routes={row.database: _route(row) for row in wire.routes},
+            routes={row.database: _route(row, faults) for row in wire.routes},
             groups={
                 row.name: GroupConfig(
                     name=row.name,
                     max_connections=row.max_conns,
                     synchronous_replicas=row.sync_replicas,
+                    cold_seconds=_amount(
+                        row.cold_start_s, f"{row.name}.cold_start_s", faults
+                    ),
+                    cold_rate=_amount(
+                        row.cold_per_s, f"{row.name}.cold_per_s", faults
+                    ),
                 )
                 for row in wire.services
             },
@@ -101,17 +120,20 @@
                     name=row.name,
                     rate=row.rate_per_s,
                     burst=row.burst,
+                    home_regions=_regions(row.home_regions, row.name, faults),
                 )
                 for row in tenants
             },
             keys={key: row.name for row in tenants for key in row.api_keys},
             transaction_idle=wire.limits.tx_idle_ms / 1000,
+            # The rows above have been decoded by now.
+            faults=tuple(faults),
         )
     except (UnreadableError, KeyError) as exc:
         raise BadConfigError(str(exc)) from exc
 
 
-def _route(row: _WireRoute) -> Route:
+def _route(row: _WireRoute, faults: list[str]) -> Route:
     return Route(
         name=row.name,
         group=row.service,
@@ -121,4 +143,40 @@
         priority=row.priority,
         max_staleness=row.max_staleness_ms / 1000,
         allows_anonymous=row.public,
+        home_regions=_regions(row.home_regions, row.name, faults),
     )
+
+
+def _amount(value: msgspec.Raw, name: str, faults: list[str]) -> float:
+    """Returns a finite number that is not negative; 0 if it is invalid."""
+    try:
+        amount = float(bytes(value))
+    except ValueError:
+        amount = math.nan
+    if math.isfinite(amount) and amount >= 0:
+        return amount
+    faults.append(f"{name} is no amount")
+    return 0.0
+
+
+def _regions(
+    value: msgspec.Raw, owner: str, faults: list[str]
+) -> frozenset[str]:
+    """Returns the names of home regions; empty without a constraint.
+
+    A name that can't be read allows nothing. If it were dropped, a constraint
+    that the operator has meant would not apply.
+    """
+    names: object = UNREADABLE_REGION
+    with contextlib.suppress(UnreadableError):
+        names = decode_json(bytes(value), object)
+    if names is None:
+        return frozenset()
+    if isinstance(names, list):
+        regions = frozenset(name for name in names if isinstance(name, str))
+        if all(isinstance(name, str) for name in names):
+            return regions
+    else:
+        regions = frozenset()
+    faults.append(f"{owner}.home_regions is no list of names")
+    return regions or frozenset({UNREADABLE_REGION})
--- a/src/lagoonstair/proxy/_homes.py
+++ b/src/lagoonstair/proxy/_homes.py
@@ -135,7 +135,20 @@
         ]
         return rank_instances(f"workspace:{workspace}", instances)
 
-    def candidates_from(self, workspace: str, name: str) -> tuple[str, ...]:
+    def endpoint_holders(self, key: str) -> tuple[str, ...]:
+        """Returns the homes, ranked for the shares of an endpoint's rate.
+
+        Only homes send statements to endpoints.
+        """
+        return rank_instances(key, self._ranked)
+
+    def candidates_from(
+        self,
+        workspace: str,
+        name: str,
+        *,
+        allowed: frozenset[str] | None = None,
+    ) -> tuple[str, ...]:
         """Returns a workspace's candidate homes for callers of an instance.
 
         Those in the instance's failure domain come first. So a workspace has
@@ -146,8 +159,19 @@
         Args:
             workspace: The workspace.
             name: The instance that its callers are connected to.
+            allowed: The failure domains that a home may be in; ``None`` for
+                all.
+
+        Returns:
+            The candidates, none if no home is in these failure domains.
         """
         candidates = self.candidates(workspace)
+        if allowed is not None:
+            candidates = tuple(
+                candidate
+                for candidate in candidates
+                if self._instances[candidate].failure_domain in allowed
+            )
         if self.is_direct or name not in self._instances:
             return candidates
         domain = self._instances[name].failure_domain
--- a/src/lagoonstair/regions/__init__.py
+++ b/src/lagoonstair/regions/__init__.py
@@ -1,5 +1,15 @@
 """Regions: groups of failure domains with a long way between them."""
 
+from lagoonstair.regions._homes import (
+    allowed_regions,
+    has_home_regions,
+    unknown_regions,
+)
 from lagoonstair.regions._map import RegionMap
 
-__all__ = ["RegionMap"]
+__all__ = [
+    "RegionMap",
+    "allowed_regions",
+    "has_home_regions",
+    "unknown_regions",
+]
--- a/src/lagoonstair/regions/_map.py
+++ b/src/lagoonstair/regions/_map.py
@@ -38,3 +38,11 @@
     def domains(self) -> frozenset[str]:
         """Returns the names of all known failure domains."""
         return frozenset(self._region_by_domain)
+
+    def domains_in(self, regions: frozenset[str]) -> frozenset[str]:
+        """Returns the failure domains that are known to be in some regions."""
+        return frozenset(
+            domain
+            for domain, region in self._region_by_domain.items()
+            if region in regions
+        )
--- a/src/lagoonstair/routing/_model.py
+++ b/src/lagoonstair/routing/_model.py
@@ -36,6 +36,8 @@
         priority: The priority; 0 is the most urgent.
         max_staleness: Maximum staleness of a read, in seconds.
         allows_anonymous: Whether callers may connect without a key.
+        home_regions: The regions in which the operations may run; empty
+            without such a constraint.
     """
 
     name: str
@@ -46,6 +48,7 @@
     priority: int
     max_staleness: float
     allows_anonymous: bool
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,20 +61,35 @@
             instances.
         synchronous_replicas: Number of replicas that must have a commit
             before it is acknowledged.
+        cold_seconds: The longest time, in seconds, for which an endpoint is
+            slow after its start; 0 if it is not known.
+        cold_rate: Requests a second that an endpoint may get during that time;
+            0 without a limit.
     """
 
     name: str
     max_connections: int
     synchronous_replicas: int
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Workspace:
-    """A workspace's rate limit, in operations per second, and its burst."""
+    """A workspace.
+
+    Attributes:
+        name: The workspace's name.
+        rate: Its rate limit, in operations per second.
+        burst: The burst of that limit, in operations.
+        home_regions: The regions in which its operations may run; empty
+            without such a constraint.
+    """
 
     name: str
     rate: float
     burst: float
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,6 +104,8 @@
         keys: The workspace of each key.
         transaction_idle: Seconds after which an idle transaction may be
             ended.
+        faults: The optional fields that are invalid and have no effect, with
+            the reason.
     """
 
     version: int
@@ -94,6 +114,7 @@
     workspaces: Mapping[str, Workspace]
     keys: Mapping[str, str]
     transaction_idle: float
+    faults: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -112,6 +133,9 @@
             Distinguishes two processes with the same ID.
         sequence: The number of this entry, counted by its process. Entries
             that differ only in it are equal.
+        cold_left: How much longer it is slow after its start, in seconds, as
+            of the reading of this entry; not a number if it is invalid.
+            Entries that differ only in it are equal.
     """
 
     name: str
@@ -123,3 +147,4 @@
     says_primary: bool
     started: int
     sequence: int = field(default=0, compare=False)
+    cold_left: float = field(default=0.0, compare=False)
