Limit statements to cold endpoints and keep home regions

Cause: an endpoint that has just started got its full load, and a request with home regions could run anywhere. Change: each statement sent for a caller to a cold endpoint takes a token of a rate that the homes share; reads use the next endpoint without one, and what only that endpoint can run waits and is refused with a hint. Gossip carries the cold times, as entries reach most instances only when another field changes. Endpoints and homes outside the home regions are left out; without one the statement is refused at once, or the entry instance runs the session.

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -34,6 +34,10 @@
     "endpoint gone": "group",
     "answer malformed": "endpoint",
     "answer unexpected": "endpoint",
+    "endpoint cold": "group",
+    "cold endpoint refused": "group",
+    "home regions unknown": "config_version",
+    "home regions disjoint": "workspace",
     "store lost": "",
     "store regained": "",
     "instance lost": "",
@@ -158,6 +162,16 @@
             "the instance could not prove that it knew the rate shares of the "
             "other instances"
         )
+    if "has just started" in logged_cause:
+        return (
+            "only an endpoint that had just started could run it, and its "
+            "start-up rate was used up"
+        )
+    if "in the home regions" in logged_cause:
+        return (
+            "no endpoint in the home regions of its route and workspace could "
+            "run it; see their configuration and where the group's primary is"
+        )
     if (
         "no primary can be used" in logged_cause
         or "being replaced" in logged_cause
--- a/src/lagoonstair/proxy/_conversation.py
+++ b/src/lagoonstair/proxy/_conversation.py
@@ -36,6 +36,7 @@
             none does.
         relayed: The session at the workspace's home if another instance is
             the home.
+        home: The name of that instance.
     """
 
     stream: trio.SocketStream
@@ -48,6 +49,7 @@
     wait_scope: trio.CancelScope | None = None
     statement_scope: trio.CancelScope | None = None
     relayed: RelayedSession | None = None
+    home: str = ""
 
     @property
     def is_idle(self) -> bool:
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -14,6 +14,7 @@
 from lagoonstair.platform.duties import Duties
 from lagoonstair.platform.store import Store, StoreError
 from lagoonstair.primacy import PROOF_SECONDS
+from lagoonstair.proxy._cold_gate import ColdGate
 from lagoonstair.proxy._config_age import ConfigAge
 from lagoonstair.proxy._config_watch import ConfigWatcher
 from lagoonstair.proxy._executor import Executor
@@ -153,7 +154,8 @@
             self._follower = Follower(
                 self._store, self._fleet, self._registry, tables, self._metrics
             )
-            targets = TargetSelector(self._fleet, self._metrics)
+            cold_gate = ColdGate(self._fleet.cold, quota, self._metrics)
+            targets = TargetSelector(self._fleet, self._metrics, cold_gate)
             executor = Executor(targets, self._metrics)
             transactions = TransactionManager(self._fleet, targets)
             gossip = Gossip(
@@ -164,6 +166,7 @@
                 self._handlers,
             )
             self._fleet.config_listeners.append(self._apply_limits)
+            self._fleet.cold.listeners.append(self._apply_limits)
             server = PeerServer(settings.instance, secret, self._handlers)
             with self._fleet.supervisor.contain("registration"):
                 self._follower.apply_registration(rows)
@@ -179,6 +182,7 @@
             )
             nursery.start_soon(supervise, "configuration watcher", watcher.run)
             nursery.start_soon(supervise, "quota", quota.run)
+            nursery.start_soon(supervise, "cold", self._fleet.cold.run)
             commands = EndpointCommands(self._fleet)
             prober = Prober(self._fleet, gossip, commands)
             nursery.start_soon(supervise, "prober", prober.run)
@@ -306,7 +310,10 @@
             LIMIT_SETTINGS.share_delay,
         )
         self._quota.apply(
-            self._fleet.config, self._fleet.homes, resumed=self._resumed
+            self._fleet.config,
+            self._fleet.homes,
+            resumed=self._resumed,
+            cold=self._fleet.cold.shares,
         )
 
     def _is_fresh(self) -> bool:
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -7,6 +7,7 @@
 
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.platform import lines
+from lagoonstair.proxy._cold_gate import is_cold_refusal
 from lagoonstair.proxy._link import LinkError, LinkUse
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
@@ -107,7 +108,7 @@
                 break
             tried.add(target.pool.endpoint.name)
             is_last = not self._targets.has_alternative(
-                route, run.writes, tried
+                caller, route, run.writes, tried
             )
             attempt_deadline = deadline
             if not is_last:
@@ -136,6 +137,8 @@
                 if await _sleep_before_retry(delays, deadline):
                     continue
                 break
+            if target.waits and is_cold_refusal(failure):
+                break
             attempts += 1
             if sent is DeliveryStatus.UNANSWERED and run.writes:
                 break
@@ -187,10 +190,15 @@
                     async with pool.statement_slot(
                         caller.workspace, attempt_deadline
                     ):
+                        if self._targets.is_cold(pool):
+                            setup = link.count_setup(
+                                caller.session.values, run.shape
+                            )
+                            await self._targets.admit_cold(target, 1 + setup)
                         prepared_name = await link.apply_session(
                             caller.session.values, run.shape
                         )
-                        if not self._targets.is_current(target):
+                        if not self._targets.may_use(caller, route, target):
                             return DeliveryStatus.NOT_SENT, Failure(
                                 ErrorCode.BUSY, NO_PRIMARY_MESSAGE
                             )
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -9,11 +9,13 @@
 from lagoonstair._types import Position
 from lagoonstair.features import Features
 from lagoonstair.primacy import GroupRecord, GroupReport, Primacy
+from lagoonstair.proxy._cold import ColdEndpoints
 from lagoonstair.proxy._departures import Departures, SynchronousReplicas
 from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
+from lagoonstair.proxy._region_filter import RegionFilter
 from lagoonstair.proxy._supervisor import Supervisor
 from lagoonstair.routing import (
     Endpoint,
@@ -70,6 +72,8 @@
         departures: The endpoints that have left lately.
         synchronous_replicas: How many replicas hold each acknowledged commit.
         features: The optional features that the settings call for.
+        region_filter: Where the requests with home regions may run.
+        cold: The endpoints that have just started.
         supervisor: Contains unexpected exceptions.
     """
 
@@ -82,6 +86,8 @@
     ) -> None:
         self._metrics = metrics
         self.features = features or Features()
+        self.region_filter = RegionFilter(self.features.regions, metrics)
+        self.cold = ColdEndpoints(self.features.cold_limits, metrics)
         self._changed = trio.Event()
         self._histories: dict[str, PositionHistory] = {}
         self._promoting_since: dict[str, float] = {}
@@ -115,8 +121,12 @@
             return False
         self.config = config
         self.synchronous_replicas.apply(config.groups)
+        with self.supervisor.contain("home regions"):
+            self.region_filter.apply(config)
         with self.supervisor.contain("connection budgets"):
             self.update_budgets()
+        with self.supervisor.contain("cold endpoints"):
+            self.cold.apply(config.groups)
         self.notify_config_listeners()
         return True
 
@@ -130,6 +140,8 @@
         """Adds or updates an endpoint from its discovery entry."""
         known = self.endpoints.get(endpoint.name)
         missing_since = self.missing_since.pop(endpoint.name, None)
+        with self.supervisor.contain("cold endpoints"):
+            self.cold.observe(endpoint)
         if known == endpoint:
             return
         if known is not None and _is_different_process(known, endpoint):
@@ -164,6 +176,7 @@
         missing_since = self.missing_since.pop(name, None)
         if endpoint is not None:
             self.departures.note(endpoint, missing_since)
+        self.cold.drop(name)
         pool = self.pools.pop(name, None)
         if pool is not None:
             pool.close()
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -207,6 +207,7 @@
             connection.stream,
             start,
             lambda: not isinstance(self._authorize(connection), Failure),
+            lambda: self._allowed_domains(connection),
         )
         if found is None:
             refusal = self._authorize(connection)
@@ -220,13 +221,17 @@
                 cause=NO_HOME_MESSAGE,
                 database=connection.database,
                 workspace=connection.caller.workspace,
-                line=self._router.candidates(connection.caller.workspace),
+                line=self._router.candidates(
+                    connection.caller.workspace,
+                    self._allowed_domains(connection),
+                ),
             )
             await connection.send_refusal(
                 Failure(ErrorCode.BUSY, NO_HOME_MESSAGE)
             )
             return
         home_name, connection.relayed = found
+        connection.home = home_name
         if connection.relayed is None:
             await self._run_session(connection)
             return
@@ -502,15 +507,41 @@
         from the configuration.
         """
         for connection in [*self._connections.values()]:
-            if connection.caller is None or not isinstance(
-                self._authorize(connection), Failure
-            ):
+            if connection.caller is None:
+                continue
+            if not isinstance(self._authorize(connection), Failure):
+                self._leave_disallowed_home(connection)
                 continue
             if connection.relayed is not None:
                 connection.relayed.cancel_when_idle()
             elif connection.wait_scope is not None and connection.is_idle:
                 connection.wait_scope.cancel()
 
+    def _allowed_domains(
+        self, connection: CallerConnection
+    ) -> frozenset[str] | None:
+        """Returns the failure domains in which a session may run."""
+        route = self._authorize(connection)
+        if isinstance(route, Failure) or connection.caller is None:
+            return None
+        return self._fleet.region_filter.domains(
+            route, connection.caller.workspace
+        )
+
+    def _leave_disallowed_home(self, connection: CallerConnection) -> None:
+        """Ends a relayed session if its home is not in a home region.
+
+        What the caller sends must not reach it any more, so an open
+        transaction is rolled back.
+        """
+        allowed = self._allowed_domains(connection)
+        place = self._fleet.places.get(connection.home)
+        if connection.relayed is None or allowed is None or place is None:
+            return
+        if place.failure_domain not in allowed:
+            connection.relayed.cancel_when_idle()
+            connection.relayed.cancel_when_answered()
+
     def _log_lost_home(
         self,
         connection: CallerConnection,
--- a/src/lagoonstair/proxy/_link.py
+++ b/src/lagoonstair/proxy/_link.py
@@ -283,6 +283,18 @@
         self._values = dict(values)
         return "" if shape is None else self._prepared[shape]
 
+    def count_setup(
+        self, values: dict[str, str], shape: PreparedStatement | None
+    ) -> int:
+        """Returns how many statements ``apply_session`` would send."""
+        is_prepared = shape is None or shape in self._prepared
+        if (
+            self._values.keys() - values.keys()
+            or len(self._prepared) >= MAX_PREPARED_STATEMENTS
+        ):
+            return 1 + len(values) + (shape is not None)
+        return len(values.items() - self._values.items()) + (not is_prepared)
+
     @property
     def is_in_step(self) -> bool:
         """Whether its next answer certainly is that of its next statement.
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -1,9 +1,12 @@
 """Rate limits of the workspaces, shared among the instances."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+import trio
+
 from lagoonstair._types import Address
+from lagoonstair.cold import HolderHistory
 from lagoonstair.limits import (
     MICROS_PER_TOKEN,
     LimitService,
@@ -11,6 +14,7 @@
     WorkspaceLimit,
 )
 from lagoonstair.peers import HandlerRegistry, PeerClient
+from lagoonstair.proxy._cold import ColdShare
 from lagoonstair.proxy._homes import MAX_SHARE_HOLDERS, HomeAssignment
 from lagoonstair.proxy._log import log_event
 from lagoonstair.routing import RoutingConfig, Workspace
@@ -112,6 +116,9 @@
         )
         self._version = 0
         self._limits: dict[str, WorkspaceLimit] = {}
+        self._holders = HolderHistory()
+        # A key may come again if an endpoint turns cold after all.
+        self._seen: set[str] = set()
 
     def apply(
         self,
@@ -119,6 +126,7 @@
         homes: HomeAssignment,
         *,
         resumed: bool,
+        cold: Mapping[str, ColdShare] | None = None,
     ) -> None:
         """Applies a configuration's limits and the assignment of shares.
 
@@ -126,7 +134,11 @@
             config: The newest configuration.
             homes: The assignment of homes and of the shares of rates.
             resumed: Whether this instance held its shares before it started.
+            cold: The rates of the endpoints that have just started, by key.
         """
+        now = trio.current_time()
+        self._holders.update(now, homes.names)
+        cold = cold or {}
         limits = {
             workspace.name: WorkspaceLimit.from_config(
                 rate=workspace.rate,
@@ -135,6 +147,14 @@
                 max_holders=MAX_SHARE_HOLDERS,
             )
             for workspace in config.workspaces.values()
+        } | {
+            key: WorkspaceLimit.from_config(
+                rate=share.rate.rate,
+                burst=share.rate.burst,
+                holders=homes.endpoint_holders(key),
+                max_holders=MAX_SHARE_HOLDERS,
+            )
+            for key, share in cold.items()
         }
         if limits == self._limits:
             return
@@ -146,11 +166,27 @@
             name: self._tolerance.restart_tokens(
                 config.workspaces[name], len(limits[name].holders)
             )
-            for name in new_names
+            for name in new_names - cold.keys()
         }
+        created = {
+            key
+            for key in new_names & cold.keys() - self._seen
+            if self._holders.is_settled(now, cold[key].started_before)
+        }
+        self._seen |= cold.keys()
         self._service.apply(
-            self._version, limits, resumed=resumed_tokens if resumed else None
+            self._version,
+            limits,
+            created=created,
+            resumed=resumed_tokens if resumed else None,
         )
+        for key in new_names & cold.keys():
+            log_event(
+                "cold share",
+                endpoint=cold[key].endpoint.name,
+                holders=len(limits[key].holders),
+                at_once=key in created,
+            )
 
     def _log_changes(
         self,
@@ -168,11 +204,13 @@
         log_event(
             "limits changed",
             config_version=config.version,
-            workspaces=len(limits),
+            workspaces=len(config.workspaces),
             changed=len(changed),
             resumed=resumed,
         )
         for name in changed if self._limits else ():
+            if name not in config.workspaces:
+                continue
             previous = self._limits.get(name)
             limit = limits[name]
             if previous is not None and previous.rate == limit.rate:
@@ -197,6 +235,14 @@
         """
         await self._service.admit_known(workspace)
 
+    def has_token(self, key: str) -> bool:
+        """Returns whether a token can be taken now; counts the demand."""
+        return self._service.has_token(key)
+
+    def try_take(self, key: str) -> bool:
+        """Takes a token if there is one."""
+        return self._service.try_admit(key)
+
     async def run(self) -> None:
         """Exchanges tokens with the other instances; runs until cancelled."""
         await self._service.run()
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -69,15 +69,30 @@
         self._sessions: dict[RelayedSession, tuple[str, str]] = {}
         self._being_checked: set[str] = set()
 
-    def candidates(self, workspace: str) -> Sequence[str]:
+    def candidates(
+        self, workspace: str, allowed: frozenset[str] | None = None
+    ) -> Sequence[str]:
         """Returns the instances to try for a workspace, in order.
 
         Those that were lost recently are left out, unless all were.
+
+        Args:
+            workspace: The workspace.
+            allowed: The failure domains that a home may be in; ``None`` for
+                all. Without a home in them, this instance is the only one to
+                try.
         """
-        if self._fleet.homes.is_direct:
-            return [self._fleet.name]
+        fleet = self._fleet
+        if fleet.homes.is_direct:
+            return [fleet.name]
         now = trio.current_time()
-        ranked = self._fleet.homes.candidates_from(workspace, self._fleet.name)
+        ranked: Sequence[str]
+        if allowed is None:
+            ranked = fleet.homes.candidates_from(workspace, fleet.name)
+        else:
+            ranked = fleet.homes.candidates_from(
+                workspace, fleet.name, allowed=allowed
+            ) or [fleet.name]
         available = [
             name for name in ranked if self._skipped_until.get(name, now) <= now
         ]
@@ -89,6 +104,7 @@
         caller: trio.SocketStream,
         start: bytes,
         is_authorized: Callable[[], bool],
+        allowed_domains: Callable[[], frozenset[str] | None] = lambda: None,
     ) -> tuple[str, RelayedSession | None] | None:
         """Opens a session at the first candidate home that is reachable.
 
@@ -107,6 +123,8 @@
             caller: The caller's connection.
             start: The caller's first line.
             is_authorized: Returns whether the session is authorized here.
+            allowed_domains: Returns the failure domains that a home may be
+                in; ``None`` for all.
 
         Returns:
             The home's name, and the session there unless the home is this
@@ -115,7 +133,7 @@
         """
         give_up_at = trio.current_time() + HOME_SEARCH_SECONDS
         while is_authorized():
-            for name in self.candidates(workspace):
+            for name in self.candidates(workspace, allowed_domains()):
                 if name == self._fleet.name:
                     return name, None
                 session = await self._open(name, caller, start)
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from lagoonstair.cold import ColdReport
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import Rows, StoredRow
 from lagoonstair.proxy._config_age import UNKNOWN_AGE_SECONDS, ConfigAge
@@ -50,6 +51,7 @@
             to. They are all rows if the requester's belong to an earlier one.
         config_age: Seconds since the sender's configuration was certainly the
             newest in the store.
+        cold: The endpoints that have just started.
     """
 
     config: bytes | None
@@ -59,12 +61,16 @@
     endpoints_age: float
     era: int = 0
     config_age: float = UNKNOWN_AGE_SECONDS
+    cold: tuple[ColdReport, ...] = ()
 
 
 REWRITE_SECONDS = 3.0
 """Time (s) after a restore of the store within which live endpoints write their
 entries again; it takes them about 2 s."""
 
+MAX_LOGGED_FAULTS = 20
+"""Number of a configuration's invalid fields that are logged by name."""
+
 EMPTY_UPDATE = Update(None, (), 0, (), 1e6)
 
 
@@ -163,6 +169,7 @@
             round(age, 3),
             own.era,
             round(self.config_age.age(now), 3),
+            self._fleet.cold.reports(now),
         )
 
     def apply_update(self, name: str, update: Update, asked_at: float) -> None:
@@ -201,6 +208,10 @@
             self.endpoints_asked_at = read_at
             if update.endpoints:
                 self.apply_endpoints(dict(update.endpoints))
+        if update.cold:
+            fleet = self._fleet
+            with fleet.supervisor.contain("cold endpoints", peer=name):
+                fleet.cold.apply_reports(fleet.endpoints, update.cold)
 
     def apply_registry(self) -> None:
         """Applies the registry's records and instances to the local state."""
@@ -255,6 +266,13 @@
             keys=len(config.keys),
             source=source,
         )
+        if config.faults:
+            log_event(
+                "configuration fields ignored",
+                version=config.version,
+                faults=config.faults[:MAX_LOGGED_FAULTS],
+                count=len(config.faults),
+            )
         return True
 
     def apply_endpoints(self, entries: dict[str, bytes]) -> None:
@@ -309,7 +327,7 @@
             # The copy's entry is older than the known one.
             return name in self._fleet.endpoints
         self._ages[name] = age
-        if self._fleet.endpoints.get(name) != endpoint:
+        if self._fleet.endpoints.get(name) != endpoint or endpoint.cold_left:
             self._entries[name] = value
         self._entries.setdefault(name, value)
         self._fleet.set_endpoint(endpoint)
--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -7,6 +7,8 @@
 import trio
 
 from lagoonstair._types import Position
+from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.proxy._cold_gate import ColdGate
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._link import Link
 from lagoonstair.proxy._metrics import Metrics
@@ -73,19 +75,25 @@
         after: The log position that the endpoint must have applied; ``None``
             without such a condition.
         is_primary: Whether it is used as its group's primary.
+        waits: Whether a statement waits for a token of the endpoint's rate if
+            it has just started, because no other endpoint can run it.
     """
 
     pool: EndpointPool
     after: Position | None
     is_primary: bool
+    waits: bool = True
 
 
 class TargetSelector:
     """Chooses endpoints for statements and records their answers."""
 
-    def __init__(self, fleet: Fleet, metrics: Metrics) -> None:
+    def __init__(
+        self, fleet: Fleet, metrics: Metrics, cold_gate: ColdGate | None = None
+    ) -> None:
         self._fleet = fleet
         self._metrics = metrics
+        self._cold_gate = cold_gate
 
     async def choose(
         self,
@@ -95,6 +103,8 @@
         arrived_at: float,
         deadline: float,
         tried: set[str],
+        *,
+        pins: bool = False,
     ) -> Target | Failure:
         """Chooses an endpoint for a statement.
 
@@ -108,21 +118,66 @@
             arrived_at: When the statement arrived, in seconds.
             deadline: Time by which it must be answered, in seconds.
             tried: The endpoints where it has failed.
+            pins: Whether it begins a transaction, which stays at the endpoint.
 
         Returns:
             The endpoint, or the failure to answer with if there is none.
         """
+        domains = self._fleet.region_filter.domains(route, caller.workspace)
+        if domains is not None and not any(
+            pool.endpoint.failure_domain in domains
+            for pool in self._fleet.group_pools(route.group)
+        ):
+            return self._fleet.region_filter.refuse()
         if writes or route.consistency is Consistency.PRIMARY:
-            return await self._wait_primary(route, deadline)
-        target = self._choose_for_read(caller, route, arrived_at, tried)
+            return await self._wait_primary(caller, route, deadline)
+        target = self._choose_for_read(caller, route, arrived_at, tried, pins)
         if target is not None:
             return target
         if tried:
             return Failure(ErrorCode.BUSY, "no endpoint can serve the read")
-        return await self._wait_primary(route, deadline)
+        return await self._wait_primary(caller, route, deadline)
+
+    def is_cold(self, pool: EndpointPool) -> bool:
+        """Returns whether statements to an endpoint need tokens now."""
+        gate = self._cold_gate
+        return gate is not None and gate.is_cold(pool.endpoint)
+
+    async def admit_cold(self, target: Target, statements: int = 1) -> None:
+        """Takes the tokens for statements that are about to be sent.
+
+        Args:
+            target: The endpoint; without effect unless it has just started.
+            statements: The number of statements.
+
+        Raises:
+            LagoonstairError: There are none; nothing may be sent.
+        """
+        if self._cold_gate is not None:
+            await self._cold_gate.admit(
+                target.pool.endpoint, statements=statements, waits=target.waits
+            )
+
+    async def try_admit_cold(self, pool: EndpointPool) -> bool:
+        """Takes a token for a statement that can be left out, if there is one.
+
+        Args:
+            pool: The endpoint; without effect unless it has just started.
+        """
+        try:
+            await self.admit_cold(Target(pool, None, False, waits=False))
+        except LagoonstairError:
+            return False
+        return True
+
+    def permits(self, caller: Caller, route: Route, pool: EndpointPool) -> bool:
+        """Returns whether home regions let a caller's requests run there."""
+        return self._fleet.region_filter.permits(
+            route, caller.workspace, pool.endpoint.failure_domain
+        )
 
     def has_alternative(
-        self, route: Route, writes: bool, tried: set[str]
+        self, caller: Caller, route: Route, writes: bool, tried: set[str]
     ) -> bool:
         """Returns whether an endpoint is left that may run the statement."""
         if writes:
@@ -131,6 +186,7 @@
             return True
         return any(
             pool.endpoint.name not in tried
+            and self.permits(caller, route, pool)
             for pool in self._fleet.group_pools(route.group)
         )
 
@@ -191,6 +247,12 @@
         """Returns whether a target chosen as primary still is the primary."""
         return not target.is_primary or self.is_primary(target.pool)
 
+    def may_use(self, caller: Caller, route: Route, target: Target) -> bool:
+        """Returns whether a statement may still be sent to its target."""
+        return self.is_current(target) and self.permits(
+            caller, route, target.pool
+        )
+
     def epoch(self, group: str) -> int:
         """Returns the newest known epoch of a group's primary."""
         return self._fleet.primacy.epoch(group)
@@ -244,13 +306,24 @@
             self._fleet.notify()
 
     def _choose_for_read(
-        self, caller: Caller, route: Route, arrived_at: float, tried: set[str]
+        self,
+        caller: Caller,
+        route: Route,
+        arrived_at: float,
+        tried: set[str],
+        pins: bool,
     ) -> Target | None:
         """Returns the best endpoint for a read, or ``None`` without one."""
         fleet = self._fleet
         primary = fleet.primacy.primary(route.group, trio.current_time())
+        domains = fleet.region_filter.domains(route, caller.workspace)
+        loads = fleet.loads(route.group, caller.workspace, except_for=tried)
         candidates = order_for_read(
-            fleet.loads(route.group, caller.workspace, except_for=tried),
+            [
+                load
+                for load in loads
+                if domains is None or load.endpoint.failure_domain in domains
+            ],
             now=trio.current_time(),
             primary=primary,
             min_position=self._required_position(caller, route, arrived_at),
@@ -259,8 +332,15 @@
         if not candidates:
             return None
         best = candidates[0]
+        if self._cold_gate is not None:
+            best = self._cold_gate.first_usable(candidates, pins=pins)
         pool = fleet.pools[best.endpoint.name]
-        return Target(pool, best.min_position, best.endpoint.name == primary)
+        return Target(
+            pool,
+            best.min_position,
+            best.endpoint.name == primary,
+            waits=len(candidates) == 1,
+        )
 
     def _required_position(
         self, caller: Caller, route: Route, arrived_at: float
@@ -278,7 +358,7 @@
         return caller.writes.required_position(route.group, position, since)
 
     async def _wait_primary(
-        self, route: Route, deadline: float
+        self, caller: Caller, route: Route, deadline: float
     ) -> Target | Failure:
         """Waits for a usable primary.
 
@@ -288,6 +368,8 @@
         fleet = self._fleet
         while True:
             pool = fleet.primary(route.group)
+            if pool is not None and not self.permits(caller, route, pool):
+                return fleet.region_filter.refuse()
             if (
                 pool is not None
                 and pool.unreachable_seconds(trio.current_time()) <= 0
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -7,9 +7,11 @@
 
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.platform import lines
+from lagoonstair.proxy._cold_gate import is_cold_refusal
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._link import Link, LinkError, LinkUse
 from lagoonstair.proxy._pool import EndpointPool, NoLinkError
+from lagoonstair.proxy._region_filter import ELSEWHERE_MESSAGE
 from lagoonstair.proxy._retries import (
     BUSY_FAILURE,
     TOO_LONG_FAILURE,
@@ -151,6 +153,12 @@
         failure = Failure(ErrorCode.ABORTED, "no slot was free in time")
         try:
             with trio.move_on_at(deadline):
+                assert tx.pool is not None
+                if self._targets.is_cold(tx.pool):
+                    await self._targets.admit_cold(
+                        Target(tx.pool, None, bool(tx.epoch)),
+                        tx.link.count_setup(caller.session.values, run.shape),
+                    )
                 prepared_name = await tx.link.apply_session(
                     caller.session.values, run.shape
                 )
@@ -232,6 +240,9 @@
             link is not None
             and link.is_in_step
             and link.state is not TransactionState.IDLE
+            and tx.pool is not None
+            # Without a token, the end of the connection rolls back.
+            and await self._targets.try_admit_cold(tx.pool)
         ):
             with trio.move_on_after(ROLLBACK_TIMEOUT_SECONDS):
                 try:
@@ -273,7 +284,11 @@
         if tx.link is None:
             return await self._pin(caller, tx, deadline)
         if self._is_usable(tx):
-            return None
+            assert tx.pool is not None
+            if self._targets.permits(caller, tx.route, tx.pool):
+                return None
+            self.abandon(tx)
+            return Failure(ErrorCode.ABORTED, ELSEWHERE_MESSAGE)
         self.abandon(tx)
         return Failure(ErrorCode.ABORTED, REPLACED_MESSAGE)
 
@@ -295,6 +310,7 @@
                 tx.began,
                 deadline,
                 tried,
+                pins=True,
             )
             if isinstance(target, Failure):
                 return target
@@ -303,6 +319,8 @@
             if refusal is None:
                 return None
             failure = refusal
+            if target.waits and is_cold_refusal(failure):
+                return failure
             if trio.current_time() >= deadline - MIN_STATEMENT_SECONDS:
                 break
             if target.is_primary:
@@ -359,7 +377,8 @@
         failure = Failure(ErrorCode.BUSY, "no answer in time")
         try:
             with trio.move_on_at(deadline):
-                if not self._targets.is_current(target):
+                await self._targets.admit_cold(target)
+                if not self._targets.may_use(caller, route, target):
                     pool.release(link)
                     return Failure(ErrorCode.BUSY, NO_PRIMARY_MESSAGE)
                 begin = lines.begin_text(read_only=tx.read_only)
@@ -382,6 +401,8 @@
                 raise
             pool.record_link_error(started_at, exc)
             failure = Failure(ErrorCode.BUSY, str(exc))
+        except LagoonstairError as exc:
+            failure = refusal_failure(exc)
         pool.release(link)
         return failure
 
@@ -403,7 +424,10 @@
         assert tx.link is not None
         assert tx.pool is not None
         async with tx.pool.statement_slot(caller.workspace, deadline):
-            # The primary's proof may have expired during the wait for a slot.
+            await self._targets.admit_cold(
+                Target(tx.pool, None, bool(tx.epoch))
+            )
+            # The primary's proof may have expired during the waits.
             if not self._is_usable(tx):
                 raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED_MESSAGE)
             started_at = trio.current_time()
