--- a/src/lagoonstair/proxy/_conversation.py
+++ b/src/lagoonstair/proxy/_conversation.py
@@ -38,6 +38,7 @@
             the home.
         is_movable: Whether another instance relays the session here and may
             open it at another home.
+        home: The name of that instance.
     """
 
     stream: trio.SocketStream
@@ -51,6 +52,7 @@
     statement_scope: trio.CancelScope | None = None
     relayed: RelayedSession | None = None
     is_movable: bool = False
+    home: str = ""
 
     @property
     def is_idle(self) -> bool:
--- a/src/lagoonstair/proxy/_entry.py
+++ b/src/lagoonstair/proxy/_entry.py
@@ -21,6 +21,8 @@
 
 Authorize = Callable[[CallerConnection], Route | Failure]
 
+AllowedDomains = Callable[[], frozenset[str] | None]
+
 
 class EntrySessions:
     """Runs authorized sessions here or relays them to their homes."""
@@ -54,6 +56,7 @@
         connection: CallerConnection,
         authorize: Authorize,
         run_session: Callable[[CallerConnection], Awaitable[None]],
+        allowed_domains: AllowedDomains = lambda: None,
     ) -> None:
         """Serves an authorized session until it ends.
 
@@ -61,14 +64,18 @@
             connection: The caller's connection, from which START was read.
             authorize: Checks the session against the configuration.
             run_session: Runs a session whose home is this instance.
+            allowed_domains: Returns the failure domains that its home may be
+                in; ``None`` for all.
         """
         assert connection.caller is not None
         workspace = connection.caller.workspace
-        isolation = self._isolation_refusal(workspace)
+        isolation = self._isolation_refusal(workspace, allowed_domains())
         if isolation is not None:
             await self._refuse(connection, isolation, "isolated")
             return
-        refusal = self._throttle_refusal(workspace, connection.database)
+        refusal = self._throttle_refusal(
+            workspace, connection.database, allowed_domains()
+        )
         if refusal is not None:
             await connection.send_refusal(refusal)
             return
@@ -85,39 +92,47 @@
             lines.encode_caller_start(connection.database, connection.key),
             lambda: (
                 not isinstance(authorize(connection), Failure)
-                and self._isolation_refusal(workspace) is None
+                and self._isolation_refusal(workspace, allowed_domains())
+                is None
             ),
             route if needs_primary and isinstance(route, Route) else None,
+            allowed_domains,
         )
         if found is None:
-            await self._refuse_start(connection, authorize)
+            await self._refuse_start(connection, authorize, allowed_domains())
             return
         if isinstance(found, Failure):
             await self._refuse(connection, found, "no_primary")
             return
         home_name, connection.relayed = found
+        connection.home = home_name
         if connection.relayed is None:
             await run_session(connection)
             return
         await self._relay(connection, connection.relayed, home_name)
 
-    def _isolation_refusal(self, workspace: str) -> Failure | None:
+    def _isolation_refusal(
+        self, workspace: str, allowed: frozenset[str] | None
+    ) -> Failure | None:
         """Returns the refusal of a session if no home is in reach."""
         if self._isolation is None:
             return None
-        return self._isolation.refusal(workspace)
+        return self._isolation.refusal(workspace, allowed)
 
     def _throttle_refusal(
-        self, workspace: str, database: str
+        self, workspace: str, database: str, allowed: frozenset[str] | None
     ) -> Failure | None:
         """Returns the refusal of a session of a throttled workspace."""
-        home = next(iter(self._router.candidates(workspace)), None)
+        home = next(iter(self._router.candidates(workspace, allowed)), None)
         if self._throttle is None or home == self._fleet.name:
             return None
         return self._throttle.refuse(workspace, database, stage="start")
 
     async def _refuse_start(
-        self, connection: CallerConnection, authorize: Authorize
+        self,
+        connection: CallerConnection,
+        authorize: Authorize,
+        allowed: frozenset[str] | None,
     ) -> None:
         """Refuses a session that no home has opened."""
         assert connection.caller is not None
@@ -126,7 +141,9 @@
             self._metrics.count("starts_refused", code=refusal.code.value)
             await connection.send_refusal(refusal)
             return
-        isolation = self._isolation_refusal(connection.caller.workspace)
+        isolation = self._isolation_refusal(
+            connection.caller.workspace, allowed
+        )
         if isolation is not None:
             await self._refuse(connection, isolation, "isolated")
             return
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -9,6 +9,7 @@
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.platform import lines
 from lagoonstair.proxy._admission import is_rejection, work_of
+from lagoonstair.proxy._cold_gate import is_cold_refusal
 from lagoonstair.proxy._link import LinkError, LinkUse
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
@@ -110,7 +111,7 @@
                 break
             tried.add(target.pool.endpoint.name)
             is_last = not self._targets.has_alternative(
-                route, run.writes, tried
+                caller, route, run.writes, tried
             )
             attempt_deadline = deadline
             if not is_last:
@@ -140,6 +141,8 @@
                 if await _sleep_before_retry(delays, deadline):
                     continue
                 break
+            if target.waits and is_cold_refusal(failure):
+                break
             if (
                 (is_last or route.consistency is Consistency.PRIMARY)
                 and target.pool.admission.rejections_are_final
@@ -198,10 +201,15 @@
                     async with pool.statement_slot(
                         caller.workspace, attempt_deadline, work
                     ):
+                        if self._targets.is_cold(pool):
+                            setup = link.count_setup(
+                                caller.session.values, run.shape
+                            )
+                            await self._targets.admit_cold(target, 1 + setup)
                         prepared_name = await link.apply_session(
                             caller.session.values, run.shape
                         )
-                        if not self._targets.is_current(target):
+                        if not self._targets.may_use(caller, route, target):
                             return DeliveryStatus.NOT_SENT, Failure(
                                 ErrorCode.BUSY, NO_PRIMARY_MESSAGE
                             )
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -247,7 +247,12 @@
 
     async def _run_or_relay(self, connection: CallerConnection) -> None:
         """Runs a session here or relays it to its workspace's home."""
-        await self._entry.run(connection, self._authorize, self._run_session)
+        await self._entry.run(
+            connection,
+            self._authorize,
+            self._run_session,
+            lambda: self._allowed_domains(connection),
+        )
 
     async def _run_session(self, connection: CallerConnection) -> None:
         """Answers a session's statements until it ends."""
@@ -515,15 +520,41 @@
         from the configuration.
         """
         for connection in [*self._connections.values()]:
-            if connection.caller is None or not isinstance(
-                self._authorize(connection), Failure
-            ):
+            if connection.caller is None:
+                continue
+            if not isinstance(self._authorize(connection), Failure):
+                self._leave_disallowed_home(connection)
                 continue
             if connection.relayed is not None:
                 connection.relayed.cancel_when_idle()
             elif connection.wait_scope is not None and connection.is_idle:
                 connection.wait_scope.cancel()
 
+    def _allowed_domains(
+        self, connection: CallerConnection
+    ) -> frozenset[str] | None:
+        """Returns the failure domains in which a session may run."""
+        route = self._authorize(connection)
+        if isinstance(route, Failure) or connection.caller is None:
+            return None
+        return self._fleet.region_filter.domains(
+            route, connection.caller.workspace
+        )
+
+    def _leave_disallowed_home(self, connection: CallerConnection) -> None:
+        """Ends a relayed session if its home is not in a home region.
+
+        What the caller sends must not reach it any more, so an open
+        transaction is rolled back.
+        """
+        allowed = self._allowed_domains(connection)
+        place = self._fleet.places.get(connection.home)
+        if connection.relayed is None or allowed is None or place is None:
+            return
+        if place.failure_domain not in allowed:
+            connection.relayed.cancel_when_idle()
+            connection.relayed.cancel_when_answered()
+
     def _log_answer(
         self,
         connection: CallerConnection,
--- a/src/lagoonstair/proxy/_isolation.py
+++ b/src/lagoonstair/proxy/_isolation.py
@@ -66,15 +66,19 @@
             and self._fleet.name not in self._fleet.homes.names
         )
 
-    def refusal(self, workspace: str) -> Failure | None:
+    def refusal(
+        self, workspace: str, allowed: frozenset[str] | None = None
+    ) -> Failure | None:
         """Returns why a session is not opened, if so.
 
         Args:
             workspace: The session's workspace.
+            allowed: The failure domains that its home may be in; ``None`` for
+                all.
         """
         if (
             not self._contact.is_isolated
-            or self._fleet.name in self._router.candidates(workspace)
+            or self._fleet.name in self._router.candidates(workspace, allowed)
         ):
             return None
         return Failure(
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -90,15 +90,30 @@
         self.home_answered_at = -math.inf
         self._refusing = RefusingHomes()
 
-    def candidates(self, workspace: str) -> Sequence[str]:
+    def candidates(
+        self, workspace: str, allowed: frozenset[str] | None = None
+    ) -> Sequence[str]:
         """Returns the instances to try for a workspace, in order.
 
         Those that were lost recently are left out, unless all were.
+
+        Args:
+            workspace: The workspace.
+            allowed: The failure domains that a home may be in; ``None`` for
+                all. Without a home in them, this instance is the only one to
+                try.
         """
-        if self._fleet.homes.is_direct:
-            return [self._fleet.name]
+        fleet = self._fleet
+        if fleet.homes.is_direct:
+            return [fleet.name]
         now = trio.current_time()
-        ranked = self._fleet.homes.candidates_from(workspace, self._fleet.name)
+        ranked: Sequence[str]
+        if allowed is None:
+            ranked = fleet.homes.candidates_from(workspace, fleet.name)
+        else:
+            ranked = fleet.homes.candidates_from(
+                workspace, fleet.name, allowed=allowed
+            ) or [fleet.name]
         available = [
             name for name in ranked if self._skipped_until.get(name, now) <= now
         ]
@@ -111,6 +126,7 @@
         start: bytes,
         is_authorized: Callable[[], bool],
         route: Route | None = None,
+        allowed_domains: Callable[[], frozenset[str] | None] = lambda: None,
     ) -> tuple[str, RelayedSession | None] | Failure | None:
         """Opens a session at the first candidate home that is reachable.
 
@@ -131,6 +147,8 @@
             is_authorized: Returns whether the session is authorized here.
             route: The session's route if it needs the primary and homes that
                 can't reach it refuse the session; else ``None``.
+            allowed_domains: Returns the failure domains that a home may be
+                in; ``None`` for all.
 
         Returns:
             The home's name, and the session there unless the home is this
@@ -139,7 +157,8 @@
         """
         give_up_at = trio.current_time() + HOME_SEARCH_SECONDS
         while is_authorized():
-            order = self._start_order(workspace, route)
+            allowed = allowed_domains()
+            order = self._start_order(workspace, route, allowed)
             is_refused = not order
             for name in order:
                 if name == self._fleet.name:
@@ -154,17 +173,22 @@
                     return name, session
                 is_refused = True
             if route is not None and is_refused:
-                return await self._open_unmoved(workspace, caller, start, route)
+                return await self._open_unmoved(
+                    workspace, caller, start, route, allowed
+                )
             if trio.current_time() + HOME_SEARCH_PAUSE_SECONDS > give_up_at:
                 return None
             await trio.sleep(HOME_SEARCH_PAUSE_SECONDS)
         return None
 
     def _start_order(
-        self, workspace: str, route: Route | None
+        self,
+        workspace: str,
+        route: Route | None,
+        allowed: frozenset[str] | None,
     ) -> Sequence[str]:
         """Returns the homes to ask for a session, in order."""
-        candidates = self.candidates(workspace)
+        candidates = self.candidates(workspace, allowed)
         if route is None:
             return candidates
         return self._refusing.order(
@@ -172,7 +196,19 @@
             route.group,
             self._fleet.primacy.records.get(route.group),
             candidates=candidates,
-            homes=self._fleet.homes.names,
+            homes=self._homes_in(allowed),
+        )
+
+    def _homes_in(self, allowed: frozenset[str] | None) -> frozenset[str]:
+        """Returns the homes in some failure domains; ``None`` for all."""
+        names = self._fleet.homes.names
+        if allowed is None:
+            return names
+        places = self._fleet.places
+        return frozenset(
+            name
+            for name in names
+            if name in places and places[name].failure_domain in allowed
         )
 
     def _is_moved(
@@ -196,6 +232,7 @@
         caller: trio.SocketStream,
         start: bytes,
         route: Route,
+        allowed: frozenset[str] | None,
     ) -> tuple[str, RelayedSession | None] | Failure:
         """Opens a session for which no home reaches the primary.
 
@@ -209,7 +246,7 @@
         )
         if route.consistency is Consistency.PRIMARY:
             return failure
-        for name in self.candidates(workspace):
+        for name in self.candidates(workspace, allowed):
             if name == self._fleet.name:
                 return name, None
             session = await self._open(
