Add the state and the decisions of an evacuation

Cause: an operator must be able to keep all requests from a failure domain within a bound, and let them return gradually.

The operator's rows are decoded in platform/, a read takes the endpoints to exclude, and a promotion has the cause "evacuated". Nothing uses them yet.

--- a/src/lagoonstair/platform/operator.py
+++ b/src/lagoonstair/platform/operator.py
@@ -1,4 +1,7 @@
-"""Decoding of the operator's configuration as stored in the metadata store."""
+"""Decoding of the operator's rows as stored in the metadata store."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -8,6 +11,7 @@
     UnreadableError,
     decode_json,
 )
+from lagoonstair.platform.store import StoredRow
 from lagoonstair.routing import (
     Consistency,
     GroupConfig,
@@ -22,6 +26,10 @@
 KEY = "config"
 """The key of the configuration in that table."""
 
+EVACUATION_PREFIX = "evacuate/"
+"""Prefix of the key of a row that evacuates a failure domain; the domain's name
+follows."""
+
 CONSISTENCY = {
     "primary": Consistency.PRIMARY,
     "bounded": Consistency.BOUNDED,
@@ -68,6 +76,20 @@
     tenants: list[_WireTenant] = []
 
 
+class EvacuationRows(NamedTuple):
+    """The rows of a table's answer that concern evacuations.
+
+    Attributes:
+        present: The domains that the rows evacuate.
+        absent: The domains whose row was removed or is unreadable.
+        unreadable: The key of each unreadable row and why it is.
+    """
+
+    present: frozenset[str]
+    absent: frozenset[str]
+    unreadable: dict[str, str]
+
+
 class BadConfigError(Exception):
     """The stored configuration cannot be decoded."""
 
@@ -111,6 +133,38 @@
         raise BadConfigError(str(exc)) from exc
 
 
+def decode_evacuations(rows: Iterable[StoredRow]) -> EvacuationRows:
+    """Decodes the rows that evacuate failure domains; skips all others."""
+    present = set()
+    absent = set()
+    unreadable = {}
+    for row in rows:
+        if not row.key.startswith(EVACUATION_PREFIX):
+            continue
+        domain = row.key.removeprefix(EVACUATION_PREFIX)
+        cause = _evacuation_fault(domain, row.value)
+        if cause:
+            unreadable[row.key] = cause
+        if cause or row.value is None:
+            absent.add(domain)
+        else:
+            present.add(domain)
+    return EvacuationRows(frozenset(present), frozenset(absent), unreadable)
+
+
+def _evacuation_fault(domain: str, value: bytes | None) -> str:
+    """Returns why a row evacuates nothing; empty if it does or is removed."""
+    if value is None:
+        return ""
+    if not domain:
+        return "the domain is empty"
+    try:
+        decode_json(value, dict[str, Any])
+    except UnreadableError as exc:
+        return str(exc)
+    return ""
+
+
 def _route(row: _WireRoute) -> Route:
     return Route(
         name=row.name,
--- a/src/lagoonstair/platform/store.py
+++ b/src/lagoonstair/platform/store.py
@@ -236,9 +236,16 @@
         empty_range = {"from": NO_KEY, "to": _key_after(NO_KEY)}
         return await self._read(table, empty_range, timeout)
 
-    async def read_table(self, table: str) -> Rows:
-        """Reads all rows of a table, in several calls if necessary."""
-        return await self._read(table, {}, CALL_SECONDS)
+    async def read_table(
+        self, table: str, timeout: float = CALL_SECONDS
+    ) -> Rows:
+        """Reads all rows of a table, in several calls if necessary.
+
+        Args:
+            table: The name of the table.
+            timeout: Seconds to wait for each answer.
+        """
+        return await self._read(table, {}, timeout)
 
     async def _read(
         self, table: str, key_range: dict[str, str], timeout: float
--- a/src/lagoonstair/primacy/_cause.py
+++ b/src/lagoonstair/primacy/_cause.py
@@ -34,6 +34,8 @@
             primary.
         GONE: The primary's discovery entry is missing.
         LEAVING: The primary has announced its shutdown.
+        EVACUATED: The primary's failure domain is evacuated, and an endpoint
+            elsewhere can become primary.
         STALLED: An earlier promotion of the group has not finished.
         UNKNOWN: The group has no record yet, and exactly one endpoint claims
             to be its primary.
@@ -42,6 +44,7 @@
     FAILING = "failing"
     GONE = "gone"
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
     STALLED = "stalled"
     UNKNOWN = "unknown"
 
@@ -59,6 +62,9 @@
         leaving_for: Seconds since the primary announced its shutdown; 0 when
             it has not.
         all_reachable: Whether every registered instance responds.
+        evacuated_for: Seconds since this instance learned that the primary's
+            failure domain is evacuated; 0 when it is not, or when no endpoint
+            elsewhere can become primary.
     """
 
     unreachable_for: float
@@ -66,25 +72,34 @@
     missing_for: float
     leaving_for: float
     all_reachable: bool = True
+    evacuated_for: float = 0.0
 
 
-def promotion_cause(view: PrimaryView, *, max_wait: float) -> Cause | None:
+def promotion_cause(
+    view: PrimaryView, *, max_wait: float, max_evacuation_wait: float = 0.0
+) -> Cause | None:
     """Returns the reason to replace a primary, or ``None`` to keep it.
 
     A primary that at least one instance reaches does not count as failed;
     instances that are partitioned from it leave its statements to the others.
-    A leaving primary still serves for a while, so its replacement waits for
-    unresponsive instances: with one of them, the promotion would have to wait
-    until that instance's proofs expire, with no usable primary meanwhile.
+    A leaving or evacuated primary still serves for a while, so its replacement
+    waits for unresponsive instances: with one of them, the promotion would have
+    to wait until that instance's proofs expire, with no usable primary
+    meanwhile.
 
     Args:
         view: Local knowledge of the primary's health.
         max_wait: Seconds for which a leaving primary may stay in use until
             all instances respond.
+        max_evacuation_wait: The same for a primary in an evacuated domain.
     """
     is_leaving = view.leaving_for > 0
     if is_leaving and (view.all_reachable or view.leaving_for > max_wait):
         return Cause.LEAVING
+    if view.evacuated_for > 0 and (
+        view.all_reachable or view.evacuated_for > max_evacuation_wait
+    ):
+        return Cause.EVACUATED
     if view.missing_for >= MISSING_ENTRY_SECONDS:
         return Cause.GONE
     if view.unreachable_for < UNREACHABLE_SECONDS:
--- a/src/lagoonstair/routing/_choose.py
+++ b/src/lagoonstair/routing/_choose.py
@@ -1,6 +1,6 @@
 """Selects the endpoints that may run a read, without I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from lagoonstair._types import Position
@@ -73,6 +73,7 @@
     primary: str | None,
     min_position: Position | None,
     failure_domain: str,
+    excluded: Collection[str] = (),
 ) -> list[Candidate]:
     """Sorts the endpoints that may run a read by ascending cost.
 
@@ -83,9 +84,12 @@
         min_position: The position that a replica's log must contain. Without
             it, only the primary may serve the read.
         failure_domain: The failure domain of this instance.
+        excluded: Names of endpoints that may not serve the read.
     """
     candidates = []
     for load in loads:
+        if load.endpoint.name in excluded:
+            continue
         is_primary = load.endpoint.name == primary
         if not is_primary and (min_position is None or load.endpoint.leaving):
             continue
