Evacuate failure domains on the operator's request

Cause: rows "evacuate/DOMAIN" of the operator's table were ignored; nothing could keep requests from a domain that is about to lose its power or network.

Change: the feed, the full read, the periodic check and gossip carry the set of evacuated domains to each instance, where Fleet.evacuation holds it. The choice of an endpoint, the pools, the prober and the transactions leave out endpoints there; the promoter replaces primaries there by endpoints elsewhere. From half of the bound on, an instance also stops using such a primary and rolls back what is open there. Without evacuate_ms in the settings nothing changes. Log events, metrics and explain name evacuations.

One test changes: the fake fleet of test_data_is_confirmed_by_a_majority_of_the_voters gets the new attribute "evacuation"; what it checks is unchanged. The stand-in database states the zone that a test gives it.

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -32,6 +32,8 @@
     "promotion put off": "group",
     "promotion without candidates": "group",
     "endpoint gone": "group",
+    "failure domain evacuated": "domain",
+    "failure domain returned": "domain",
     "answer malformed": "endpoint",
     "answer unexpected": "endpoint",
     "store lost": "",
@@ -153,6 +155,8 @@
         return _explain_bad_home_answer(from_home)
     if "over its rate" in logged_cause:
         return _explain_rate_limit(last, beliefs)
+    if "is evacuated" in logged_cause:
+        return _explain_evacuation(last, beliefs)
     if "may be out of date" in logged_cause:
         return (
             "the instance could not prove that it knew the rate shares of the "
@@ -239,6 +243,21 @@
     )
 
 
+def _explain_evacuation(last: Event, beliefs: tuple[Event, ...]) -> str:
+    """Describes why a request found only endpoints that are evacuated."""
+    evacuated = _find_latest(beliefs, "failure domain evacuated")
+    if evacuated is None:
+        return (
+            "the endpoint that the request needed is in an evacuated failure "
+            "domain, and none elsewhere could replace it"
+        )
+    age = float(last["time"]) - float(evacuated["time"])
+    return (
+        f"the failure domain {evacuated.get('domain')} was evacuated, since "
+        f"{age:.1f} s, and no endpoint elsewhere could serve the request"
+    )
+
+
 def _explain_missing_primary(last: Event, beliefs: tuple[Event, ...]) -> str:
     """Describes why a request found no usable primary."""
     promotion = _find_latest(beliefs, "promotion begins")
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -148,7 +148,7 @@
                 self._fleet,
                 self._registry,
                 self._metrics,
-                ConfigAge(settings.config_ms / 1000),
+                ConfigAge(self._config_bound()),
             )
             self._follower = Follower(
                 self._store, self._fleet, self._registry, tables, self._metrics
@@ -182,6 +182,12 @@
             commands = EndpointCommands(self._fleet)
             prober = Prober(self._fleet, gossip, commands)
             nursery.start_soon(supervise, "prober", prober.run)
+            if self._fleet.evacuation.is_enabled:
+                nursery.start_soon(
+                    supervise,
+                    "evacuation",
+                    functools.partial(tables.evacuator.run, transactions),
+                )
             promoter = Promoter(
                 self._fleet,
                 self._registry,
@@ -241,6 +247,14 @@
             nursery.cancel_scope.cancel()
         self._stopped.set()
 
+    def _config_bound(self) -> float:
+        """Returns how old the known operator's rows may be, in seconds."""
+        bound = self._settings.config_ms / 1000
+        evacuation_bound = self._settings.features.evacuation_bound
+        return (
+            bound if evacuation_bound is None else min(bound, evacuation_bound)
+        )
+
     async def _listen(self) -> list[trio.SocketListener]:
         host, port = parse_address(self._settings.listen.entry)
         return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -42,6 +42,10 @@
     is_busy,
 )
 
+NOT_CURRENT_FAILURE = Failure(ErrorCode.BUSY, NO_PRIMARY_MESSAGE)
+"""Answer to a statement whose endpoint may not be used any more; the statement
+has not run."""
+
 
 async def _sleep_before_retry(delays: Iterator[float], deadline: float) -> bool:
     """Sleeps until the next attempt at a busy endpoint.
@@ -187,13 +191,13 @@
                     async with pool.statement_slot(
                         caller.workspace, attempt_deadline
                     ):
+                        if not self._targets.is_current(target):
+                            return DeliveryStatus.NOT_SENT, NOT_CURRENT_FAILURE
                         prepared_name = await link.apply_session(
                             caller.session.values, run.shape
                         )
                         if not self._targets.is_current(target):
-                            return DeliveryStatus.NOT_SENT, Failure(
-                                ErrorCode.BUSY, NO_PRIMARY_MESSAGE
-                            )
+                            return DeliveryStatus.NOT_SENT, NOT_CURRENT_FAILURE
                         text = lines.run_text(run, prepared_name)
                         text = lines.after_text(target.after, text)
                         if not lines.fits_query(request_id, text):
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -7,6 +7,7 @@
 import trio
 
 from lagoonstair._types import Position
+from lagoonstair.evacuation import Evacuations, is_excluded
 from lagoonstair.features import Features
 from lagoonstair.primacy import GroupRecord, GroupReport, Primacy
 from lagoonstair.proxy._departures import Departures, SynchronousReplicas
@@ -70,6 +71,7 @@
         departures: The endpoints that have left lately.
         synchronous_replicas: How many replicas hold each acknowledged commit.
         features: The optional features that the settings call for.
+        evacuation: The evacuated failure domains.
         supervisor: Contains unexpected exceptions.
     """
 
@@ -82,6 +84,7 @@
     ) -> None:
         self._metrics = metrics
         self.features = features or Features()
+        self.evacuation = Evacuations(self.features.evacuation_bound)
         self._changed = trio.Event()
         self._histories: dict[str, PositionHistory] = {}
         self._promoting_since: dict[str, float] = {}
@@ -146,6 +149,7 @@
                 budget,
                 self._note_endpoint_position,
                 self.supervisor,
+                self.is_excluded,
             )
         else:
             pool.endpoint = endpoint
@@ -220,6 +224,19 @@
         name = self.primacy.primary(group, trio.current_time())
         return None if name is None else self.pools.get(name)
 
+    def is_excluded(self, pool: EndpointPool) -> bool:
+        """Returns whether an endpoint may not serve statements of callers."""
+        if not self.evacuation.is_active:
+            return False
+        record = self.primacy.records.get(pool.endpoint.group)
+        return is_excluded(
+            self.evacuation,
+            pool.endpoint.failure_domain,
+            is_primary=record is not None
+            and record.primary == pool.endpoint.name,
+            now=trio.current_time(),
+        )
+
     def group_pools(self, group: str) -> Iterator[EndpointPool]:
         """Returns the pools of a group's endpoints."""
         return (
--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -174,8 +174,9 @@
     async def read_config(self, timeout: float) -> None:
         """Reads the configuration from the store now.
 
-        The row, which may be large, is left out if nothing has been written
-        since it was last read.
+        The rows, which may be large, are left out if nothing has been written
+        since they were last read. The whole table is read where it also names
+        the evacuated failure domains.
 
         Args:
             timeout: Seconds to wait for each answer.
@@ -183,17 +184,22 @@
         Raises:
             StoreError: The store did not answer or refused the call.
         """
+        is_whole = False
         try:
             rows = await self._store.read_version(operator.TABLE, timeout)
             if (rows.era, rows.version) != self._config_read_at:
-                rows = await self._store.read_row(
-                    operator.TABLE, operator.KEY, timeout
-                )
+                rows = await self._read_config_rows(timeout)
+                is_whole = self._fleet.evacuation.is_enabled
         except StoreError as exc:
             self._note_failure(operator.TABLE, exc)
             raise
         self._note_answer(rows)
-        self._apply_config_read(rows, "check")
+        self._apply_config_read(rows, "check", is_whole=is_whole)
+
+    async def _read_config_rows(self, timeout: float) -> Rows:
+        if self._fleet.evacuation.is_enabled:
+            return await self._store.read_table(operator.TABLE, timeout)
+        return await self._store.read_row(operator.TABLE, operator.KEY, timeout)
 
     @property
     def endpoints_age(self) -> float:
@@ -315,24 +321,34 @@
 
     def _apply_config(self, rows: Rows, is_full_read: bool) -> bool:
         if is_full_read:
-            self._apply_config_read(rows, "read")
+            self._apply_config_read(rows, "read", is_whole=True)
         else:
-            self._apply_config_rows(rows, "feed")
+            self._apply_config_rows(rows, "feed", is_whole=False)
         return True
 
-    def _apply_config_read(self, rows: Rows, source: str) -> None:
+    def _apply_config_read(
+        self, rows: Rows, source: str, *, is_whole: bool
+    ) -> None:
         """Applies a read, which shows what is newest; a feed does not."""
-        if self._apply_config_rows(rows, source):
+        if self._apply_config_rows(rows, source, is_whole=is_whole):
             self._config_read_at = rows.era, rows.version
             self._tables.config_age.note_read(rows.asked_at)
 
-    def _apply_config_rows(self, rows: Rows, source: str) -> bool:
-        """Applies the configuration; returns whether it is valid."""
-        return all(
+    def _apply_config_rows(
+        self, rows: Rows, source: str, *, is_whole: bool
+    ) -> bool:
+        """Applies the operator's rows.
+
+        Returns:
+            Whether the configuration among them is valid.
+        """
+        is_valid = all(
             self._tables.apply_config(row.value, source=source)
             for row in rows.rows
             if row.key == operator.KEY and row.value is not None
         )
+        self._tables.apply_evacuations(rows, is_whole=is_whole, source=source)
+        return is_valid
 
     def _apply_endpoints(self, rows: Rows, is_full_read: bool) -> bool:
         self._tables.endpoints_asked_at = rows.asked_at
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -60,6 +60,13 @@
 reachable."""
 
 
+EVACUATED_FAILURE = Failure(
+    ErrorCode.BUSY, "the failure domain of the endpoint is evacuated"
+)
+"""Answer to a statement that needs a connection to an excluded endpoint; the
+statement has not run."""
+
+
 class NoLinkError(Exception):
     """No connection was free in time, or none could be opened.
 
@@ -94,6 +101,7 @@
         budget: int,
         on_position: Callable[["EndpointPool", float], None] | None = None,
         supervisor: Supervisor | None = None,
+        is_excluded: Callable[["EndpointPool"], bool] = lambda pool: False,
     ) -> None:
         """Creates a pool without connections.
 
@@ -103,9 +111,12 @@
             on_position: Called with the pool and the time of the request, in
                 seconds, when the endpoint has reported its log position.
             supervisor: Counts unexpected exceptions.
+            is_excluded: Returns whether the endpoint may not serve statements
+                of callers, so that no connection is kept or opened for them.
         """
         self._on_position = on_position
         self._supervisor = supervisor or Supervisor(Metrics())
+        self._is_excluded = is_excluded
         self.endpoint = endpoint
         self.budget = budget
         self.slots = SlotScheduler(
@@ -197,6 +208,8 @@
             NoLinkError: No connection was available; nothing was sent.
         """
         while not self._closed:
+            if self._is_excluded(self):
+                raise NoLinkError(EVACUATED_FAILURE)
             link = self._acquire_idle(workspace, use)
             if link is not None:
                 return link
@@ -232,7 +245,7 @@
                 endpoint=self.endpoint.name,
                 reason=obstacle,
             )
-        if obstacle or self._closed:
+        if obstacle or self._closed or self._is_excluded(self):
             self.discard(link)
             return
         self._idle.append(link)
@@ -402,6 +415,10 @@
     def close(self) -> None:
         """Closes idle connections now and the others when released."""
         self._closed = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes the idle connections and wakes those who wait for one."""
         for link in [*self._idle]:
             self.discard(link)
         while self._waiters:
--- a/src/lagoonstair/proxy/_prober.py
+++ b/src/lagoonstair/proxy/_prober.py
@@ -45,7 +45,11 @@
                     is_suspect = (
                         pool.unreachable_since is not None or name in suspects
                     )
-                    if is_suspect and not pool.is_probing:
+                    if (
+                        is_suspect
+                        and not pool.is_probing
+                        and not self._fleet.is_excluded(pool)
+                    ):
                         workspace = self._commands.any_workspace()
                         nursery.start_soon(pool.probe, workspace)
                 for pool in self._fleet.pools.values():
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -6,6 +6,7 @@
 import trio
 
 from lagoonstair._types import Position
+from lagoonstair.evacuation import handover_wait
 from lagoonstair.platform.duties import Duties, PromoteAnswer
 from lagoonstair.platform.store import StoreError
 from lagoonstair.primacy import (
@@ -24,6 +25,7 @@
     unrecorded_primary,
     unresolved_promotions,
 )
+from lagoonstair.proxy._evacuator import has_candidate, is_candidate
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._follower import MISSING_ENTRY_SECONDS, Follower
 from lagoonstair.proxy._gossip import ALIVE_SECONDS, Gossip
@@ -213,7 +215,9 @@
         if now - self._started_at < PROOF_SECONDS * CLOCK_MARGIN:
             return None
         return promotion_cause(
-            self._primary_view(group, record), max_wait=self._max_handover_wait
+            self._primary_view(group, record),
+            max_wait=self._max_handover_wait,
+            max_evacuation_wait=handover_wait(self._fleet.evacuation),
         )
 
     def _primary_view(
@@ -241,8 +245,19 @@
                 self._gossip.missed_rounds(member)
                 for member in self._registry.members
             ),
+            evacuated_for=self._evacuated_for(group, endpoint),
         )
 
+    def _evacuated_for(self, group: str, endpoint: Endpoint | None) -> float:
+        if endpoint is None:
+            return 0.0
+        seconds = self._fleet.evacuation.seconds(
+            endpoint.failure_domain, trio.current_time()
+        )
+        # The candidates are looked for only if that matters: it takes a pass
+        # over all endpoints.
+        return seconds if seconds and has_candidate(self._fleet, group) else 0.0
+
     def _leaving_for(self, group: str, endpoint: Endpoint | None) -> float:
         if endpoint is None or not endpoint.leaving:
             self._leaving_since.pop(group, None)
@@ -407,8 +422,7 @@
         return [
             pool
             for pool in self._fleet.group_pools(group)
-            if not pool.endpoint.leaving
-            and pool.endpoint.name not in self._fleet.missing_since
+            if is_candidate(self._fleet, pool)
             and (pool.endpoint.name != record.primary or cause is Cause.STALLED)
         ]
 
@@ -512,8 +526,8 @@
             names = [pool.endpoint.name for pool in candidates]
             return await self._surveyor.survey(group, record, names)
         # A failed primary may answer late, so the candidates wait for its log
-        # only when it left or is gone.
-        is_leaving = cause in (Cause.LEAVING, Cause.GONE)
+        # only when it left, is evacuated or is gone.
+        is_leaving = cause in (Cause.LEAVING, Cause.EVACUATED, Cause.GONE)
         old = self._fleet.pools.get(record.primary) if is_leaving else None
         statuses = await self._commands.statuses(candidates, old=old)
         return CompleteLogs(
--- a/src/lagoonstair/proxy/_surveyor.py
+++ b/src/lagoonstair/proxy/_surveyor.py
@@ -155,6 +155,9 @@
             name: position
             for name, position in logs.items()
             if name in self._fleet.endpoints
+            and not self._fleet.evacuation.is_evacuated(
+                self._fleet.endpoints[name].failure_domain
+            )
         }
 
     def _report_incomplete(
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -5,9 +5,11 @@
 import msgspec
 import trio
 
+from lagoonstair.evacuation import EvacuationSet
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import Rows, StoredRow
 from lagoonstair.proxy._config_age import UNKNOWN_AGE_SECONDS, ConfigAge
+from lagoonstair.proxy._evacuator import Evacuator
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._homes import InstanceResources
 from lagoonstair.proxy._log import log_event
@@ -27,12 +29,15 @@
         endpoints: A checksum of its endpoint entries.
         era: The number of the store's history that the version of its registry
             belongs to.
+        evacuations: The era and store version up to which it knows the
+            evacuated domains; ``None`` if it does not use them.
     """
 
     config_version: int
     registry_version: int
     endpoints: int
     era: int = 0
+    evacuations: tuple[int, int] | None = None
 
 
 class Update(msgspec.Struct, frozen=True, array_like=True):
@@ -50,6 +55,7 @@
             to. They are all rows if the requester's belong to an earlier one.
         config_age: Seconds since the sender's configuration was certainly the
             newest in the store.
+        evacuations: The evacuated domains.
     """
 
     config: bytes | None
@@ -59,6 +65,7 @@
     endpoints_age: float
     era: int = 0
     config_age: float = UNKNOWN_AGE_SECONDS
+    evacuations: EvacuationSet | None = None
 
 
 REWRITE_SECONDS = 3.0
@@ -79,6 +86,7 @@
         confirmed_by: The peers that were told the versions of the complete
             local data and sent what it lacked.
         config_age: How current the local configuration is.
+        evacuator: Applies the evacuated domains.
     """
 
     def __init__(
@@ -102,6 +110,7 @@
         self.endpoints_asked_at = float("-inf")
         self.confirmed_by: set[str] = set()
         self.config_age = config_age or ConfigAge()
+        self.evacuator = Evacuator(fleet, metrics)
 
     @property
     def is_confirmed(self) -> bool:
@@ -116,8 +125,13 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether both a configuration and endpoints are known."""
-        return self._fleet.config is not None and bool(self._fleet.endpoints)
+        """Whether a configuration, endpoints and evacuations are known."""
+        evacuation = self._fleet.evacuation
+        return (
+            self._fleet.config is not None
+            and bool(self._fleet.endpoints)
+            and (evacuation.is_known or not evacuation.is_enabled)
+        )
 
     @property
     def awaits_rewrites(self) -> bool:
@@ -136,6 +150,9 @@
             self._registry.version,
             self._checksum,
             self._registry.era,
+            self._fleet.evacuation.known
+            if self._fleet.evacuation.is_enabled
+            else None,
         )
 
     def update_for(self, known: KnownVersions | None) -> Update:
@@ -163,6 +180,9 @@
             round(age, 3),
             own.era,
             round(self.config_age.age(now), 3),
+            None
+            if known.evacuations is None
+            else self._fleet.evacuation.newer_than(known.evacuations, now),
         )
 
     def apply_update(self, name: str, update: Update, asked_at: float) -> None:
@@ -174,6 +194,12 @@
             asked_at: When the peer was asked, in seconds.
         """
         self.last_asked_at[name] = asked_at
+        if update.evacuations is not None:
+            self.evacuator.apply(
+                update.evacuations,
+                source=name,
+                current_at=self.config_age.read_at,
+            )
         if update.config is None or self.apply_config(
             zlib.decompress(update.config), source=name
         ):
@@ -228,6 +254,23 @@
             )
         self._fleet.notify_config_listeners()
 
+    def apply_evacuations(
+        self, rows: Rows, *, is_whole: bool, source: str
+    ) -> None:
+        """Applies the operator's rows that evacuate failure domains.
+
+        Args:
+            rows: Rows of the operator's table.
+            is_whole: Whether they are the whole table.
+            source: The call to the store, for the log.
+        """
+        self.evacuator.apply_rows(
+            rows,
+            is_whole=is_whole,
+            source=source,
+            current_at=self.config_age.read_at,
+        )
+
     def apply_config(self, value: bytes, *, source: str) -> bool:
         """Applies a stored configuration if it is valid and newer.
 
--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -1,5 +1,6 @@
 """Choice of the endpoint for a statement, and bookkeeping of its answers."""
 
+import functools
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -7,7 +8,12 @@
 import trio
 
 from lagoonstair._types import Position
-from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._evacuator import (
+    excluded_endpoints,
+    refuses_primary,
+    skipped_endpoints,
+)
+from lagoonstair.proxy._fleet import UNKNOWN_RECOVERY_SECONDS, Fleet
 from lagoonstair.proxy._link import Link
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
@@ -46,6 +52,8 @@
 
 NO_PRIMARY_MESSAGE = "no primary can be used"
 
+EVACUATED_MESSAGE = "the failure domain of the primary is evacuated"
+
 CONFIRMED_LATE_MESSAGE = "the primary may have been replaced meanwhile"
 
 
@@ -95,6 +103,8 @@
         arrived_at: float,
         deadline: float,
         tried: set[str],
+        *,
+        begins_transaction: bool = False,
     ) -> Target | Failure:
         """Chooses an endpoint for a statement.
 
@@ -108,18 +118,21 @@
             arrived_at: When the statement arrived, in seconds.
             deadline: Time by which it must be answered, in seconds.
             tried: The endpoints where it has failed.
+            begins_transaction: Whether a transaction begins with it.
 
         Returns:
             The endpoint, or the failure to answer with if there is none.
         """
         if writes or route.consistency is Consistency.PRIMARY:
-            return await self._wait_primary(route, deadline)
-        target = self._choose_for_read(caller, route, arrived_at, tried)
+            return await self._wait_primary(route, deadline, begins_transaction)
+        target = self._choose_for_read(
+            caller, route, arrived_at, tried, begins_transaction
+        )
         if target is not None:
             return target
         if tried:
             return Failure(ErrorCode.BUSY, "no endpoint can serve the read")
-        return await self._wait_primary(route, deadline)
+        return await self._wait_primary(route, deadline, begins_transaction)
 
     def has_alternative(
         self, route: Route, writes: bool, tried: set[str]
@@ -131,6 +144,7 @@
             return True
         return any(
             pool.endpoint.name not in tried
+            and not self._fleet.is_excluded(pool)
             for pool in self._fleet.group_pools(route.group)
         )
 
@@ -188,9 +202,24 @@
         return self._fleet.primary(pool.endpoint.group) is pool
 
     def is_current(self, target: Target) -> bool:
-        """Returns whether a target chosen as primary still is the primary."""
+        """Returns whether a target may still be used.
+
+        One chosen as primary must still be the primary, and the endpoint must
+        not have been evacuated meanwhile.
+        """
+        if self._fleet.is_excluded(target.pool):
+            return False
         return not target.is_primary or self.is_primary(target.pool)
 
+    def may_begin(self, target: Target) -> bool:
+        """Returns whether a transaction may begin at a target now."""
+        return self.is_current(target) and not self.is_evacuated(target.pool)
+
+    def is_evacuated(self, pool: EndpointPool) -> bool:
+        """Returns whether an endpoint's failure domain is evacuated."""
+        domain = pool.endpoint.failure_domain
+        return self._fleet.evacuation.is_evacuated(domain)
+
     def epoch(self, group: str) -> int:
         """Returns the newest known epoch of a group's primary."""
         return self._fleet.primacy.epoch(group)
@@ -244,18 +273,30 @@
             self._fleet.notify()
 
     def _choose_for_read(
-        self, caller: Caller, route: Route, arrived_at: float, tried: set[str]
+        self,
+        caller: Caller,
+        route: Route,
+        arrived_at: float,
+        tried: set[str],
+        begins_transaction: bool,
     ) -> Target | None:
         """Returns the best endpoint for a read, or ``None`` without one."""
         fleet = self._fleet
         primary = fleet.primacy.primary(route.group, trio.current_time())
-        candidates = order_for_read(
+        order = functools.partial(
+            order_for_read,
             fleet.loads(route.group, caller.workspace, except_for=tried),
             now=trio.current_time(),
             primary=primary,
             min_position=self._required_position(caller, route, arrived_at),
             failure_domain=fleet.failure_domain,
         )
+        serving = None if begins_transaction else primary
+        excluded = excluded_endpoints(fleet, route.group, serving)
+        skipped = skipped_endpoints(fleet, route.group)
+        candidates = order(excluded=excluded | skipped)
+        if not candidates and skipped:
+            candidates = order(excluded=excluded)
         if not candidates:
             return None
         best = candidates[0]
@@ -278,7 +319,7 @@
         return caller.writes.required_position(route.group, position, since)
 
     async def _wait_primary(
-        self, route: Route, deadline: float
+        self, route: Route, deadline: float, begins_transaction: bool
     ) -> Target | Failure:
         """Waits for a usable primary.
 
@@ -287,10 +328,17 @@
         """
         fleet = self._fleet
         while True:
+            if refuses_primary(fleet, route.group, begins_transaction):
+                self._metrics.count("evacuation_refusals")
+                retry_ms = int(UNKNOWN_RECOVERY_SECONDS * 1000)
+                message = f"{EVACUATED_MESSAGE}; retry_after_ms={retry_ms}"
+                return Failure(ErrorCode.BUSY, message)
             pool = fleet.primary(route.group)
             if (
                 pool is not None
                 and pool.unreachable_seconds(trio.current_time()) <= 0
+                and not (begins_transaction and self.is_evacuated(pool))
+                and not fleet.is_excluded(pool)
             ):
                 return Target(pool, None, True)
             time_left = deadline - trio.current_time() - MIN_STATEMENT_SECONDS
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -45,6 +45,8 @@
 
 REPLACED_MESSAGE = "the primary is being replaced"
 
+STOPPED_MESSAGE = "the failure domain of the transaction is evacuated"
+
 BEGIN_ATTEMPTS = 2
 """Maximum number of connections of one endpoint on which a transaction is begun
 because it is not certain that it was on the one before."""
@@ -70,6 +72,7 @@
         has_written: Whether a write succeeded.
         has_run: Whether any statement succeeded; until then it can move to
             another connection.
+        is_committing: Whether its commit has been sent.
     """
 
     route: Route
@@ -80,6 +83,7 @@
     epoch: int = 0
     has_written: bool = False
     has_run: bool = False
+    is_committing: bool = False
 
 
 class TransactionManager:
@@ -248,6 +252,24 @@
             tx.link.close()
         self._release_link(tx)
 
+    def abandon_stopped(self) -> int:
+        """Abandons the transactions on endpoints that may not be used.
+
+        A commit that has been sent ends by itself; its outcome would be in
+        doubt.
+
+        Returns:
+            The number of abandoned transactions.
+        """
+        stopped = [
+            tx
+            for tx in self._open.values()
+            if not tx.is_committing and self._is_stopped(tx)
+        ]
+        for tx in stopped:
+            self.abandon(tx)
+        return len(stopped)
+
     def abandon_group(self, group: str) -> None:
         """Abandons the group's transactions that run on its primary.
 
@@ -275,6 +297,8 @@
         if self._is_usable(tx):
             return None
         self.abandon(tx)
+        if self._is_stopped(tx):
+            return Failure(ErrorCode.ABORTED, STOPPED_MESSAGE)
         return Failure(ErrorCode.ABORTED, REPLACED_MESSAGE)
 
     async def _pin(
@@ -295,6 +319,7 @@
                 tx.began,
                 deadline,
                 tried,
+                begins_transaction=True,
             )
             if isinstance(target, Failure):
                 return target
@@ -359,7 +384,7 @@
         failure = Failure(ErrorCode.BUSY, "no answer in time")
         try:
             with trio.move_on_at(deadline):
-                if not self._targets.is_current(target):
+                if not self._targets.may_begin(target):
                     pool.release(link)
                     return Failure(ErrorCode.BUSY, NO_PRIMARY_MESSAGE)
                 begin = lines.begin_text(read_only=tx.read_only)
@@ -407,6 +432,7 @@
             if not self._is_usable(tx):
                 raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED_MESSAGE)
             started_at = trio.current_time()
+            tx.is_committing = text == "COMMIT"
             expected = (
                 Expected.COMMITTED if text == "COMMIT" else Expected.SIGNED
             )
@@ -442,6 +468,8 @@
         """
         if tx.link is None or not tx.link.is_usable or id(tx) not in self._open:
             return False
+        if self._is_stopped(tx):
+            return False
         if not tx.epoch:
             return True
         assert tx.pool is not None
@@ -449,3 +477,10 @@
             self._targets.is_primary(tx.pool)
             and self._fleet.primacy.epoch(tx.route.group) == tx.epoch
         )
+
+    def _is_stopped(self, tx: Transaction) -> bool:
+        """Returns whether the hard stop of the transaction's domain passed."""
+        if tx.pool is None:
+            return False
+        domain = tx.pool.endpoint.failure_domain
+        return self._fleet.evacuation.is_stopped(domain, trio.current_time())
--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -204,6 +204,7 @@
     Attributes:
         name: The database's name.
         slots: The number of slots that its entry states.
+        zone: The failure domain that its entry states.
         port: The TCP port that it listens on.
         term: The term that it is in.
         log: The commits that it has applied.
@@ -249,6 +250,7 @@
         self._signatures = 0
         self.name = name
         self.slots = slots
+        self.zone = "a"
         self.port = 0
         self.term = 1
         self.log: list[Commit] = []
@@ -300,7 +302,7 @@
         return {
             "service": self._group.name,
             "address": f"{host}:{self.port}",
-            "zone": "a",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": "draining" if self.draining else "ready",
--- a/tests/proxy_fleet.py
+++ b/tests/proxy_fleet.py
@@ -158,7 +158,12 @@
 
 
 class ProxyFleet:
-    """A store, a group of three databases, and proxy processes."""
+    """A store, a group of three databases, and proxy processes.
+
+    Attributes:
+        settings: Settings of all instances beside those of each.
+        zones: The failure domain of each database by name, unless it is "a".
+    """
 
     def __init__(self, tmp_path, nursery):
         self._tmp_path = tmp_path
@@ -167,6 +172,8 @@
         self.group = Group("g", self._publish_entry)
         self.groups = {"g": self.group}
         self.duties = DutiesStandin(self.groups)
+        self.settings = {}
+        self.zones = {}
         self.processes = {}
         self.ports = {}
         self._first_ports = {}
@@ -185,6 +192,7 @@
 
     async def add_database(self, name, connections):
         database = self.group.add(name, slots=4, max_connections=connections)
+        database.zone = self.zones.get(name, "a")
         await self._nursery.start(database.serve, HOST)
         self._publish_entry(database)
         return database
@@ -230,6 +238,7 @@
             "duties": f"{HOST}:{self.duties_port}",
             "first_start": True,
             "grace_s": 6,
+            **self.settings,
         }
         path = self._tmp_path / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -311,11 +320,21 @@
 
 
 @asynccontextmanager
-async def proxy_fleet(tmp_path, instances=1, cfg=None, connections=30):
+async def proxy_fleet(
+    tmp_path,
+    instances=1,
+    cfg=None,
+    connections=30,
+    *,
+    settings=None,
+    zones=None,
+):
     """Runs a fleet and stops the processes that it started."""
     async with trio.open_nursery() as nursery:
         fleet = ProxyFleet(tmp_path, nursery)
         fleet.store.put("op", "config", cfg or config())
+        fleet.settings.update(settings or {})
+        fleet.zones.update(zones or {})
         try:
             await fleet.start(instances, connections)
             yield fleet
--- a/tests/test_proxy_gossip.py
+++ b/tests/test_proxy_gossip.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from lagoonstair.evacuation import Evacuations
 from lagoonstair.peers import PeerLostError, PeerNotSentError
 from lagoonstair.proxy._config_age import (
     DEFAULT_BOUND_SECONDS,
@@ -279,6 +280,7 @@
         primacy=primacy,
         config=object() if is_complete else None,
         endpoints={"d1": object()},
+        evacuation=Evacuations(),
     )
     tables = Tables(fleet, None, None)
     tables.confirmed_by |= confirmed_by
