Evacuate failure domains in the fault soak

Cause: evacuations interact with every other fault, such as restores of the store, late promotions and restarts.

Change: an operator evacuates one or two of three domains for up to 3 s at a time, from a random stream of its own, so that seeds keep their other faults. After the faults, all connections to the store go silent, the primary's domain is evacuated, and it must run nothing in the second after the bound. The existing cases of tests/test_fault_soak.py run as before, without evacuations; two cases with all faults and evacuations are added.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -133,6 +133,17 @@
 """How long after its acknowledgement a configuration may not be in force, in
 seconds."""
 
+EVACUATION_SECONDS = 5.0
+"""How long after its acknowledgement an evacuated domain may get requests, in
+seconds."""
+
+EVACUATION_PAUSES = (0.3, 3.0)
+"""How long a domain is evacuated, and then is not, at least and at most, in
+seconds."""
+
+ZONES = {"d1": "a", "d2": "b", "d3": "c"}
+"""The failure domain of each database when domains are evacuated."""
+
 RECOVERY_SECONDS = 20
 """How long all instances may take to serve again after the faults have ended,
 in seconds."""
@@ -472,6 +483,7 @@
     Attributes:
         schedule: Each fault with the seconds left when it began.
         version: The version of the newest configuration.
+        evacuated: The failure domains that the operator evacuates.
     """
 
     def __init__(self, fleet, rng, nursery):
@@ -479,6 +491,7 @@
         self._rng = rng
         self._nursery = nursery
         self.version = 1
+        self.evacuated = set()
         self._down = set()
         self.schedule = []
 
@@ -581,6 +594,42 @@
         cfg["limits"]["tx_idle_ms"] = 2000 + self.version
         self._fleet.store.put("op", "config", cfg)
 
+    def write_evacuations(self):
+        """Writes or removes each row, also after the store lost the change."""
+        for zone in ZONES.values():
+            key = f"evacuate/{zone}"
+            is_there = self._fleet.store.row("op", key) is not None
+            if zone in self.evacuated:
+                self._fleet.store.put("op", key, {})
+            elif is_there:
+                self._fleet.store.delete("op", key)
+
+
+class Operator:
+    """Evacuates failure domains, one or two at a time, and returns them.
+
+    It draws from a stream of its own, so that a seed keeps its other faults.
+    """
+
+    def __init__(self, rng, injector):
+        self._rng = rng
+        self._injector = injector
+
+    async def run(self, seconds):
+        until = trio.current_time() + seconds
+        while trio.current_time() < until:
+            await trio.sleep(self._rng.uniform(*EVACUATION_PAUSES))
+            count = self._rng.choice((1, 1, 2))
+            zones = set(self._rng.sample(sorted(ZONES.values()), count))
+            self._injector.evacuated = zones
+            self._injector.write_evacuations()
+            self._injector.schedule.append(
+                (round(until - trio.current_time(), 2), f"evacuate {zones}")
+            )
+            await trio.sleep(self._rng.uniform(*EVACUATION_PAUSES))
+            self._injector.evacuated = set()
+            self._injector.write_evacuations()
+
 
 class StoreRestorer:
     """Takes the store down and brings it back from an older copy.
@@ -626,6 +675,7 @@
         store.fault = StoreFault.NONE
         await trio.sleep(self._rng.uniform(*REWRITE_SECONDS))
         self._injector.write_config()
+        self._injector.write_evacuations()
         await trio.sleep(self._rng.uniform(*REWRITE_SECONDS))
         for database in self._fleet.group.databases.values():
             self._fleet.group.publish_entry(database)
@@ -721,6 +771,25 @@
     return [f"{n} lacks version {version} after its bound" for n in late]
 
 
+async def _check_evacuation(fleet, injector):
+    """Returns the domains that get requests after their evacuation's bound.
+
+    All connections to the store go silent just before it.
+    """
+    for link in fleet.store_links.values():
+        link.silence_open()
+    primary = fleet.group.primary
+    injector.evacuated = {primary.zone}
+    injector.write_evacuations()
+    await trio.sleep(EVACUATION_SECONDS)
+    runs = len(primary.runs)
+    await trio.sleep(1.0)
+    found = primary.runs[runs:]
+    injector.evacuated = set()
+    injector.write_evacuations()
+    return [f"{primary.name} ran {found[:3]} while evacuated"] if found else []
+
+
 def _promotion_seconds(rng, count=100):
     """Draws how long each promotion of a run takes, in seconds."""
     return [
@@ -739,6 +808,7 @@
     restores=True,
     intrudes=True,
     stutters=True,
+    evacuates=True,
     instances=INSTANCES,
 ):
     """Runs one seed.
@@ -751,6 +821,7 @@
         intrudes: Whether connections go silent and odd entries appear too.
         stutters: Whether databases repeat, cut and refuse answers, and callers
             with odd fields run too.
+        evacuates: Whether failure domains are evacuated too.
         instances: The number of instances.
 
     Returns:
@@ -761,6 +832,9 @@
     async with trio.open_nursery() as nursery:
         fleet = SoakFleet(pathlib.Path(tmp_path), nursery)
         fleet.store.put("op", "config", config())
+        if evacuates:
+            fleet.settings["evacuate_ms"] = EVACUATION_SECONDS * 1000
+            fleet.zones.update(ZONES)
         # A stream of its own, so that a seed keeps its faults.
         rng_promotions = random.Random(f"{seed}/promotions")
         fleet.group.promotion_seconds.extend(_promotion_seconds(rng_promotions))
@@ -800,6 +874,11 @@
                             injector.schedule,
                         )
                         faults.start_soon(intruder.run, seconds)
+                    if evacuates:
+                        operator = Operator(
+                            random.Random(f"{seed}/operator"), injector
+                        )
+                        faults.start_soon(operator.run, seconds)
                     if stutters:
                         faults.start_soon(
                             Stutterer(fleet, seed).run,
@@ -807,6 +886,8 @@
                         )
                 await _wait_recovered(fleet)
                 late = await _check_config(fleet, injector) if intrudes else []
+                if evacuates:
+                    late += await _check_evacuation(fleet, injector)
                 stop.set()
             violations = [
                 *check_results(fleet, callers),
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -33,21 +33,31 @@
 and callers with odd fields run. Each of them once gave callers an answer of
 another statement, or one that another answer had completed."""
 
+EVACUATION_SEEDS = (1, 2)
+"""Seeds with all faults, in which failure domains are evacuated too."""
+
 SECONDS = 5.0
 """How long a seed injects faults, in seconds; about ten faults."""
 
 
 @pytest.mark.parametrize(
-    ("seed", "restores", "intrudes", "stutters"),
+    ("seed", "restores", "intrudes", "stutters", "evacuates"),
     [
-        *((seed, False, False, False) for seed in (*CI_SEEDS, *REGRESSIONS)),
-        *((seed, True, False, False) for seed in RESTORE_SEEDS),
-        *((s, restores, True, False) for s, restores in INTRUDER_SEEDS.items()),
-        *((seed, True, True, True) for seed in STUTTER_SEEDS),
+        *(
+            (seed, False, False, False, False)
+            for seed in (*CI_SEEDS, *REGRESSIONS)
+        ),
+        *((seed, True, False, False, False) for seed in RESTORE_SEEDS),
+        *(
+            (seed, restores, True, False, False)
+            for seed, restores in INTRUDER_SEEDS.items()
+        ),
+        *((seed, True, True, True, False) for seed in STUTTER_SEEDS),
+        *((seed, True, True, True, True) for seed in EVACUATION_SEEDS),
     ],
 )
 async def test_guarantees_hold_under_faults(
-    seed, restores, intrudes, stutters, tmp_path
+    seed, restores, intrudes, stutters, evacuates, tmp_path
 ):
     with logs_kept_on_error(seed, tmp_path):
         violations, schedule, count = await run_seed(
@@ -57,6 +67,7 @@
             restores=restores,
             intrudes=intrudes,
             stutters=stutters,
+            evacuates=evacuates,
         )
         assert violations == [], schedule
     assert count > 0
