--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -155,7 +155,7 @@
                 self._fleet,
                 self._registry,
                 self._metrics,
-                ConfigAge(settings.config_ms / 1000),
+                ConfigAge(self._config_bound()),
             )
             self._follower = Follower(
                 self._store, self._fleet, self._registry, tables, self._metrics
@@ -192,6 +192,12 @@
             commands = EndpointCommands(self._fleet)
             prober = Prober(self._fleet, gossip, commands)
             nursery.start_soon(supervise, "prober", prober.run)
+            if self._fleet.evacuation.is_enabled:
+                nursery.start_soon(
+                    supervise,
+                    "evacuation",
+                    functools.partial(tables.evacuator.run, transactions),
+                )
             promoter = Promoter(
                 self._fleet,
                 self._registry,
@@ -268,6 +274,14 @@
             nursery.cancel_scope.cancel()
         self._stopped.set()
 
+    def _config_bound(self) -> float:
+        """Returns how old the known operator's rows may be, in seconds."""
+        bound = self._settings.config_ms / 1000
+        evacuation_bound = self._settings.features.evacuation_bound
+        return (
+            bound if evacuation_bound is None else min(bound, evacuation_bound)
+        )
+
     async def _listen_for_unmoved(
         self, front: CallerServer, callers: trio.Nursery
     ) -> None:
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -46,6 +46,10 @@
     is_busy,
 )
 
+NOT_CURRENT_FAILURE = Failure(ErrorCode.BUSY, NO_PRIMARY_MESSAGE)
+"""Answer to a statement whose endpoint may not be used any more; the statement
+has not run."""
+
 
 async def _sleep_before_retry(delays: Iterator[float], deadline: float) -> bool:
     """Sleeps until the next attempt at a busy endpoint.
@@ -201,6 +205,8 @@
                     async with pool.statement_slot(
                         caller.workspace, attempt_deadline, work
                     ):
+                        if not self._targets.may_use(caller, route, target):
+                            return DeliveryStatus.NOT_SENT, NOT_CURRENT_FAILURE
                         if self._targets.is_cold(pool):
                             setup = link.count_setup(
                                 caller.session.values, run.shape
@@ -210,9 +216,7 @@
                             caller.session.values, run.shape
                         )
                         if not self._targets.may_use(caller, route, target):
-                            return DeliveryStatus.NOT_SENT, Failure(
-                                ErrorCode.BUSY, NO_PRIMARY_MESSAGE
-                            )
+                            return DeliveryStatus.NOT_SENT, NOT_CURRENT_FAILURE
                         text = lines.run_text(run, prepared_name)
                         text = lines.after_text(target.after, text)
                         if not lines.fits_query(request_id, text):
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -7,6 +7,7 @@
 import trio
 
 from lagoonstair._types import Position
+from lagoonstair.evacuation import Evacuations, is_excluded
 from lagoonstair.features import Features
 from lagoonstair.primacy import GroupRecord, GroupReport, Primacy
 from lagoonstair.proxy._admission import Admission, EndpointAdmission
@@ -75,6 +76,7 @@
         features: The optional features that the settings call for.
         region_filter: Where the requests with home regions may run.
         cold: The endpoints that have just started.
+        evacuation: The evacuated failure domains.
         supervisor: Contains unexpected exceptions.
     """
 
@@ -89,6 +91,7 @@
         self.features = features or Features()
         self.region_filter = RegionFilter(self.features.regions, metrics)
         self.cold = ColdEndpoints(self.features.cold_limits, metrics)
+        self.evacuation = Evacuations(self.features.evacuation_bound)
         self._changed = trio.Event()
         self._histories: dict[str, PositionHistory] = {}
         self._promoting_since: dict[str, float] = {}
@@ -160,6 +163,7 @@
                 self._note_endpoint_position,
                 self.supervisor,
                 self._admission_of(endpoint),
+                self.is_excluded,
             )
         else:
             pool.endpoint = endpoint
@@ -236,6 +240,19 @@
         name = self.primacy.primary(group, trio.current_time())
         return None if name is None else self.pools.get(name)
 
+    def is_excluded(self, pool: EndpointPool) -> bool:
+        """Returns whether an endpoint may not serve statements of callers."""
+        if not self.evacuation.is_active:
+            return False
+        record = self.primacy.records.get(pool.endpoint.group)
+        return is_excluded(
+            self.evacuation,
+            pool.endpoint.failure_domain,
+            is_primary=record is not None
+            and record.primary == pool.endpoint.name,
+            now=trio.current_time(),
+        )
+
     def group_pools(self, group: str) -> Iterator[EndpointPool]:
         """Returns the pools of a group's endpoints."""
         return (
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -61,6 +61,13 @@
 reachable."""
 
 
+EVACUATED_FAILURE = Failure(
+    ErrorCode.BUSY, "the failure domain of the endpoint is evacuated"
+)
+"""Answer to a statement that needs a connection to an excluded endpoint; the
+statement has not run."""
+
+
 class NoLinkError(Exception):
     """No connection was free in time, or none could be opened.
 
@@ -96,6 +103,7 @@
         on_position: Callable[["EndpointPool", float], None] | None = None,
         supervisor: Supervisor | None = None,
         admission: Admission | None = None,
+        is_excluded: Callable[["EndpointPool"], bool] = lambda pool: False,
     ) -> None:
         """Creates a pool without connections.
 
@@ -107,9 +115,12 @@
             supervisor: Counts unexpected exceptions.
             admission: Decides which statements run; by default the one
                 without overload control.
+            is_excluded: Returns whether the endpoint may not serve statements
+                of callers, so that no connection is kept or opened for them.
         """
         self._on_position = on_position
         self._supervisor = supervisor or Supervisor(Metrics())
+        self._is_excluded = is_excluded
         self.endpoint = endpoint
         self.budget = budget
         self.admission = admission or Admission(endpoint.slots)
@@ -214,6 +225,8 @@
     ) -> Link:
         is_woken = False
         while not self._closed:
+            if self._is_excluded(self):
+                raise NoLinkError(EVACUATED_FAILURE)
             if use is LinkUse.TRANSACTION and not self._waiters.may_pin():
                 if is_woken:
                     self._waiters.wake_next()
@@ -257,7 +270,7 @@
                 endpoint=self.endpoint.name,
                 reason=obstacle,
             )
-        if obstacle or self._closed:
+        if obstacle or self._closed or self._is_excluded(self):
             self.discard(link)
             return
         self._idle.append(link)
@@ -429,9 +442,13 @@
     def close(self) -> None:
         """Closes idle connections now and the others when released."""
         self._closed = True
+        self.close_idle()
+        self.admission.close()
+
+    def close_idle(self) -> None:
+        """Closes the idle connections and wakes those who wait for one."""
         for link in [*self._idle]:
             self.discard(link)
-        self.admission.close()
         self._waiters.wake_all()
 
     def close_all(self) -> None:
--- a/tests/test_proxy_cold.py
+++ b/tests/test_proxy_cold.py
@@ -175,7 +175,13 @@
         now = trio.current_time()
         targets = _targets(fleet, _Tokens(tokens), *cold)
         target = await targets.choose(
-            _caller(), BOUNDED, False, now, now + 1, set(), pins=pins
+            _caller(),
+            BOUNDED,
+            False,
+            now,
+            now + 1,
+            set(),
+            begins_transaction=pins,
         )
         assert target.pool.endpoint.name == chosen
 
--- a/tests/test_proxy_isolation.py
+++ b/tests/test_proxy_isolation.py
@@ -53,7 +53,7 @@
     cfg = _config_with_few_connections()
     regions = {"a": "r1", "b": "r2"}
     async with proxy_fleet(
-        tmp_path, 4, cfg, MAX_CONNECTIONS, regions=regions
+        tmp_path, 4, cfg, MAX_CONNECTIONS, settings={"regions": regions}
     ) as fleet:
         entry = _entry(fleet, cfg)
         ready_port = fleet.ports[entry] + 1
--- a/tests/test_proxy_throttle.py
+++ b/tests/test_proxy_throttle.py
@@ -143,7 +143,11 @@
     cfg = _config_with_few_connections()
     cfg["tenants"][0].update(rate_per_s=6, burst=6)
     async with proxy_fleet(
-        tmp_path, 4, cfg, MAX_CONNECTIONS, contracts=CONTRACTS
+        tmp_path,
+        4,
+        cfg,
+        MAX_CONNECTIONS,
+        settings={"contracts": CONTRACTS},
     ) as fleet:
         home = _home_of("w1", fleet, cfg)
         entry = next(n for n in fleet.processes if n != home)
