Place small workspaces by region and count the distance between regions

Cause: with two regions, a rate of a few operations a second was divided among the homes of six failure domains, and borrowing across regions took longer than a request may wait. Workspaces within their rates were refused.

Change, only with several regions in the settings: the assignment of homes moves into a package and ranks candidates by own domain, own region, others. A workspace with a small burst has one home in each region; these and, of two regions, one more candidate hold its shares. Asks and waits grow by the measured round trip to the holder, at most to 100 ms. An endpoint in another region costs that round trip.

--- a/src/lagoonstair/proxy/_homes.py
+++ b/src/lagoonstair/homes/_assignment.py
@@ -3,13 +3,21 @@
 The computation does no I/O.
 """
 
+import itertools
 import math
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 import xxhash
 
 from lagoonstair.membership import RankedInstance, rank_instances
+from lagoonstair.regions import RegionMap
+from lagoonstair.routing import RoutingConfig
+
+DEFAULT_MAX_CONNECTIONS = 30
+"""Connections that an endpoint is assumed to accept while no configuration is
+known."""
 
 MIN_DIRECT_CONNECTIONS = 2
 """Least number of an endpoint's connections for each instance with which every
@@ -44,6 +52,18 @@
 MAX_SHARE_HOLDERS = 16
 """Maximum number of instances that hold shares of a workspace's rate."""
 
+MIN_TOKENS_PER_CANDIDATE = 8
+"""Least burst, in tokens for each candidate home, of a workspace with a home
+in each failure domain if there are several regions. A burst of 6 over six
+domains, one token each, had to be borrowed across regions for most
+operations."""
+
+MIN_SMALL_HOLDERS = 3
+"""Least number of instances that hold shares of a small workspace's rate. While
+one fails, two thirds of the rate are left. With the homes of two regions alone
+it would be half, and a workspace at 60% of its rate would be refused a sixth of
+its operations for 11 s."""
+
 MAX_HASH = 2**64 - 1
 """Greatest value of the 64-bit hash that ranks the homes."""
 
@@ -82,6 +102,8 @@
         *,
         max_connections: int,
         workspaces: int,
+        regions: RegionMap | None = None,
+        bursts: Mapping[str, float] | None = None,
     ) -> None:
         """Chooses the homes.
 
@@ -90,7 +112,13 @@
             max_connections: The least number of connections that any of the
                 endpoints accepts.
             workspaces: How many workspaces there are.
+            regions: The regions of the failure domains. Without several of
+                them, they change nothing.
+            bursts: The burst of each workspace, in tokens, by name. A
+                workspace that is missing here is not a small one.
         """
+        self._regions = regions or RegionMap({})
+        self._bursts = dict(bursts or {})
         self._candidates: dict[str, tuple[str, ...]] = {}
         self._instances = dict(instances)
         count = len(instances)
@@ -108,8 +136,38 @@
             for name, instance in instances.items()
             if name in self.names
         ]
+        domains = {ranked.failure_domain for ranked in self._ranked}
+        self._candidate_count = max(MIN_CANDIDATES, len(domains))
         self._capacity = sum(instances[name].capacity for name in self.names)
 
+    @classmethod
+    def from_config(
+        cls,
+        instances: Mapping[str, InstanceResources],
+        config: RoutingConfig,
+        regions: RegionMap,
+    ) -> "HomeAssignment":
+        """Chooses the homes for the groups and workspaces of a configuration.
+
+        Args:
+            instances: All instances, by name.
+            config: The configuration.
+            regions: The regions of the failure domains.
+        """
+        return cls(
+            instances,
+            max_connections=min(
+                (group.max_connections for group in config.groups.values()),
+                default=DEFAULT_MAX_CONNECTIONS,
+            ),
+            workspaces=len(config.workspaces),
+            regions=regions,
+            bursts={
+                workspace.name: workspace.burst
+                for workspace in config.workspaces.values()
+            },
+        )
+
     def candidates(self, workspace: str) -> tuple[str, ...]:
         """Returns the candidate homes of a workspace; the first is its home."""
         candidates = self._candidates.get(workspace)
@@ -126,7 +184,13 @@
         homes or not, so that the set hardly changes when one more instance
         makes some of them homes of the others' workspaces. With more
         instances, only the candidate homes do, so that none has to borrow.
+        Of a small workspace in several regions, its home in each region does,
+        and of two regions one more candidate; see ``MIN_SMALL_HOLDERS``.
         """
+        if self._is_small(workspace):
+            candidates = self.candidates(workspace)
+            count = max(MIN_SMALL_HOLDERS, len(self._by_region(candidates)))
+            return candidates[:count]
         if self.is_direct or len(self._instances) > MAX_SHARE_HOLDERS:
             return self.candidates(workspace)
         instances = [
@@ -141,7 +205,9 @@
         Those in the instance's failure domain come first. So a workspace has
         a home in each domain that has a candidate: traffic between callers and
         replicas stays in the domain, and each home spends its own share of the
-        rate.
+        rate. Of several regions, the instance's own one comes next. The
+        callers of a small workspace all use its home in their region, so that
+        its few tokens are not divided further.
 
         Args:
             workspace: The workspace.
@@ -151,12 +217,23 @@
         if self.is_direct or name not in self._instances:
             return candidates
         domain = self._instances[name].failure_domain
-        return tuple(
-            sorted(
-                candidates,
-                key=lambda candidate: (
-                    self._instances[candidate].failure_domain != domain
-                ),
+        is_small = self._is_small(workspace)
+
+        def distance(candidate: str) -> tuple[bool, bool]:
+            other = self._instances[candidate].failure_domain
+            if not self._regions.has_several:
+                return (other != domain, False)
+            is_far = not self._regions.is_same(other, domain)
+            return (other != domain and not is_small, is_far)
+
+        return tuple(sorted(candidates, key=distance))
+
+    def count_by_region(self) -> dict[str, int]:
+        """Returns the number of homes in each region that has one."""
+        return dict(
+            Counter(
+                self._regions.region(self._instances[name].failure_domain)
+                for name in sorted(self.names)
             )
         )
 
@@ -169,6 +246,24 @@
             return 1 / len(self.names)
         return self._instances[name].capacity / self._capacity
 
+    def _is_small(self, workspace: str) -> bool:
+        """Returns whether a workspace has one home in each region.
+
+        Its burst is too small to be divided among the failure domains.
+        """
+        if self.is_direct or not self._regions.has_several:
+            return False
+        burst = self._bursts.get(workspace, math.inf)
+        return burst < MIN_TOKENS_PER_CANDIDATE * self._candidate_count
+
+    def _by_region(self, names: Iterable[str]) -> list[list[str]]:
+        """Groups instances by their region, keeping the order."""
+        regions: dict[str, list[str]] = {}
+        for name in names:
+            domain = self._instances[name].failure_domain
+            regions.setdefault(self._regions.region(domain), []).append(name)
+        return list(regions.values())
+
     def _select_homes(self, count: int) -> tuple[str, ...]:
         """Returns the instances to use as homes.
 
@@ -204,7 +299,8 @@
         """Ranks the candidate homes of a workspace, best first.
 
         The ranking alternates failure domains: the best home of every domain
-        comes before the second of any.
+        comes before the second of any. That of a small workspace alternates
+        regions: the first of each region is its home there.
         """
         duty = f"workspace:{workspace}"
         if self.is_direct:
@@ -218,8 +314,11 @@
             for names in domains.values()
             for row, scored in enumerate(sorted(names))
         )
-        count = max(MIN_CANDIDATES, len(domains))
-        return tuple(name for _, _, name in rows[:count])
+        names = tuple(name for _, _, name in rows[: self._candidate_count])
+        if not self._is_small(workspace):
+            return names
+        rounds = itertools.zip_longest(*self._by_region(names))
+        return tuple(name for row in rounds for name in row if name)
 
     def _hash_distance(self, duty: str, name: str) -> float:
         """Returns an instance's distance in weighted rendezvous hashing.
--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -1,7 +1,7 @@
 """Rate-limit decisions of one instance, without I/O."""
 
 import math
-from collections.abc import Container, Iterator, Mapping
+from collections.abc import Callable, Container, Iterator, Mapping
 from dataclasses import dataclass
 
 from lagoonstair.exceptions import ErrorKind
@@ -61,9 +61,23 @@
     """
 
     def __init__(
-        self, name: str, incarnation: str, settings: LimitSettings
+        self,
+        name: str,
+        incarnation: str,
+        settings: LimitSettings,
+        distance: Callable[[str], float] = lambda holder: 0.0,
     ) -> None:
+        """Creates a limiter that knows no limit yet.
+
+        Args:
+            name: The instance's name.
+            incarnation: An id of this run of the instance.
+            settings: Timeouts and intervals of loans and of waiting.
+            distance: Returns the round trip to a holder's region in seconds;
+                0 for the own region.
+        """
         self._name = name
+        self._distance = distance
         self._settings = settings
         self._lender = Lender(name, settings)
         self._borrower = Borrower(incarnation, settings)
@@ -152,9 +166,10 @@
         wait = self._estimate_wait(
             now, workspace, limit, len(queue.waiting) + 1
         )
-        if wait > self._settings.max_wait:
+        max_wait = self._max_wait(limit)
+        if wait > max_wait:
             return [self._refusal(ticket, wait)]
-        queue.waiting[ticket] = now + self._settings.max_wait
+        queue.waiting[ticket] = now + max_wait
         self._workspace_by_ticket[ticket] = workspace
         return []
 
@@ -231,6 +246,11 @@
         bucket = self._lender.buckets.get(workspace)
         return None if bucket is None else bucket.limit
 
+    def _max_wait(self, limit: WorkspaceLimit) -> float:
+        """Returns the longest wait, which the farthest holder determines."""
+        distances = map(self._distance, limit.holders)
+        return self._settings.max_wait_at(max(distances, default=0.0))
+
     def _spend(self, now: float, workspace: str) -> bool:
         """Spends one token, from the instance's own share first."""
         if self.available(now, workspace) < MICROS_PER_TOKEN:
--- a/src/lagoonstair/limits/_service.py
+++ b/src/lagoonstair/limits/_service.py
@@ -66,6 +66,8 @@
         *,
         settings: LimitSettings | None = None,
         accepted: Callable[[], int] | None = None,
+        distance: Callable[[str], float] = lambda holder: 0.0,
+        on_ask: Callable[[str, float | None], None] = lambda *_: None,
     ) -> None:
         """Registers the handler of asks.
 
@@ -80,13 +82,21 @@
             accepted: Returns the greatest configuration version known to be
                 accepted. Without it, each version counts as accepted when it is
                 applied.
+            distance: Returns the round trip to an instance's region in
+                seconds; 0 for the own region.
+            on_ask: Called after each ask with the lender's name and the
+                seconds until its answer, or ``None`` without an answer.
         """
         self._peers = peers
         self._addresses = addresses
         self._fresh = fresh
         self._clock = clock
         self._settings = settings or LimitSettings()
-        self._limiter = Limiter(name, secrets.token_hex(8), self._settings)
+        self._distance = distance
+        self._on_ask = on_ask
+        self._limiter = Limiter(
+            name, secrets.token_hex(8), self._settings, distance
+        )
         self._accepted = accepted
         self._last_accepted_version = -1
         self._waiters: dict[int, _Waiter] = {}
@@ -257,6 +267,7 @@
 
     async def _send(self, send: SendAsk) -> None:
         self._counts["sent"] += 1
+        sent_at = self._clock()
         grant = None
         try:
             grant = await self._call(send)
@@ -268,9 +279,10 @@
                 self._limiter.handle_lost_ask(
                     self._clock(), send.lender, send.ask.seq
                 )
+        now = self._clock()
+        self._on_ask(send.lender, None if grant is None else now - sent_at)
         if grant is None:
             return
-        now = self._clock()
         fresh = self._fresh(now)
         effects = self._limiter.handle_grant(
             now, send.lender, grant, fresh=fresh
@@ -282,7 +294,8 @@
         address = self._addresses(send.lender)
         if address is None:
             return None
-        with trio.move_on_after(self._settings.ask_timeout):
+        timeout = self._settings.ask_timeout_at(self._distance(send.lender))
+        with trio.move_on_after(timeout):
             try:
                 return await self._peers.call(address, send.ask, TokenGrant)
             except (LagoonstairError, PeerLostError, PeerNotSentError):
--- a/src/lagoonstair/limits/_settings.py
+++ b/src/lagoonstair/limits/_settings.py
@@ -10,6 +10,9 @@
 """Minimum tokens of burst per holder, unless there is only one holder."""
 MAX_CLOCK_RATE_ERROR = 0.01
 """Relative error of the clock rate that the timeouts tolerate."""
+MAX_EXTENDED_SECONDS = 0.1
+"""Upper bound, in seconds, of a wait that the distance of a holder extends. It
+is half of the shortest target latency of a route, some 200 ms."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,6 +45,19 @@
     max_wait: float = 0.25
     share_margin: float = 0.1
 
+    def ask_timeout_at(self, distance: float) -> float:
+        """Returns the timeout of an ask to a holder at a distance.
+
+        Args:
+            distance: The round trip to the holder's region in seconds; 0 for
+                the own region.
+        """
+        return _extend(self.ask_timeout, distance)
+
+    def max_wait_at(self, distance: float) -> float:
+        """Returns how long a request may wait for a holder at a distance."""
+        return _extend(self.max_wait, distance)
+
     @property
     def lender_ttl(self) -> float:
         """How long the lender keeps the record of a loan after granting it."""
@@ -58,6 +74,10 @@
         return longest * (1 + MAX_CLOCK_RATE_ERROR) + self.share_margin
 
 
+def _extend(seconds: float, distance: float) -> float:
+    return max(seconds, min(seconds + distance, MAX_EXTENDED_SECONDS))
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorkspaceLimit:
     """The rate and burst of a workspace, and the instances that share them.
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -16,6 +16,7 @@
 from lagoonstair.primacy import PROOF_SECONDS
 from lagoonstair.proxy._config_age import ConfigAge
 from lagoonstair.proxy._config_watch import ConfigWatcher
+from lagoonstair.proxy._distance import HolderDistances
 from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._follower import Follower
@@ -142,6 +143,9 @@
                     excess=settings.quota_excess,
                     slack=settings.quota_slack,
                 ),
+                HolderDistances(
+                    self._fleet.distances, self._registry, self._metrics
+                ),
             )
             self._quota = quota
             tables = Tables(
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -8,9 +8,14 @@
 
 from lagoonstair._types import Position
 from lagoonstair.features import Features
+from lagoonstair.homes import (
+    DEFAULT_MAX_CONNECTIONS,
+    HomeAssignment,
+    InstanceResources,
+)
 from lagoonstair.primacy import GroupRecord, GroupReport, Primacy
 from lagoonstair.proxy._departures import Departures, SynchronousReplicas
-from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
+from lagoonstair.proxy._distance import DistanceMeter, log_homes
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
@@ -23,10 +28,6 @@
     RoutingConfig,
 )
 
-DEFAULT_MAX_CONNECTIONS = 30
-"""Connections that an endpoint is assumed to accept while no configuration is
-known."""
-
 MIN_CONNECTION_BUDGET = 2
 """Lower bound on an instance's connections to an endpoint: one for a
 transaction and one for a read."""
@@ -70,6 +71,7 @@
         departures: The endpoints that have left lately.
         synchronous_replicas: How many replicas hold each acknowledged commit.
         features: The optional features that the settings call for.
+        distances: The measured distances to the other regions.
         supervisor: Contains unexpected exceptions.
     """
 
@@ -103,6 +105,9 @@
         self.config_listeners: list[Callable[[], None]] = []
         self.departures = Departures()
         self.synchronous_replicas = SynchronousReplicas()
+        self.distances = DistanceMeter(
+            self.features.regions, failure_domain, metrics
+        )
         self.supervisor = Supervisor(metrics)
 
     def set_config(self, config: RoutingConfig) -> bool:
@@ -193,15 +198,11 @@
     def update_budgets(self) -> None:
         """Recomputes this instance's share of the endpoints' connections."""
         if self.config is not None and self.places:
-            fewest = min(
-                (g.max_connections for g in self.config.groups.values()),
-                default=DEFAULT_MAX_CONNECTIONS,
-            )
-            self.homes = HomeAssignment(
-                self.places,
-                max_connections=fewest,
-                workspaces=len(self.config.workspaces),
+            previous = self.homes
+            self.homes = HomeAssignment.from_config(
+                self.places, self.config, self.features.regions
             )
+            log_homes(previous, self.homes, self.features.regions)
         for pool in self.pools.values():
             pool.budget = self._budget(pool.endpoint)
 
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from lagoonstair._types import Address
+from lagoonstair.homes import MAX_SHARE_HOLDERS, HomeAssignment
 from lagoonstair.limits import (
     MICROS_PER_TOKEN,
     LimitService,
@@ -11,7 +12,7 @@
     WorkspaceLimit,
 )
 from lagoonstair.peers import HandlerRegistry, PeerClient
-from lagoonstair.proxy._homes import MAX_SHARE_HOLDERS, HomeAssignment
+from lagoonstair.proxy._distance import HolderDistances
 from lagoonstair.proxy._log import log_event
 from lagoonstair.routing import RoutingConfig, Workspace
 
@@ -89,6 +90,7 @@
         address_of: Callable[[str], Address | None],
         is_fresh: Callable[[], bool],
         tolerance: Tolerance,
+        distances: HolderDistances,
     ) -> None:
         """Creates a quota that knows no workspace yet.
 
@@ -100,6 +102,7 @@
             is_fresh: Returns whether this instance can not have missed a
                 change of the shares.
             tolerance: The excess that restarts may use.
+            distances: The distances to the other instances.
         """
         self._tolerance = tolerance
         self._service = LimitService(
@@ -109,6 +112,8 @@
             address_of,
             lambda now: is_fresh(),
             settings=LIMIT_SETTINGS,
+            distance=distances.round_trip,
+            on_ask=distances.note_ask,
         )
         self._version = 0
         self._limits: dict[str, WorkspaceLimit] = {}
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -5,11 +5,11 @@
 import msgspec
 import trio
 
+from lagoonstair.homes import InstanceResources
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import Rows, StoredRow
 from lagoonstair.proxy._config_age import UNKNOWN_AGE_SECONDS, ConfigAge
 from lagoonstair.proxy._fleet import Fleet
-from lagoonstair.proxy._homes import InstanceResources
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._registry import Registry
--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -255,6 +255,7 @@
             primary=primary,
             min_position=self._required_position(caller, route, arrived_at),
             failure_domain=fleet.failure_domain,
+            region_distance=fleet.distances.round_trip,
         )
         if not candidates:
             return None
--- a/src/lagoonstair/routing/_choose.py
+++ b/src/lagoonstair/routing/_choose.py
@@ -1,6 +1,6 @@
 """Selects the endpoints that may run a read, without I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from lagoonstair._types import Position
@@ -11,7 +11,8 @@
 sites where the system runs."""
 
 CROSS_DOMAIN_COST_SECONDS = 0.002
-"""Cost, in seconds, of a round trip to another failure domain and its data."""
+"""Cost, in seconds, of a round trip to another failure domain of the own region
+and its data."""
 
 PRIMARY_COST_FACTOR = 1.3
 """Cost of a primary's slot relative to a replica's. Only the primary can run
@@ -73,6 +74,7 @@
     primary: str | None,
     min_position: Position | None,
     failure_domain: str,
+    region_distance: Callable[[str], float] = lambda domain: 0.0,
 ) -> list[Candidate]:
     """Sorts the endpoints that may run a read by ascending cost.
 
@@ -83,13 +85,15 @@
         min_position: The position that a replica's log must contain. Without
             it, only the primary may serve the read.
         failure_domain: The failure domain of this instance.
+        region_distance: Returns the round trip to a failure domain's region
+            in seconds; 0 for the own region.
     """
     candidates = []
     for load in loads:
         is_primary = load.endpoint.name == primary
         if not is_primary and (min_position is None or load.endpoint.leaving):
             continue
-        cost = _cost(load, failure_domain)
+        cost = _cost(load, failure_domain, region_distance)
         if is_primary:
             cost *= PRIMARY_COST_FACTOR
         elif _likely_lags(load, now, min_position):
@@ -99,12 +103,17 @@
     return sorted(candidates, key=lambda candidate: candidate.cost)
 
 
-def _cost(load: EndpointLoad, failure_domain: str) -> float:
+def _cost(
+    load: EndpointLoad,
+    failure_domain: str,
+    region_distance: Callable[[str], float],
+) -> float:
     cost = load.latency * (1 + load.in_flight / load.endpoint.slots)
     if not load.has_idle_connection:
         cost += CONNECT_COST_SECONDS
     if load.endpoint.failure_domain != failure_domain:
-        cost += CROSS_DOMAIN_COST_SECONDS
+        distance = region_distance(load.endpoint.failure_domain)
+        cost += distance or CROSS_DOMAIN_COST_SECONDS
     if load.suspect:
         cost += LAG_PENALTY_SECONDS
     return cost
--- a/tests/test_load_added_instances.py
+++ b/tests/test_load_added_instances.py
@@ -10,6 +10,11 @@
 
 import pytest
 
+from lagoonstair.homes import (
+    MAX_SHARE_HOLDERS,
+    HomeAssignment,
+    InstanceResources,
+)
 from lagoonstair.limits import (
     MICROS_PER_TOKEN,
     Admit,
@@ -17,11 +22,6 @@
     SendAsk,
     WorkspaceLimit,
 )
-from lagoonstair.proxy._homes import (
-    MAX_SHARE_HOLDERS,
-    HomeAssignment,
-    InstanceResources,
-)
 from lagoonstair.proxy._quota import LIMIT_SETTINGS
 
 RATE = 60
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -11,18 +11,18 @@
 from loguru import logger
 
 import proxy_fleet
+from lagoonstair.homes import (
+    MIN_CANDIDATES,
+    MIN_STRONG_INSTANCES,
+    HomeAssignment,
+    InstanceResources,
+)
 from lagoonstair.limits import (
     MICROS_PER_TOKEN,
     LimitSettings,
     ShareBucket,
     WorkspaceLimit,
 )
-from lagoonstair.proxy._homes import (
-    MIN_CANDIDATES,
-    MIN_STRONG_INSTANCES,
-    HomeAssignment,
-    InstanceResources,
-)
 from lagoonstair.proxy._log import BURST_LINES, JsonSink
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._quota import Tolerance
--- a/tests/test_proxy_path.py
+++ b/tests/test_proxy_path.py
@@ -6,7 +6,7 @@
 import trio
 
 from lagoonstair.cli._explain import explain_request
-from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
+from lagoonstair.homes import HomeAssignment, InstanceResources
 from lagoonstair.proxy._prober import IDLE_PRIMARY_SECONDS
 from lagoonstair.standins.statements._store import StoreFault
 from proxy_fleet import config, proxy_fleet
--- a/tests/test_proxy_shutdown.py
+++ b/tests/test_proxy_shutdown.py
@@ -8,8 +8,8 @@
 import trio
 import trio.testing
 
+from lagoonstair.homes import HomeAssignment, InstanceResources
 from lagoonstair.proxy._front import CallerServer
-from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.statements import (
     Begin,
