Ask the voters of the own region for gossip

Cause: an instance that is not a voter asked all voters in turn, so most rounds crossed regions, which share one link.

Change: the choice moves into a pure module. With several regions, only the voters of the own one are asked while one of them answers and is not behind. After 7 s without answers from a majority, one voter of another region is asked a round, since without that contact an instance may not spend a share that it got lately. The fake tables of test_proxy_gossip.py get the attribute last_asked_at, which the choice reads.

--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -166,6 +166,7 @@
                 tables,
                 peers,
                 self._handlers,
+                self._fleet.distances,
             )
             self._fleet.config_listeners.append(self._apply_limits)
             server = PeerServer(settings.instance, secret, self._handlers)
--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -10,6 +10,7 @@
 
 from lagoonstair._types import Address
 from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.gossip import VoterView, choose_voter
 from lagoonstair.peers import HandlerRegistry as Handlers
 from lagoonstair.peers import (
     PeerClient,
@@ -19,6 +20,7 @@
     Ping,
 )
 from lagoonstair.primacy import GroupReport
+from lagoonstair.proxy._distance import DistanceMeter
 from lagoonstair.proxy._fleet import Fleet, epochs_of
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._registry import Registry
@@ -37,12 +39,6 @@
 SWEEP_PERIOD_SECONDS = 2.0
 """Interval (s) between sweeps, which ask the instances that are not voters."""
 
-SAME_DOMAIN_WEIGHT = 6
-"""Extra turns of each voter in the same failure domain in a rotation of asked
-voters, in which every voter has one turn. Traffic between failure domains is
-charged for. A voter that answers, but has not heard of the store for a while,
-has no extra turns."""
-
 CALL_TIMEOUT_SECONDS = 0.4
 """Time (s) after which a peer's answer counts as missed in this round."""
 
@@ -56,6 +52,11 @@
 started, asks all voters in each round; otherwise a non-voter asks one of
 them."""
 
+CONTACT_RENEWAL_SECONDS = 7.0
+"""Age (s) of the contact with a majority from which on a non-voter in one of
+several regions also asks voters of the others. Until ``CONTACT_SECONDS`` this
+leaves six rounds."""
+
 ALIVE_SECONDS = 1.3
 """Greatest age (s) of an answered request for which an instance counts as
 alive. Up to two of three rounds may be lost."""
@@ -119,7 +120,20 @@
         tables: Tables,
         peers: PeerClient,
         handlers: Handlers,
+        distances: DistanceMeter | None = None,
     ) -> None:
+        """Registers the handler of ``Ask``.
+
+        Args:
+            fleet: The state of this instance.
+            registry: The registered instances.
+            tables: The local store data.
+            peers: The client for calls to other instances.
+            handlers: The registry of handlers for messages of instances.
+            distances: The distances to other regions; ``None`` in a single
+                one.
+        """
+        self._distances = distances
         self._fleet = fleet
         self._registry = registry
         self._tables = tables
@@ -206,19 +220,25 @@
         in_contact = self._fleet.primacy.has_majority(now, CONTACT_SECONDS)
         if self._fleet.name in voters or not in_contact:
             return [*voters]
-        same_domain = [
-            name
-            for name in voters
-            if self._registry.members[name].failure_domain
-            == self._fleet.failure_domain
-            and not self._missed_rounds.get(name)
-            and not self._tables.config_age.is_peer_behind(name)
-        ]
-        rotation = [*same_domain * SAME_DOMAIN_WEIGHT, *voters]
-        return (
-            [rotation[next(self._round_numbers) % len(rotation)]]
-            if rotation
-            else []
+        name = choose_voter(
+            [self._voter_view(name) for name in voters],
+            next(self._round_numbers),
+            renews_contact=not self._fleet.primacy.has_majority(
+                now, CONTACT_RENEWAL_SECONDS
+            ),
+        )
+        return [] if name is None else [name]
+
+    def _voter_view(self, name: str) -> VoterView:
+        domain = self._registry.members[name].failure_domain
+        return VoterView(
+            name=name,
+            is_same_domain=domain == self._fleet.failure_domain,
+            is_far=self._distances is not None
+            and self._distances.is_far(domain),
+            missed_rounds=self.missed_rounds(name),
+            is_behind=self._tables.config_age.is_peer_behind(name),
+            asked_at=self._tables.last_asked_at.get(name, 0.0),
         )
 
     def _sweep_targets(self) -> list[str]:
@@ -319,6 +339,7 @@
         if self._missed_rounds.pop(name, 0) >= LOST_ROUNDS:
             log_event("instance regained", peer=name)
         self.replies[name] = reply
+        self._note_round_trip(name, trio.current_time() - asked_at)
         was_complete = self._tables.is_complete
         self._tables.apply_update(name, reply.update, asked_at)
         if ask.known_versions is not None and was_complete:
@@ -341,6 +362,11 @@
         )
         self._fleet.apply_group_reports(reply.group_reports, asked_at)
 
+    def _note_round_trip(self, name: str, seconds: float) -> None:
+        member = self._registry.members.get(name)
+        if member is not None and self._distances is not None:
+            self._distances.record(member.failure_domain, seconds)
+
     async def _answer(self, ask: Ask, ctx: PeerContext) -> GossipReply:
         now = trio.current_time()
         for group in ask.suspected_groups:
--- a/tests/test_proxy_gossip.py
+++ b/tests/test_proxy_gossip.py
@@ -11,6 +11,7 @@
     DEFAULT_BOUND_SECONDS,
     ConfigAge,
 )
+from lagoonstair.proxy._distance import DistanceMeter
 from lagoonstair.proxy._gossip import (
     ROUND_PERIOD_SECONDS,
     SWEEP_PERIOD_SECONDS,
@@ -18,12 +19,14 @@
     Gossip,
     GossipReply,
 )
+from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._tables import (
     EMPTY_UPDATE,
     KnownVersions,
     Tables,
     Update,
 )
+from lagoonstair.regions import RegionMap
 
 VOTERS = 7
 KNOWLEDGE = KnownVersions(0, 0, 0)
@@ -67,6 +70,7 @@
     )
     tables = SimpleNamespace(
         is_complete=is_complete,
+        last_asked_at={},
         known_versions=lambda: KNOWLEDGE,
         config_age=ConfigAge(),
     )
@@ -283,3 +287,19 @@
     tables = Tables(fleet, None, None)
     tables.confirmed_by |= confirmed_by
     assert tables.is_confirmed is is_confirmed
+
+
+async def test_a_non_voter_asks_the_voters_of_its_region():
+    """Gossip of most instances must not cross between regions."""
+    gossip, _ = _gossip(is_complete=True)
+    gossip._fleet.primacy.has_majority = lambda now, within: True
+    regions = RegionMap({"z0": "r0", "z1": "r0", "z2": "r1"})
+    gossip._distances = DistanceMeter(regions, "z1", Metrics())
+
+    def asked():
+        return {name for _ in range(50) for name in gossip._round_targets()}
+
+    near = {"i0", "i1", "i3", "i4", "i6"}
+    assert asked() == near
+    gossip._missed_rounds.update(dict.fromkeys(near, 1))
+    assert asked() == near | {"i2", "i5"}
