--- a/tests/test_load_regions.py
+++ b/tests/test_load_regions.py
@@ -39,8 +39,8 @@
 """Connections of an endpoint, enough for 7 homes."""
 
 WORKSPACES = int(os.environ.get("REGIONS_LOAD_WORKSPACES", "21"))
-"""Workspaces, one of each rate; the measured load has 73, which take minutes to
-simulate."""
+"""Workspaces, one of each rate. The measured load has 73, whose simulation
+outlasts the time limit of a test."""
 
 RATES = {f"w{n}": 5 + n % 21 for n in range(WORKSPACES)}
 LOAD = 0.6
