--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -17,6 +17,7 @@
 from lagoonstair.proxy._cold_gate import ColdGate
 from lagoonstair.proxy._config_age import ConfigAge
 from lagoonstair.proxy._config_watch import ConfigWatcher
+from lagoonstair.proxy._distance import HolderDistances
 from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet, jittered
 from lagoonstair.proxy._follower import Follower
@@ -146,6 +147,9 @@
                     excess=settings.quota_excess,
                     slack=settings.quota_slack,
                 ),
+                HolderDistances(
+                    self._fleet.distances, self._registry, self._metrics
+                ),
                 OVERLOAD_LIMIT_SETTINGS
                 if settings.features.overload_control
                 else LIMIT_SETTINGS,
@@ -170,6 +174,7 @@
                 tables,
                 peers,
                 self._handlers,
+                self._fleet.distances,
             )
             self._fleet.config_listeners.append(self._apply_limits)
             self._fleet.cold.listeners.append(self._apply_limits)
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -9,11 +9,16 @@
 from lagoonstair._types import Position
 from lagoonstair.evacuation import Evacuations, is_excluded
 from lagoonstair.features import Features
+from lagoonstair.homes import (
+    DEFAULT_MAX_CONNECTIONS,
+    HomeAssignment,
+    InstanceResources,
+)
 from lagoonstair.primacy import GroupRecord, GroupReport, Primacy
 from lagoonstair.proxy._admission import Admission, EndpointAdmission
 from lagoonstair.proxy._cold import ColdEndpoints
 from lagoonstair.proxy._departures import Departures, SynchronousReplicas
-from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
+from lagoonstair.proxy._distance import DistanceMeter, log_homes
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import EndpointPool
@@ -27,10 +32,6 @@
     RoutingConfig,
 )
 
-DEFAULT_MAX_CONNECTIONS = 30
-"""Connections that an endpoint is assumed to accept while no configuration is
-known."""
-
 MIN_CONNECTION_BUDGET = 2
 """Lower bound on an instance's connections to an endpoint: one for a
 transaction and one for a read."""
@@ -77,6 +78,7 @@
         region_filter: Where the requests with home regions may run.
         cold: The endpoints that have just started.
         evacuation: The evacuated failure domains.
+        distances: The measured distances to the other regions.
         supervisor: Contains unexpected exceptions.
     """
 
@@ -113,6 +115,9 @@
         self.config_listeners: list[Callable[[], None]] = []
         self.departures = Departures()
         self.synchronous_replicas = SynchronousReplicas()
+        self.distances = DistanceMeter(
+            self.features.regions, failure_domain, metrics
+        )
         self.supervisor = Supervisor(metrics)
 
     def set_config(self, config: RoutingConfig) -> bool:
@@ -213,15 +218,11 @@
     def update_budgets(self) -> None:
         """Recomputes this instance's share of the endpoints' connections."""
         if self.config is not None and self.places:
-            fewest = min(
-                (g.max_connections for g in self.config.groups.values()),
-                default=DEFAULT_MAX_CONNECTIONS,
-            )
-            self.homes = HomeAssignment(
-                self.places,
-                max_connections=fewest,
-                workspaces=len(self.config.workspaces),
+            previous = self.homes
+            self.homes = HomeAssignment.from_config(
+                self.places, self.config, self.features.regions
             )
+            log_homes(previous, self.homes, self.features.regions)
         for pool in self.pools.values():
             pool.budget = self._budget(pool.endpoint)
 
--- a/src/lagoonstair/proxy/_quota.py
+++ b/src/lagoonstair/proxy/_quota.py
@@ -8,6 +8,7 @@
 
 from lagoonstair._types import Address
 from lagoonstair.cold import HolderHistory
+from lagoonstair.homes import MAX_SHARE_HOLDERS, HomeAssignment
 from lagoonstair.limits import (
     MICROS_PER_TOKEN,
     LimitService,
@@ -16,7 +17,7 @@
 )
 from lagoonstair.peers import HandlerRegistry, PeerClient
 from lagoonstair.proxy._cold import ColdShare
-from lagoonstair.proxy._homes import MAX_SHARE_HOLDERS, HomeAssignment
+from lagoonstair.proxy._distance import HolderDistances
 from lagoonstair.proxy._log import log_event
 from lagoonstair.routing import RoutingConfig, Workspace
 
@@ -99,6 +100,7 @@
         address_of: Callable[[str], Address | None],
         is_fresh: Callable[[], bool],
         tolerance: Tolerance,
+        distances: HolderDistances,
         settings: LimitSettings = LIMIT_SETTINGS,
     ) -> None:
         """Creates a quota that knows no workspace yet.
@@ -111,6 +113,7 @@
             is_fresh: Returns whether this instance can not have missed a
                 change of the shares.
             tolerance: The excess that restarts may use.
+            distances: The distances to the other instances.
             settings: Timeouts and intervals of loans and of waiting.
         """
         self._tolerance = tolerance
@@ -121,6 +124,8 @@
             address_of,
             lambda now: is_fresh(),
             settings=settings,
+            distance=distances.round_trip,
+            on_ask=distances.note_ask,
         )
         self._version = 0
         self._limits: dict[str, WorkspaceLimit] = {}
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -13,13 +13,13 @@
 
 from lagoonstair._types import Address, Position
 from lagoonstair.features import Features
+from lagoonstair.homes import HomeAssignment, InstanceResources
 from lagoonstair.platform import operator
 from lagoonstair.primacy import GroupRecord
 from lagoonstair.proxy import _region_filter
 from lagoonstair.proxy._conversation import CallerConnection
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._front import CallerServer
-from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._region_filter import ELSEWHERE_FAILURE
 from lagoonstair.proxy._relays import HomeRouter
--- a/tests/test_load_cold_endpoint.py
+++ b/tests/test_load_cold_endpoint.py
@@ -10,12 +10,12 @@
 
 from lagoonstair.cold import HolderHistory, cold_rate
 from lagoonstair.features import ColdLimits
-from lagoonstair.limits import Limiter, SendAsk, WorkspaceLimit
-from lagoonstair.proxy._homes import (
+from lagoonstair.homes import (
     MAX_SHARE_HOLDERS,
     HomeAssignment,
     InstanceResources,
 )
+from lagoonstair.limits import Limiter, SendAsk, WorkspaceLimit
 from lagoonstair.proxy._quota import LIMIT_SETTINGS
 from lagoonstair.routing import GroupConfig
 
--- a/tests/test_proxy_isolation.py
+++ b/tests/test_proxy_isolation.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from lagoonstair.proxy._homes import HomeAssignment, InstanceResources
+from lagoonstair.homes import HomeAssignment, InstanceResources
 from lagoonstair.proxy._isolation import ISOLATED_MESSAGE
 from lagoonstair.proxy._settings import parse_settings
 from lagoonstair.reachability import CONTACT_SECONDS
