--- a/src/lagoonstair/primacy/_primacy.py
+++ b/src/lagoonstair/primacy/_primacy.py
@@ -23,6 +23,16 @@
 holds, and the next registered instance takes its place. Majorities before and
 after the removal therefore share a voter as well.
 
+A voter that stops stands down first: its reports count in no majority from then
+on. It resigns once all proofs that counted them have expired. Whoever then
+knows of the resignation also knows every promotion recorded before it. A
+majority before any number of resignations therefore shares a voter with one
+after them.
+
+Voters are added one at a time: the next one only after a majority of the
+voters has known the present set for longer than a proof holds. No proof that
+still holds then comes from an older set.
+
 The same proof shows that the known set of registered instances is current.
 """
 
@@ -48,10 +58,12 @@
     Attributes:
         asked_at: When the report was requested, in seconds.
         members_version: Store version at which the peer knows the instances.
+        stands_down: Whether the peer no longer counts in a majority.
     """
 
     asked_at: float
     members_version: int
+    stands_down: bool
 
 
 class Primacy:
@@ -64,6 +76,7 @@
         voters: The instances whose reports form a majority.
         members_version: The store version of the set of registered instances.
         store_read_at: When the newest answer of the store was requested.
+        stands_down: Whether this instance no longer counts in a majority.
     """
 
     def __init__(self, name: str) -> None:
@@ -77,6 +90,7 @@
         self.voters: frozenset[str] = frozenset()
         self.members_version = 0
         self.store_read_at = float("-inf")
+        self.stands_down = False
 
     def apply(self, group: str, record: GroupRecord) -> bool:
         """Applies a record from the store.
@@ -114,6 +128,7 @@
         members_version: int,
         epochs: Mapping[str, int],
         proof_age: float,
+        stands_down: bool = False,
     ) -> None:
         """Applies the report of a peer.
 
@@ -124,10 +139,13 @@
                 instances.
             epochs: The newest epoch that the peer knows, by group.
             proof_age: The age of the peer's own proof, in seconds.
+            stands_down: Whether the peer no longer counts in a majority.
         """
         for group, epoch in epochs.items():
             self._raise_epoch(group, epoch)
-        self._reports[member] = _PeerReport(asked_at, members_version)
+        self._reports[member] = _PeerReport(
+            asked_at, members_version, stands_down
+        )
         has_newer_members = members_version > self.members_version
         if not has_newer_members and not any(map(self._is_behind, epochs)):
             self._relayed_proof_at = max(
@@ -201,23 +219,48 @@
         return {
             member
             for member, report in self._reports.items()
-            if member in self.voters and now - report.asked_at <= within
+            if member in self.voters
+            and not report.stands_down
+            and now - report.asked_at <= within
         }
 
     def has_majority(self, now: float, within: float) -> bool:
         """Returns whether more than half of the voters respond.
 
-        This instance counts as responsive if it is a voter.
+        This instance counts as responsive if it is a voter that does not
+        stand down.
 
         Args:
             now: The current time, in seconds.
             within: Greatest age in seconds of the answered request.
         """
-        responsive = self.responsive_voters(now, within) | (
-            {self._name} & self.voters
-        )
+        responsive = self.responsive_voters(now, within) | self._own_vote()
         return len(responsive) * 2 > len(self.voters)
 
+    def is_majority(self, names: Iterable[str], now: float) -> bool:
+        """Returns whether instances include a majority of the present voters.
+
+        A voter counts while it cannot have resigned since its last report. No
+        voter may know a newer set of instances.
+
+        Args:
+            names: The names of the instances.
+            now: The current time, in seconds.
+        """
+        if self._has_newer_members():
+            return False
+        present = self.responsive_voters(now, PROOF_SECONDS) | self._own_vote()
+        return len(present.intersection(names)) * 2 > len(self.voters)
+
+    def is_known_to_majority(self) -> bool:
+        """Returns whether a majority of the voters knows the instances."""
+        knowing = {
+            member
+            for member, report in self._reports.items()
+            if report.members_version >= self.members_version
+        } | {self._name}
+        return len(knowing & self.voters) * 2 > len(self.voters)
+
     def note_promotion(self, group: str, epoch: int) -> None:
         """Records a promotion that its promoter announced."""
         self._raise_epoch(group, epoch)
@@ -248,24 +291,34 @@
         record = self.records.get(group)
         return self.epoch(group) > (record.epoch if record else 0)
 
+    def _own_vote(self) -> frozenset[str]:
+        names = frozenset() if self.stands_down else frozenset({self._name})
+        return names & self.voters
+
+    def _has_newer_members(self) -> bool:
+        """Returns whether another voter knows a newer set of instances."""
+        return any(
+            report.members_version > self.members_version
+            for member, report in self._reports.items()
+            if member in self.voters and member != self._name
+        )
+
     def _majority_proved_at(self, now: float) -> float:
         """Returns when the proof by a majority of the voters was requested.
 
         It is negative infinity without a majority, or when a voter knows a
         newer set of instances.
         """
-        reports = [
-            report
+        if self._has_newer_members():
+            return float("-inf")
+        times = [
+            report.asked_at
             for member, report in self._reports.items()
-            if member in self.voters and member != self._name
+            if member in self.voters
+            and member != self._name
+            and not report.stands_down
         ]
-        if any(
-            report.members_version > self.members_version for report in reports
-        ):
-            return float("-inf")
-        times = [report.asked_at for report in reports]
-        if self._name in self.voters:
-            times.append(now)
+        times += [now] * len(self._own_vote())
         times.sort(reverse=True)
         majority = len(self.voters) // 2 + 1
         return times[majority - 1] if len(times) >= majority else float("-inf")
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -75,6 +75,10 @@
 EXIT_MARGIN_SECONDS = 0.7
 """Remainder (s) of the grace period in which the process exits."""
 
+RESIGN_SECONDS = 0.5
+"""Time (s) after draining for a resignation that is still under way. The store
+takes 8 ms."""
+
 CUT_SECONDS = 0.3
 """Time (s) of that for the answers to the statements that are cut."""
 
@@ -274,7 +278,17 @@
                     )
                 log_event("ready", members=len(self._registry.members))
                 await stop.wait()
+                resigned = trio.Event()
+                nursery.start_soon(self._resign, reaper, resigned)
+                deadline = trio.current_time() + settings.grace_s
                 await self._drain(front, accepting)
+                with trio.move_on_at(
+                    min(
+                        trio.current_time() + RESIGN_SECONDS,
+                        deadline - EXIT_MARGIN_SECONDS,
+                    )
+                ):
+                    await resigned.wait()
                 callers.cancel_scope.cancel()
             nursery.cancel_scope.cancel()
         self._stopped.set()
@@ -306,6 +320,11 @@
             self._accept, front.serve_unmoved, listeners, callers
         )
 
+    async def _resign(self, reaper: Reaper, resigned: trio.Event) -> None:
+        with self._fleet.supervisor.contain("resignation"):
+            await reaper.resign()
+        resigned.set()
+
     async def _listen(self) -> list[trio.SocketListener]:
         host, port = parse_address(self._settings.listen.entry)
         return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -91,12 +91,15 @@
             is current.
         group_reports: The sender's report on each group.
         update: The store data that the requester lacks.
+        stands_down: Whether the sender no longer counts in a majority;
+            ``None`` from builds that do not know resignations.
     """
 
     members_version: int
     proof_age: float
     group_reports: tuple[GroupReport, ...]
     update: Update
+    stands_down: bool | None = None
 
 
 class Gossip:
@@ -194,6 +197,12 @@
                     return True
         return False
 
+    def all_can_resign(self) -> bool:
+        """Returns whether no build that answered lacks resignations."""
+        return all(
+            reply.stands_down is not None for reply in self.replies.values()
+        )
+
     def peer_reports(self, group: str, within: float) -> dict[str, GroupReport]:
         """Returns the peers' recent reports on a group, by peer name.
 
@@ -218,7 +227,11 @@
         voters = self._registry.voters()
         now = trio.current_time()
         in_contact = self._fleet.primacy.has_majority(now, CONTACT_SECONDS)
-        if self._fleet.name in voters or not in_contact:
+        if (
+            self._fleet.name in voters
+            or not in_contact
+            or self._registry.seeks_voters(self._fleet.name)
+        ):
             return [*voters]
         name = choose_voter(
             [self._voter_view(name) for name in voters],
@@ -359,6 +372,7 @@
             members_version=reply.members_version,
             epochs=epochs_of(reply.group_reports),
             proof_age=reply.proof_age,
+            stands_down=bool(reply.stands_down),
         )
         self._fleet.apply_group_reports(reply.group_reports, asked_at)
 
@@ -380,6 +394,7 @@
             proof_age=round(age, 4),
             group_reports=tuple(self._fleet.group_reports()),
             update=self._tables.update_for(ask.known_versions),
+            stands_down=primacy.stands_down,
         )
 
     def _suspected_groups(self) -> tuple[str, ...]:
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -199,6 +199,8 @@
         primacy = self._fleet.primacy
         if self._fleet.name not in primacy.voters or now < self._backoff_until:
             return None
+        if primacy.stands_down:
+            return None
         if self._follower.endpoints_age > MAX_ENTRIES_AGE_SECONDS:
             return None
         record = primacy.records.get(group)
@@ -447,7 +449,9 @@
                 continue
             released_by = self._released_by(group, epoch)
             members = self._registry.members.keys()
-            if majority_at is None and self._is_majority(released_by):
+            if majority_at is None and self._fleet.primacy.is_majority(
+                released_by, now
+            ):
                 majority_at = now
             is_released = released_by >= members or (
                 majority_at is not None
@@ -471,11 +475,6 @@
         }
         return names | {self._fleet.name}
 
-    def _is_majority(self, names: set[str]) -> bool:
-        """Returns whether the names include more than half of the voters."""
-        voters = self._fleet.primacy.voters
-        return len(names & voters) * 2 > len(voters)
-
     async def _promote(
         self, group: str, record: GroupRecord, cause: Cause
     ) -> None:
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -4,6 +4,7 @@
 promotion duty and the secret that the instances share.
 """
 
+import math
 import random
 import secrets
 from collections.abc import Iterable, Mapping
@@ -29,14 +30,17 @@
     FOUNDING_KEY,
     GROUP_PREFIX,
     MEMBER_PREFIX,
+    SEATS_KEY,
     TABLE,
     VERSION_BITS,
     Era,
     Founding,
     Member,
     RowValue,
+    Seats,
     decode_row,
     era_key,
+    line_of_voters,
 )
 from lagoonstair.proxy._settings import InstanceSettings
 
@@ -84,6 +88,8 @@
         members: The registered instances, by name.
         founding: The founding row; ``None`` before it is known.
         duty: The holder of the promotion duty; ``None`` before the first.
+        seats: The row of the places in the line of voters; ``None`` before the
+            first instance has taken one after its registration.
         groups: The records of the groups' primaries, by group.
         members_version: The newest version among the rows of instances. It
             rises across restores of the store too.
@@ -105,6 +111,7 @@
         self.members: dict[str, Member] = {}
         self.founding: Founding | None = None
         self.duty: Duty | None = None
+        self.seats: Seats | None = None
         self.groups: dict[str, GroupRecord] = {}
         self.members_version = 0
         self.unreconciled: Rows | None = None
@@ -194,11 +201,25 @@
         )
 
     def voters(self) -> tuple[str, ...]:
-        """Returns the instances that registered first, in that order."""
-        by_age = sorted(
-            self.members, key=lambda name: (self.members[name].since, name)
-        )
-        return tuple(by_age[:VOTER_COUNT])
+        """Returns the first instances in the line of voters, in its order."""
+        return tuple(line_of_voters(self.members)[:VOTER_COUNT])
+
+    def lacks_seat(self, name: str) -> bool:
+        """Returns whether a registered instance is not in line as a voter."""
+        member = self.members.get(name)
+        return member is not None and member.resigned
+
+    def seeks_voters(self, name: str) -> bool:
+        """Returns whether an instance would add a voter by taking a seat.
+
+        Without any voter it adds none to an existing majority.
+        """
+        length = len(line_of_voters(self.members))
+        return self.lacks_seat(name) and 0 < length < VOTER_COUNT
+
+    def all_can_resign(self) -> bool:
+        """Returns whether every instance registered with a build that can."""
+        return all(member.can_resign for member in self.members.values())
 
     def apply(self, row: StoredRow) -> None:
         """Applies a row if it is newer than the known one."""
@@ -220,6 +241,8 @@
                 self.duty = duty
             case Founding() as founding:
                 self.founding = founding
+            case Seats() as seats:
+                self.seats = seats
             case _:
                 # Removed, unreadable, or of a kind that is read elsewhere.
                 return
@@ -240,6 +263,10 @@
     ) -> Committed | None:
         """Writes rows if none of them has changed in the store.
 
+        Rows of instances are not changed in the local copy before they are
+        read: whoever knows of such a change must know every promotion and every
+        change of the instances that was recorded before.
+
         Args:
             values: The rows to write, by key.
             unchanged: Keys of further rows that must not have changed. Several
@@ -263,6 +290,8 @@
         )
         if committed is not None:
             for put in puts:
+                if put.key.startswith(MEMBER_PREFIX):
+                    continue
                 self.apply(StoredRow(put.key, put.value, committed.version))
         return committed
 
@@ -277,6 +306,81 @@
             conditions=[self.unchanged_condition(key)], removals=[(TABLE, key)]
         )
 
+    async def announce_stop(self, name: str) -> bool:
+        """Marks an instance as stopping.
+
+        A process that starts under its name clears the mark, so that a
+        resignation that is still under way changes nothing.
+
+        Returns:
+            Whether it was marked; its row may have changed in the store.
+
+        Raises:
+            StoreError: The store did not answer or refused the call.
+        """
+        return await self._put_member(name, stops=True)
+
+    async def resign(self, name: str) -> bool:
+        """Gives up the place of an instance that is marked as stopping.
+
+        Returns:
+            Whether it was marked and the row has not changed in the store.
+
+        Raises:
+            StoreError: The store did not answer or refused the call.
+        """
+        member = self.members.get(name)
+        if member is None or not member.stops:
+            return False
+        return await self._put_member(name, resigned=True)
+
+    async def take_seat(self, name: str, now: float) -> bool:
+        """Puts an instance at the end of the line of voters.
+
+        Args:
+            name: The name of the instance.
+            now: The current time in seconds on the store's clock.
+
+        Returns:
+            Whether it was done; another instance may have done so first.
+
+        Raises:
+            StoreError: The store did not answer or refused the call.
+        """
+        places = [
+            self.members[other].seated or self.members[other].since
+            for other in line_of_voters(self.members)
+        ]
+        if self.seats is not None:
+            places.append(self.seats.newest)
+        # Places that exceed all others never displace a voter.
+        place = max(now, math.nextafter(max(places, default=0.0), math.inf))
+        return await self._put_member(
+            name,
+            others={SEATS_KEY: Seats(newest=place)},
+            resigned=False,
+            seated=place,
+        )
+
+    async def _put_member(
+        self,
+        name: str,
+        *,
+        others: Mapping[str, RowValue] | None = None,
+        **changes: bool | float,
+    ) -> bool:
+        """Changes an instance's row if it has not changed in the store.
+
+        Raises:
+            StoreError: The store did not answer or refused the call.
+        """
+        member = self.members.get(name)
+        if member is None:
+            return False
+        changed = msgspec.structs.replace(member, **changes)
+        values = {MEMBER_PREFIX + name: changed, **(others or {})}
+        return await self.write(values) is not None
+
     async def _transact(
         self,
         *,
@@ -454,6 +558,9 @@
             missing[era_key(self.era)] = Era(at=now)
         key = MEMBER_PREFIX + settings.instance
         known = self.members.get(settings.instance)
+        is_founder = self.founding is None or (
+            now - self.founding.at < FOUNDING_WINDOW_SECONDS
+        )
         if known is None or known.address != settings.peer_address:
             missing[key] = Member(
                 host=settings.host,
@@ -461,11 +568,25 @@
                 failure_domain=settings.failure_domain,
                 since=now,
                 capacity=settings.capacity,
+                resigned=not is_founder and self.all_can_resign(),
+                can_resign=True,
             )
-        elif known.capacity != settings.capacity:
-            missing[key] = msgspec.structs.replace(
-                known, capacity=settings.capacity
+            if known is not None:
+                # A new address changes no majority.
+                missing[key] = msgspec.structs.replace(
+                    missing[key],
+                    seated=known.seated or known.since,
+                    resigned=known.resigned,
+                )
+        else:
+            current = msgspec.structs.replace(
+                known,
+                capacity=settings.capacity,
+                stops=False,
+                can_resign=True,
             )
+            if current != known:
+                missing[key] = current
         return missing
 
 
--- a/src/lagoonstair/proxy/_registry_rows.py
+++ b/src/lagoonstair/proxy/_registry_rows.py
@@ -1,5 +1,6 @@
 """Rows of the registry, the system's own store table."""
 
+from collections.abc import Mapping
 from typing import Annotated
 
 import msgspec
@@ -16,6 +17,9 @@
 FOUNDING_KEY = "founding"
 """The key of the row written at the system's first start."""
 
+SEATS_KEY = "seats"
+"""The key of the row that each instance changes when it takes a seat."""
+
 DUTY_KEY = "duty"
 """The key of the row with the holder of the promotion duty."""
 
@@ -62,6 +66,11 @@
             processor.
         suspected: When it was last suspected to be gone, in seconds on the
             store's clock; 0 while it is not suspected.
+        seated: When it took its place in the line of voters, in seconds on the
+            store's clock; 0 if that was when it registered.
+        stops: Whether its process is stopping and may resign.
+        resigned: Whether it has no place in the line of voters.
+        can_resign: Whether its build knows resignations.
     """
 
     host: str
@@ -70,6 +79,10 @@
     since: float
     capacity: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     suspected: float = 0.0
+    seated: float = 0.0
+    stops: bool = False
+    resigned: bool = False
+    can_resign: bool = False
 
     def __post_init__(self) -> None:
         parse_host(self.host)
@@ -80,6 +93,17 @@
         return Address(self.host, self.port)
 
 
+class Seats(msgspec.Struct, frozen=True, kw_only=True):
+    """The row that each instance changes when it takes a seat.
+
+    Attributes:
+        newest: The place in the line of voters given out last, in seconds on
+            the store's clock.
+    """
+
+    newest: float
+
+
 class Era(msgspec.Struct, frozen=True, kw_only=True):
     """The row that says that the registry is complete in a store history.
 
@@ -96,11 +120,12 @@
     floor: int = 0
 
 
-RowValue = Founding | Member | GroupRecord | Duty | Era
+RowValue = Founding | Member | GroupRecord | Duty | Era | Seats
 
 SINGLE_ROWS: dict[str, type[RowValue]] = {
     FOUNDING_KEY: Founding,
     DUTY_KEY: Duty,
+    SEATS_KEY: Seats,
 }
 """The types of the rows of which there is one."""
 
@@ -112,6 +137,14 @@
 """The types of the other rows, by the prefix of their keys."""
 
 
+def line_of_voters(members: Mapping[str, Member]) -> list[str]:
+    """Returns the instances that vote or will, in the order of their places."""
+    return sorted(
+        (name for name, member in members.items() if not member.resigned),
+        key=lambda name: (members[name].seated or members[name].since, name),
+    )
+
+
 def era_key(era: int) -> str:
     """Returns the key of a history's row."""
     return f"{ERA_PREFIX}{era}"
--- a/tests/test_proxy_gossip.py
+++ b/tests/test_proxy_gossip.py
@@ -50,7 +50,10 @@
         for n in range(VOTERS)
     }
     registry = SimpleNamespace(
-        members=members, voters=lambda: tuple(members), version=0
+        members=members,
+        voters=lambda: tuple(members),
+        seeks_voters=lambda name: False,
+        version=0,
     )
     primacy = SimpleNamespace(
         has_majority=lambda now, within: False,
--- a/tests/test_proxy_reconcile.py
+++ b/tests/test_proxy_reconcile.py
@@ -2,12 +2,14 @@
 
 import itertools
 from functools import partial
+from types import SimpleNamespace
 
 import pytest
 import trio
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from msgspec.structs import replace
 
 from lagoonstair.platform.store import (
     Committed,
@@ -17,11 +19,16 @@
 )
 from lagoonstair.primacy import Duty, GroupRecord
 from lagoonstair.proxy._reconcile import RegistryRows, reconcile
-from lagoonstair.proxy._registry import Registry, UnreconciledError
+from lagoonstair.proxy._registry import (
+    VOTER_COUNT,
+    Registry,
+    UnreconciledError,
+)
 from lagoonstair.proxy._registry_rows import (
     Era,
     Founding,
     Member,
+    Seats,
     era_key,
     floor_of,
 )
@@ -178,12 +185,20 @@
         return committed
 
 
+class _Reading(_Store):
+    """A client that also reads the table, as an instance that starts does."""
+
+    async def read_table(self, name):
+        return self.server.table()
+
+
 async def _registry(store, rows=None):
     """Returns a registry that knows the table, after writing its rows."""
     registry = Registry(store)
     assert registry.load(store.table())
     if rows:
         assert await registry.write(rows)
+        assert registry.load(store.table())
     return registry
 
 
@@ -277,6 +292,7 @@
     names = [f"i{number}" for number in range(200)]
     for name in names:
         assert await registry.write({f"member/{name}": MEMBER})
+    assert registry.load(store.table())
     store.restore(copy)
     registry.load(store.table())
     assert await _reconcile(registry, store)
@@ -302,6 +318,95 @@
     assert receiver.changes_since(sender.era + 1, 0) == ()
 
 
+async def test_who_changes_an_instance_knows_it_once_it_is_read():
+    """A peer may have the newer version, but not what was written before."""
+    store = _Store()
+    writer = await _registry(store, {**COPY})
+    other = await _registry(store)
+    assert await other.write({"group/g": NEW})
+    version = writer.members_version
+    suspected = replace(MEMBER, suspected=3.0)
+    assert await writer.write({"member/i1": suspected})
+    assert writer.members_version == version
+    assert writer.load(store.table())
+    assert writer.members_version > version
+    assert writer.groups["g"] == NEW
+
+
+async def _resign(registry, store, name):
+    assert await registry.announce_stop(name)
+    assert registry.load(store.table())
+    assert await registry.resign(name)
+    assert registry.load(store.table())
+
+
+async def test_the_next_in_line_takes_a_resigned_seat():
+    store = _Store()
+    names = [f"i{number}" for number in range(VOTER_COUNT + 1)]
+    rows = {
+        f"member/{name}": replace(MEMBER, since=float(number), can_resign=True)
+        for number, name in enumerate(names)
+    }
+    registry = await _registry(store, rows)
+    version = registry.members_version
+    await _resign(registry, store, "i2")
+    assert registry.voters() == ("i0", "i1", *names[3:])
+    assert registry.members_version > version
+    # Its shares keep their age, and it goes to the end of the line.
+    assert await registry.take_seat("i2", 0.5)
+    assert registry.load(store.table())
+    assert registry.voters() == ("i0", "i1", *names[3:])
+    assert registry.members["i2"].since == 2.0
+    await _resign(registry, store, "i0")
+    assert registry.voters() == ("i1", *names[3:], "i2")
+
+
+async def test_of_two_seats_taken_at_once_one_counts():
+    store = _Store()
+    rows = {
+        **COPY,
+        "member/i2": replace(MEMBER, resigned=True),
+        "member/i3": replace(MEMBER, resigned=True),
+        "seats": Seats(newest=1.0),
+    }
+    first = await _registry(store, rows)
+    second = await _registry(store)
+    assert await first.take_seat("i2", 9.0)
+    assert not await second.take_seat("i3", 9.0)
+
+
+async def test_a_late_resignation_of_a_process_that_has_ended_is_refused():
+    store = _Store()
+    old = await _registry(store, {**COPY})
+    assert await old.announce_stop("i1")
+    assert old.load(store.table())
+    settings = SimpleNamespace(
+        instance="i1",
+        peer_address=MEMBER.address,
+        host=MEMBER.host,
+        peer_ports=(MEMBER.port, MEMBER.port),
+        failure_domain="a",
+        capacity=1.0,
+        first_start=True,
+    )
+    new = Registry(_Reading(store.server))
+    await new.register(settings)
+    assert not new.members["i1"].stops
+    assert not await old.resign("i1")
+    assert old.load(store.table())
+    assert old.voters() == ("i1",)
+
+
+async def test_a_resignation_is_put_back_after_a_restore():
+    store = _Store()
+    registry = await _registry(store, {**COPY, "member/i2": ADDED})
+    copy = store.copy()
+    await _resign(registry, store, "i1")
+    store.restore(copy)
+    assert await _reconcile(registry, store)
+    assert registry.voters() == ("i2",)
+
+
 class RegistryMachine(RuleBasedStateMachine):
     """Instances that promote while the store goes back to older copies.
 
