Suspect an instance only after seconds without an answer

Cause: the registry's upkeep counted missed rounds. At a start, and while a promotion runs, rounds follow each other in 50 ms, so three or eight of them were missed in well under a second. In the first 4 s of the large deployment 77 of 195 instances were suspected while they only started. Each suspicion and each denial is a row in the store, and makes every proof by gossip void until all voters know it, so that instances read the store instead. Change: an instance must also have been silent for 3.6 s, the time that eight regular rounds take.

--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -142,6 +142,7 @@
         self._tables = tables
         self._peers = peers
         self._missed_rounds: dict[str, int] = {}
+        self._silent_since: dict[str, float] = {}
         self._lacking_data: set[str] = set()
         self._wake = trio.Event()
         self._round_numbers = itertools.count()
@@ -175,6 +176,19 @@
         """Returns the consecutive rounds that an instance has not answered."""
         return self._missed_rounds.get(name, 0)
 
+    def silent_seconds(self, name: str) -> float:
+        """Returns for how long an instance has left rounds unanswered.
+
+        Args:
+            name: The name of the instance.
+
+        Returns:
+            The seconds since the first of its consecutive missed rounds; 0 if
+            it answered the last one.
+        """
+        now = trio.current_time()
+        return now - self._silent_since.get(name, now)
+
     async def reaches(self, name: str) -> bool:
         """Checks whether an instance answers a call now.
 
@@ -346,9 +360,11 @@
         if reply is None:
             missed = self._missed_rounds.get(name, 0) + 1
             self._missed_rounds[name] = missed
+            self._silent_since.setdefault(name, asked_at)
             if missed == LOST_ROUNDS:
                 log_event("instance lost", peer=name)
             return
+        self._silent_since.pop(name, None)
         if self._missed_rounds.pop(name, 0) >= LOST_ROUNDS:
             log_event("instance regained", peer=name)
         self.replies[name] = reply
--- a/src/lagoonstair/proxy/_reaper.py
+++ b/src/lagoonstair/proxy/_reaper.py
@@ -22,6 +22,11 @@
 """Consecutive missed rounds after which an instance that is not a voter is
 suspected; it is asked less often."""
 
+SILENT_SECONDS = SILENT_ROUNDS * ROUND_PERIOD_SECONDS
+"""Least time (s) without an answer after which an instance is suspected. While
+an instance starts or a promotion runs, rounds follow each other in 50 ms, so
+their number alone does not show that an instance has been silent for long."""
+
 REMOVE_SECONDS = MEMBERSHIP_FRESHNESS_SECONDS + 2.0
 """Time (s) for which an instance may deny a suspicion before it is removed. By
 then, a partitioned instance no longer spends its shares or uses primaries."""
@@ -145,7 +150,10 @@
         for other, member in [*self._registry.members.items()]:
             is_voter = other in self._fleet.primacy.voters
             limit = SILENT_ROUNDS if is_voter else SILENT_SWEEPS
-            is_silent = self._gossip.missed_rounds(other) >= limit
+            is_silent = (
+                self._gossip.missed_rounds(other) >= limit
+                and self._gossip.silent_seconds(other) >= SILENT_SECONDS
+            )
             if other == name or not is_silent:
                 continue
             if not member.suspected:
