Refuse a session at once when only lost homes don't refuse it

Cause: behind the candidates, the search for a home that reaches the primary also asked homes known to be lost, for 0.4 s each. And a search in which all candidates were skipped because of their refusals in the second before did not count as refused, so the caller was held while the search went round lost homes.

Change: homes lost lately are not asked behind the candidates, and skipped candidates count as refusing.

--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -158,8 +158,10 @@
         give_up_at = trio.current_time() + HOME_SEARCH_SECONDS
         while is_authorized():
             allowed = allowed_domains()
-            order = self._start_order(workspace, route, allowed)
-            is_refused = not order
+            candidates = self.candidates(workspace, allowed)
+            order = self._start_order(candidates, route, allowed)
+            # Candidates that are skipped have refused a moment ago.
+            is_refused = any(name not in order for name in candidates)
             for name in order:
                 if name == self._fleet.name:
                     if not unreached_group(self._fleet, route):
@@ -183,20 +185,24 @@
 
     def _start_order(
         self,
-        workspace: str,
+        candidates: Sequence[str],
         route: Route | None,
         allowed: frozenset[str] | None,
     ) -> Sequence[str]:
         """Returns the homes to ask for a session, in order."""
-        candidates = self.candidates(workspace, allowed)
         if route is None:
             return candidates
+        now = trio.current_time()
         return self._refusing.order(
-            trio.current_time(),
+            now,
             route.group,
             self._fleet.primacy.records.get(route.group),
             candidates=candidates,
-            homes=self._homes_in(allowed),
+            homes=(
+                name
+                for name in self._homes_in(allowed)
+                if self._skipped_until.get(name, now) <= now
+            ),
         )
 
     def _homes_in(self, allowed: frozenset[str] | None) -> frozenset[str]:
--- a/tests/test_proxy_primary_reach.py
+++ b/tests/test_proxy_primary_reach.py
@@ -12,7 +12,11 @@
 from lagoonstair.platform import operator
 from lagoonstair.proxy._front import CallerServer
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._relay import RelayedSession
+from lagoonstair.proxy._relay import (
+    OPEN_TIMEOUT_SECONDS,
+    HomeLostError,
+    RelayedSession,
+)
 from lagoonstair.proxy._relays import HomeRouter
 from lagoonstair.reachability import OUT_OF_REACH_MESSAGE
 from lagoonstair.regions import RegionMap
@@ -90,12 +94,15 @@
         self.host, self.port = host, port
 
 
-def _router(monkeypatch, refusing):
+def _router(monkeypatch, refusing, silent=()):
     """Returns a router with homes of which some refuse, and who was asked."""
     asked = []
 
     async def open_session(caller, address, start):
         asked.append((address.host, address.port))
+        if address.host in silent:
+            await trio.sleep(OPEN_TIMEOUT_SECONDS)
+            raise HomeLostError("timed out")
         refuses = address.host in refusing and address.port == 1
         return _Session(address.host, REFUSED if refuses else GREETING)
 
@@ -146,3 +153,27 @@
     assert name == session.home == "h1"
     assert asked[-1] == ("h1", 2)
     assert trio.current_time() == started_at
+
+
+# Guards against: a search of 1.2 s, and 0.4 s for a home known to be lost, if
+# the only homes that don't refuse a session can't be reached.
+@pytest.mark.parametrize(
+    ("consistency", "silent"),
+    [
+        (Consistency.PRIMARY, {"h3"}),
+        (Consistency.SESSION, {"h3"}),
+        (Consistency.PRIMARY, {"h2", "h3"}),
+    ],
+)
+async def test_lost_homes_do_not_hold_a_session_that_others_refuse(
+    monkeypatch, autojump_clock, consistency, silent
+):
+    router, _ = _router(monkeypatch, {"h1", "h2"}, silent)
+    await _start(router, consistency)
+    started_at = trio.current_time()
+    found = await _start(router, consistency)
+    if consistency is Consistency.PRIMARY:
+        assert isinstance(found, Failure)
+    else:
+        assert found[0] == "h1"
+    assert trio.current_time() == started_at
