Parse a forwarded statement once for the entry's throttling

Cause: the gate of a relayed session parsed each message when it was forwarded and again when it was answered, and the counts of the workspace were computed twice for each operation, although only a log line needs them the second time. Entries have half a core.

Change: the gate keeps the last message's result; the counts for the log line are computed when it is written.

--- a/src/lagoonstair/proxy/_throttle.py
+++ b/src/lagoonstair/proxy/_throttle.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from lagoonstair.platform import lines
 from lagoonstair.platform.tracking import parse_query
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._log import log_event
@@ -60,7 +61,6 @@
             The answer if it is refused, else ``None``.
         """
         now = trio.current_time()
-        counts = self._throttler.counts(now, workspace)
         hint = self._throttler.refuse(now, workspace, random.random())
         if hint is None:
             return None
@@ -68,6 +68,7 @@
         if stage == "statement":
             self._metrics.count("statements", outcome=ErrorCode.BUSY.value)
         if self._throttler.takes_log_line(now, workspace):
+            counts = self._throttler.counts(now, workspace)
             log_event(
                 "workspace throttled",
                 workspace=workspace,
@@ -109,11 +110,13 @@
         self._workspace = workspace
         self._database = database
         self._is_first = True
+        self._parsed: bytes | None = None
+        self._operation: lines.Query | None = None
 
     def refuse(self, message: bytes) -> Failure | None:
         """Returns the answer to a message that is not to be forwarded."""
-        query = parse_query(message)
-        if query is None or not isinstance(query.statement, OPERATION_STARTS):
+        query = self._parse_operation(message)
+        if query is None:
             return None
         if self._is_first:
             self._is_first = False
@@ -131,8 +134,22 @@
         """Counts the home's answer to a message that starts an operation."""
         if state is not TransactionState.IDLE:
             return
-        query = parse_query(message)
-        if query is None or not isinstance(query.statement, OPERATION_STARTS):
+        if self._parse_operation(message) is None:
             return
         self._is_first = False
         self._throttle.record(self._workspace, error)
+
+    def _parse_operation(self, message: bytes) -> lines.Query | None:
+        """Returns the statement if it starts an operation in an idle session.
+
+        The last result is kept, because a message is looked at both when it
+        is forwarded and when it is answered.
+        """
+        if message is not self._parsed:
+            query = parse_query(message)
+            is_start = query is not None and isinstance(
+                query.statement, OPERATION_STARTS
+            )
+            self._parsed = message
+            self._operation = query if is_start else None
+        return self._operation
--- a/tests/test_proxy_throttle.py
+++ b/tests/test_proxy_throttle.py
@@ -7,6 +7,8 @@
 
 from lagoonstair.features import Features
 from lagoonstair.limits import Limiter, LimitSettings, Refuse, WorkspaceLimit
+from lagoonstair.platform.tracking import parse_query
+from lagoonstair.proxy import _throttle as _throttle_module
 from lagoonstair.proxy._entry import EntrySessions
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._metrics import Metrics
@@ -28,9 +30,13 @@
 DONE = b"COMPLETE s\r\n" + GREETING
 
 
+def _idle_throttle():
+    return EntryThrottle(Fleet("i1", "a", Metrics()), Metrics())
+
+
 def _throttle():
     """Returns a throttle that refuses nearly every operation."""
-    throttle = EntryThrottle(Fleet("i1", "a", Metrics()), Metrics())
+    throttle = _idle_throttle()
     for _ in range(100_000):
         throttle.record("w", OVER_RATE.decode().rstrip())
     return throttle
@@ -96,6 +102,26 @@
             ends.session.cancel()
 
 
+# Guards against: processor time of the entry spent twice on each statement.
+async def test_a_forwarded_statement_is_parsed_once(monkeypatch):
+    parsed = []
+
+    def parse(message):
+        parsed.append(message)
+        return parse_query(message)
+
+    monkeypatch.setattr(_throttle_module, "parse_query", parse)
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends = await _throttled(nursery, _idle_throttle())
+            assert parsed == [b"QUERY q1 READ a"]
+            await ends.ask(b"QUERY q2 READ a\r\n")
+            await ends.home.send_all(DONE)
+            assert await _receive(ends.caller, len(DONE)) == DONE
+            assert parsed == [b"QUERY q1 READ a", b"QUERY q2 READ a"]
+            ends.session.cancel()
+
+
 # Guards against: a drain that waits for a session whose operations are all
 # refused here, or that cuts off such a refusal.
 async def test_a_draining_session_ends_behind_a_refusal():
