Answer a statement that was read while its relayed session ended

Cause: an operation that the entry refuses is dropped from the unanswered ones before its answer is sent. If the session had been cancelled just then, for example as idle on an isolated instance or because its home closed it, the send was cancelled, and the caller got the end of the connection in place of an answer.

Change: a session that has been cancelled refuses nothing; the statement stays unanswered and gets the failure that others get.

Result: the new test gets the ABORTED failure; before, it got none.

--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -348,6 +348,9 @@
             and (first := self._tracker.first) is not None
             and (failure := self._gate.refuse(first)) is not None
         ):
+            # If the session has ended meanwhile, the message is still
+            # unanswered, and run() answers it.
+            await trio.lowlevel.checkpoint_if_cancelled()
             self._answering = first
             self._is_sending = True
             # Dropped before the answer, so that data of the home counts as
--- a/tests/test_proxy_throttle.py
+++ b/tests/test_proxy_throttle.py
@@ -13,6 +13,7 @@
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._throttle import EntryThrottle
+from lagoonstair.statements import ErrorCode, Failure
 from lagoonstair.throttling._throttle import WINDOW_SECONDS
 from proxy_fleet import proxy_fleet
 from test_proxy_path import (
@@ -135,6 +136,31 @@
     assert ends.failure is None
 
 
+# Guards against: a statement without any answer because its session was ended,
+# for example as idle, when the statement had just been read.
+async def test_a_statement_read_while_its_session_ends_is_answered():
+    class _Gate:
+        def __init__(self, session):
+            self.session = session
+
+        def refuse(self, message):
+            self.session.cancel()
+            return Failure(ErrorCode.BUSY, "over its rate")
+
+        def record(self, message, state, error):
+            pass
+
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends = await _ends()
+            ends.session.set_gate(_Gate(ends.session))
+            await nursery.start(ends.run)
+            assert await _receive(ends.caller, len(GREETING)) == GREETING
+            await ends.caller.send_all(b"QUERY q1 READ a\r\n")
+            assert await ends.home.receive_some(100) == b""
+    assert ends.failure.code is ErrorCode.ABORTED
+
+
 def test_nothing_is_throttled_without_overload_control():
     for is_on in (False, True):
         features = Features(overload_control=is_on)
