Determine no homes for throttling where it is off

Cause: at each START the entry determined the candidate homes of the workspace before it checked whether it throttles at all.

Change: the check comes first.

Result: the test's entry without overload control asks for no candidates; before, it did.

--- a/src/lagoonstair/proxy/_entry.py
+++ b/src/lagoonstair/proxy/_entry.py
@@ -123,8 +123,10 @@
         self, workspace: str, database: str, allowed: frozenset[str] | None
     ) -> Failure | None:
         """Returns the refusal of a session of a throttled workspace."""
+        if self._throttle is None:
+            return None
         home = next(iter(self._router.candidates(workspace, allowed)), None)
-        if self._throttle is None or home == self._fleet.name:
+        if home == self._fleet.name:
             return None
         return self._throttle.refuse(workspace, database, stage="start")
 
--- a/tests/test_proxy_throttle.py
+++ b/tests/test_proxy_throttle.py
@@ -167,6 +167,9 @@
         fleet = Fleet("i1", "a", Metrics(), features)
         entry = EntrySessions(fleet, Metrics(), None)
         assert (entry._throttle is not None) is is_on
+        if not is_on:
+            # Without a router: no homes are determined for it either.
+            assert entry._throttle_refusal("w", "d", None) is None
 
 
 # Guards against: a wait for a token of a holder that has just reported that it
