Give an operation that no queue can serve a hint above zero

Cause: the hint is the expected wait beyond the timeout. Below 1 ms it was sent as retry_after_ms=0, so the caller returned at once to a queue that was as long as before.

Change: the hint is at least 5 ms before its random factor, as for entries that a queue rejects.

Result: the test with 0.1 ms of excess gets 5 ms or more; before, 0.

--- a/src/lagoonstair/proxy/_admission.py
+++ b/src/lagoonstair/proxy/_admission.py
@@ -46,6 +46,11 @@
 LOG_INTERVAL_SECONDS = 1.0
 """Least time, in seconds, between two log lines of an endpoint's limit."""
 
+MIN_RETRY_SECONDS = 0.005
+"""Least retry hint, in seconds, to an operation that no queue can serve: the
+hold time that a queue assumes at first. A hint of 0 would make the caller
+return without a pause."""
+
 
 def work_of(route: Route, began: float, *, in_transaction: bool) -> Work:
     """Returns the urgency of a statement.
@@ -301,6 +306,6 @@
     refusal = LagoonstairError(
         ErrorKind.OVERLOADED,
         REJECTION_MESSAGES[ErrorKind.OVERLOADED],
-        retry_after=excess * (1 + random.random()),
+        retry_after=max(excess, MIN_RETRY_SECONDS) * (1 + random.random()),
     )
     return refusal_failure(refusal)
--- a/tests/test_proxy_admission.py
+++ b/tests/test_proxy_admission.py
@@ -126,6 +126,16 @@
         assert 'queue_rejections_total{priority="2"} 1' in metrics.render()
 
 
+async def test_the_least_excess_has_a_hint_above_zero(monkeypatch):
+    """A caller with a hint of 0 returns at once, while the queue is as long."""
+    async with _controlled() as (fleet, _, metrics):
+        monkeypatch.setattr(
+            fleet.pools["d1"].admission, "excess_wait", lambda *args: 0.0001
+        )
+        refused = refuse_unservable(fleet, metrics, ROUTE, "w")
+        assert int(refused.message.partition("retry_after_ms=")[2]) >= 5
+
+
 async def test_an_operation_that_no_queue_can_serve_costs_no_token():
     """A rejected operation once used up the rate of its workspace."""
     async with (
