--- a/tests/test_proxy_throttle.py
+++ b/tests/test_proxy_throttle.py
@@ -7,10 +7,13 @@
 
 from lagoonstair.features import Features
 from lagoonstair.limits import Limiter, LimitSettings, Refuse, WorkspaceLimit
+from lagoonstair.platform.tracking import parse_query
+from lagoonstair.proxy import _throttle as _throttle_module
 from lagoonstair.proxy._entry import EntrySessions
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._throttle import EntryThrottle
+from lagoonstair.statements import ErrorCode, Failure
 from lagoonstair.throttling._throttle import WINDOW_SECONDS
 from proxy_fleet import proxy_fleet
 from test_proxy_path import (
@@ -28,9 +31,13 @@
 DONE = b"COMPLETE s\r\n" + GREETING
 
 
+def _idle_throttle():
+    return EntryThrottle(Fleet("i1", "a", Metrics()), Metrics())
+
+
 def _throttle():
     """Returns a throttle that refuses nearly every operation."""
-    throttle = EntryThrottle(Fleet("i1", "a", Metrics()), Metrics())
+    throttle = _idle_throttle()
     for _ in range(100_000):
         throttle.record("w", OVER_RATE.decode().rstrip())
     return throttle
@@ -96,6 +103,26 @@
             ends.session.cancel()
 
 
+# Guards against: processor time of the entry spent twice on each statement.
+async def test_a_forwarded_statement_is_parsed_once(monkeypatch):
+    parsed = []
+
+    def parse(message):
+        parsed.append(message)
+        return parse_query(message)
+
+    monkeypatch.setattr(_throttle_module, "parse_query", parse)
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends = await _throttled(nursery, _idle_throttle())
+            assert parsed == [b"QUERY q1 READ a"]
+            await ends.ask(b"QUERY q2 READ a\r\n")
+            await ends.home.send_all(DONE)
+            assert await _receive(ends.caller, len(DONE)) == DONE
+            assert parsed == [b"QUERY q1 READ a", b"QUERY q2 READ a"]
+            ends.session.cancel()
+
+
 # Guards against: a drain that waits for a session whose operations are all
 # refused here, or that cuts off such a refusal.
 async def test_a_draining_session_ends_behind_a_refusal():
@@ -109,12 +136,40 @@
     assert ends.failure is None
 
 
+# Guards against: a statement without any answer because its session was ended,
+# for example as idle, when the statement had just been read.
+async def test_a_statement_read_while_its_session_ends_is_answered():
+    class _Gate:
+        def __init__(self, session):
+            self.session = session
+
+        def refuse(self, message):
+            self.session.cancel()
+            return Failure(ErrorCode.BUSY, "over its rate")
+
+        def record(self, message, state, error):
+            pass
+
+    with trio.fail_after(TIMEOUT_SECONDS):
+        async with trio.open_nursery() as nursery:
+            ends = await _ends()
+            ends.session.set_gate(_Gate(ends.session))
+            await nursery.start(ends.run)
+            assert await _receive(ends.caller, len(GREETING)) == GREETING
+            await ends.caller.send_all(b"QUERY q1 READ a\r\n")
+            assert await ends.home.receive_some(100) == b""
+    assert ends.failure.code is ErrorCode.ABORTED
+
+
 def test_nothing_is_throttled_without_overload_control():
     for is_on in (False, True):
         features = Features(overload_control=is_on)
         fleet = Fleet("i1", "a", Metrics(), features)
         entry = EntrySessions(fleet, Metrics(), None)
         assert (entry._throttle is not None) is is_on
+        if not is_on:
+            # Without a router: no homes are determined for it either.
+            assert entry._throttle_refusal("w", "d", None) is None
 
 
 # Guards against: a wait for a token of a holder that has just reported that it
