Avoid a home only briefly after it broke off a session, where homes move them

Cause, found by the review: a home without its primary closes idle sessions, and one on which a statement is just arriving looks like a lost home to the entry, which then avoided that home for 2 s for all groups and workspaces. The closing also went on after the primary was in reach again. Change: with overload control or several regions such a home is skipped for 0.25 s; one that is really gone refuses or does not answer the next session. Each session is closed only if its primary is still out of reach. Measured: both new tests fail on the code before; test_proxy_relay and test_proxy_primary_reach pass.

--- a/src/lagoonstair/proxy/_primary_reach.py
+++ b/src/lagoonstair/proxy/_primary_reach.py
@@ -114,12 +114,16 @@
                 yield connection
 
     def _close_part(self) -> None:
-        """Closes the next part of the sessions, if they are idle."""
+        """Closes the next part of the sessions, if they are idle.
+
+        Those whose primary is in reach again, or is being replaced, stay.
+        """
         part = self._closing[: self._part]
         del self._closing[: self._part]
         for connection in part:
             if (
-                connection.wait_scope is not None
+                unreached_group(self._fleet, self._route(connection.database))
+                and connection.wait_scope is not None
                 and connection.is_idle
                 and not is_readable(connection.stream)
             ):
--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -338,7 +338,7 @@
             del self._sessions[session]
         self._log_bad_answer(session, name, database)
         if failure is not None and not session.is_cut:
-            self.mark_lost(name, failure.code.value)
+            self.mark_lost(name, failure.code.value, self._break_seconds())
         return failure
 
     def _log_bad_answer(
@@ -407,6 +407,17 @@
         self._skipped_until[name] = now + seconds
         self._metrics.count("homes_lost")
 
+    def _break_seconds(self) -> float:
+        """Returns for how long a home is skipped that broke off a session.
+
+        Homes that can't reach a primary close idle sessions, sometimes just
+        when a statement arrives. One that has really gone refuses or does not
+        answer the next session.
+        """
+        if self._fleet.features.sheds_unreachable:
+            return REFUSED_HOME_SKIP_SECONDS
+        return LOST_HOME_SKIP_SECONDS
+
     async def _check_home(self, name: str) -> None:
         """Ends the sessions at a home if it does not answer a call either."""
         try:
--- a/tests/test_proxy_primary_reach.py
+++ b/tests/test_proxy_primary_reach.py
@@ -81,6 +81,22 @@
         assert server.sessions == len([clients[2], busy, *clients[3:], bounded])
 
 
+# Guards against: sessions that are closed although they can be served again.
+async def test_sessions_stay_once_the_primary_is_in_reach_again():
+    async with _home() as (server, fleet, connect):
+        clients = [
+            (await connect(server.serve_relayed, "p"))[0] for _ in range(2)
+        ]
+        pool = fleet.pools["d1"]
+        pool.unreachable_since = trio.current_time() - 0.6
+        server.primary_reach.check()
+        pool.record_reachable()
+        for _ in range(10):
+            server.primary_reach._close_part()
+        await trio.testing.wait_all_tasks_blocked(0.01)
+        assert server.sessions == len(clients)
+
+
 async def test_without_shedding_a_home_turns_nobody_away():
     async with _home(Features()) as (server, fleet, connect):
         fleet.pools["d1"].unreachable_since = trio.current_time() - 0.6
--- a/tests/test_proxy_relay.py
+++ b/tests/test_proxy_relay.py
@@ -5,12 +5,14 @@
 import trio.testing
 from loguru import logger
 
+from lagoonstair.features import Features
 from lagoonstair.platform import lines
 from lagoonstair.platform.lines import MAX_LINE_BYTES
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._relay import READ_BYTES, HomeLostError, RelayedSession
 from lagoonstair.proxy._relays import (
     HOME_SEARCH_PAUSE_SECONDS,
+    LOST_HOME_SKIP_SECONDS,
     REFUSED_HOME_SKIP_SECONDS,
     HomeRouter,
 )
@@ -190,6 +192,7 @@
 class _Fleet:
     name = "entry"
     config = None
+    features = Features()
 
     def __init__(self, candidates):
         self.homes = _Homes(candidates)
@@ -551,7 +554,7 @@
     assert "homes_lost_total 1" in metrics
 
 
-async def _relay(asked, answer, received, *, closes=False):
+async def _relay(asked, answer, received, *, closes=False, features=None):
     """Relays a session whose home sends invalid data, or closes behind it.
 
     Returns:
@@ -560,7 +563,9 @@
     """
     ends = await _ends()
     metrics = Metrics()
-    router = HomeRouter(_Fleet(["h1"]), metrics, lambda name: None, None)
+    fleet = _Fleet(["h1", "h2"])
+    fleet.features = features or fleet.features
+    router = HomeRouter(fleet, metrics, lambda name: None, None)
     events = []
     sink = logger.add(
         lambda message: events.append(
@@ -591,6 +596,28 @@
     return failure, metrics.render(), events
 
 
+# Guards against: a home that is avoided for seconds by everyone, because it
+# closed an idle session just when a statement arrived.
+@pytest.mark.parametrize(
+    ("features", "seconds"),
+    [
+        (Features(), LOST_HOME_SKIP_SECONDS),
+        (Features(overload_control=True), REFUSED_HOME_SKIP_SECONDS),
+    ],
+)
+async def test_a_home_that_breaks_off_is_skipped(
+    monkeypatch, features, seconds
+):
+    skipped = []
+    monkeypatch.setattr(
+        HomeRouter,
+        "mark_lost",
+        lambda self, name, cause, seconds: skipped.append((name, seconds)),
+    )
+    await _relay(READ, b"", b"", closes=True, features=features)
+    assert skipped == [("h1", seconds)]
+
+
 WRITE = b"QUERY q1 WRITE 1a4 x\r\n"
 READ = b"QUERY q1 READ 1a4\r\n"
 READ_ANSWER = b"ROW a\r\nCOMPLETE s\r\n" + GREETING
