Examine a cold endpoint again after the wait for tokens

Cause: a statement examined its endpoint before it waited for the tokens of a cold endpoint, and again only after the session's values were sent. A primary whose domain reached its hard stop, or that was replaced, during the wait still got the statements that set values and prepare. Change: the endpoint is examined again between the wait and the first statement. Measured: the new test fails on the code before (the values are sent) and passes; tests/test_proxy_cold.py passes.

--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -10,7 +10,7 @@
 from lagoonstair.platform import lines
 from lagoonstair.proxy._admission import is_rejection, work_of
 from lagoonstair.proxy._cold_gate import is_cold_refusal
-from lagoonstair.proxy._link import LinkError, LinkUse
+from lagoonstair.proxy._link import Link, LinkError, LinkUse
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._pool import NoLinkError
@@ -205,13 +205,10 @@
                     async with pool.statement_slot(
                         caller.workspace, attempt_deadline, work
                     ):
-                        if not self._targets.may_use(caller, route, target):
+                        if not await self._may_send(
+                            caller, route, run, target, link
+                        ):
                             return DeliveryStatus.NOT_SENT, NOT_CURRENT_FAILURE
-                        if self._targets.is_cold(pool):
-                            setup = link.count_setup(
-                                caller.session.values, run.shape
-                            )
-                            await self._targets.admit_cold(target, 1 + setup)
                         prepared_name = await link.apply_session(
                             caller.session.values, run.shape
                         )
@@ -275,3 +272,22 @@
                 cause=failure.message,
             )
         return sent, failure
+
+    async def _may_send(
+        self, caller: Caller, route: Route, run: Run, target: Target, link: Link
+    ) -> bool:
+        """Takes a cold endpoint's tokens; returns whether it is still usable.
+
+        It is examined again after the wait for tokens, because the session's
+        values are sent next.
+
+        Raises:
+            LagoonstairError: There are no tokens; nothing may be sent.
+        """
+        if not self._targets.may_use(caller, route, target):
+            return False
+        if not self._targets.is_cold(target.pool):
+            return True
+        setup = link.count_setup(caller.session.values, run.shape)
+        await self._targets.admit_cold(target, 1 + setup)
+        return self._targets.may_use(caller, route, target)
--- a/tests/test_proxy_cold.py
+++ b/tests/test_proxy_cold.py
@@ -8,12 +8,14 @@
 
 from lagoonstair._types import Address, Position
 from lagoonstair.cold import ColdReport
+from lagoonstair.evacuation import Evacuations, EvacuationSet
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.features import ColdLimits, Features
 from lagoonstair.proxy import _cold
 from lagoonstair.proxy._cold_gate import COLD_MESSAGE, ColdGate
 from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._link import Link
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._tables import Update
 from lagoonstair.proxy._targets import Caller, TargetSelector
@@ -128,6 +130,38 @@
         assert "q1" not in database.received_ids
 
 
+async def test_no_values_are_sent_to_a_domain_evacuated_during_the_wait():
+    """The wait for a token may last beyond the hard stop of the domain."""
+    async with one_endpoint() as (fleet, database):
+        domain = fleet.endpoints["d1"].failure_domain
+        evacuation = fleet.evacuation = Evacuations(1.0)
+        tokens = _Tokens(0)
+
+        async def admit(key):
+            now = trio.current_time()
+            evacuation.apply(
+                EvacuationSet(1, 1, (domain,)), now, current_at=now - 1
+            )
+
+        tokens.admit = admit
+        executor = Executor(_targets(fleet, tokens, "d1"), Metrics())
+        caller = _caller()
+        caller.session.values.update(zone="high")
+        sent = []
+        original = Link.apply_session
+
+        async def apply_session(link, values, shape):
+            sent.append(values)
+            return await original(link, values, shape)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Link, "apply_session", apply_session)
+            refused = await executor.run(caller, ROUTE, READ, "q1")
+        assert refused.code is ErrorCode.BUSY
+        assert not sent
+        assert "q1" not in database.received_ids
+
+
 async def test_a_rollback_without_a_token_closes_the_connection():
     async with one_endpoint() as (fleet, database):
         manager = TransactionManager(fleet, _targets(fleet, _Tokens(2), "d1"))
