Don't take a hard stop for a failure of the endpoint

Cause: a statement in flight in a transaction that is abandoned at the hard stop ends with a link error, which marked the primary as out of reach. No probe of an excluded endpoint refutes that. While it lasted, the former primary was not demoted, and its home closed sessions as if the primary were out of reach; once the domain returned, it counted as unreachable since the hard stop. Change: such a link error is not recorded past the hard stop. Measured: the new test fails on the code before and passes; tests/test_proxy_transactions.py and tests/test_evacuation_fleet.py pass.

--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -472,7 +472,10 @@
             try:
                 reply = await tx.link.run(request_id, text, expected)
             except LinkError as exc:
-                tx.pool.record_link_error(started_at, exc)
+                # One that is closed at the hard stop does not show that the
+                # endpoint is out of reach, and no probe would refute it.
+                if not self._is_stopped(tx):
+                    tx.pool.record_link_error(started_at, exc)
                 raise
             except trio.Cancelled:
                 if trio.current_time() >= deadline:
--- a/tests/test_proxy_transactions.py
+++ b/tests/test_proxy_transactions.py
@@ -5,6 +5,8 @@
 import trio.testing
 
 from lagoonstair._types import Position
+from lagoonstair.evacuation import EvacuationSet
+from lagoonstair.features import Features
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._targets import Caller, TargetSelector
 from lagoonstair.proxy._transactions import Transaction, TransactionManager
@@ -86,3 +88,33 @@
         assert refused.code is ErrorCode.ABORTED
         assert [name for name, _ in database.statements].count("2") == 0
         assert database.log == []
+
+
+async def test_the_hard_stop_does_not_show_an_endpoint_out_of_reach():
+    """No probe of an excluded endpoint would refute it until it returns."""
+    async with one_endpoint(Features(5.0)) as (fleet, database):
+        transactions = TransactionManager(
+            fleet, TargetSelector(fleet, Metrics())
+        )
+        caller = Caller(workspace="w", session=Session())
+        now = trio.current_time()
+        tx = Transaction(route=ROUTE, read_only=False, began=now)
+        write = Run(True, "WRITE a 1", autocommit=False)
+        done = await transactions.run(caller, tx, write, "q1")
+        assert isinstance(done, Success)
+        database.statement_seconds = 1.0
+        results = []
+
+        async def run():
+            results.append(await transactions.run(caller, tx, write, "q2"))
+
+        async with trio.open_nursery() as work:
+            work.start_soon(run)
+            await trio.sleep(0.1)
+            now = trio.current_time()
+            fleet.evacuation.apply(
+                EvacuationSet(1, 1, ("a",)), now, current_at=now - 5.0
+            )
+            assert transactions.abandon_stopped() == 1
+        assert results[0].code is ErrorCode.ABORTED
+        assert fleet.pools["d1"].unreachable_since is None
