Pause promotions that evacuations leave without a candidate

Cause: a promotion in progress when the last domain with a candidate is evacuated counts as stalled. It was resumed without a pause for as long as the domains stayed evacuated; each attempt read the registry, wrote a step with a higher epoch and asked for urgent rounds of gossip. A failing primary without candidates made each voter read the registry in the same way. Change: while any domain is evacuated, no attempt starts without a candidate, unless a call that was made may still take effect. The event "promotion without candidates" is logged once for such a pause. The fake fleet of an older test has the evacuations as well, which the promoter now reads; its checks are unchanged. Measured: the new test fails on the code before and passes; tests/test_proxy_promoter.py and tests/test_evacuation_fleet.py pass.

--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -110,6 +110,7 @@
         self._surveyor = LogSurveyor(fleet, commands, metrics)
         self._scheduled: dict[str, tuple[Cause, float]] = {}
         self._running_groups: set[str] = set()
+        self._blocked_groups: set[str] = set()
         self._changed_at: dict[str, tuple[int, float]] = {}
         self._faulty_until: dict[str, float] = {}
         self._calls_in_flight = 0
@@ -171,7 +172,7 @@
 
     def _is_due(self, group: str) -> bool:
         cause = self._cause(group)
-        if cause is None:
+        if cause is None or not self._can_end(group, cause):
             self._scheduled.pop(group, None)
             return False
         now = trio.current_time()
@@ -183,6 +184,26 @@
             self._scheduled[group] = scheduled = (cause, due)
         return now >= scheduled[1]
 
+    def _can_end(self, group: str, cause: Cause) -> bool:
+        """Returns whether a promotion can end while domains are evacuated.
+
+        Without a candidate each attempt would only read and write the store.
+        A call that was made may still take effect.
+        """
+        record = self._fleet.primacy.records.get(group)
+        if (
+            record is None
+            or not self._fleet.evacuation.is_active
+            or self._unresolved(record)
+            or self._candidates(group, record, cause)
+        ):
+            self._blocked_groups.discard(group)
+            return True
+        if group not in self._blocked_groups:
+            self._blocked_groups.add(group)
+            log_event("promotion without candidates", group=group)
+        return False
+
     def _first_promoter(self, group: str) -> str:
         """Returns the instance that comes first to promote.
 
--- a/tests/test_proxy_promoter.py
+++ b/tests/test_proxy_promoter.py
@@ -5,11 +5,16 @@
 import pytest
 import trio
 
-from lagoonstair._types import Position
+from lagoonstair._types import Address, Position
+from lagoonstair.evacuation import Evacuations, EvacuationSet
+from lagoonstair.features import Features
 from lagoonstair.platform.duties import PromoteAnswer
 from lagoonstair.primacy import Cause, Duty, GroupRecord, PendingPromotion
+from lagoonstair.proxy import _promoter
+from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._promoter import Promoter
+from lagoonstair.routing import Endpoint
 
 WRITE_SECONDS = 0.01
 CALL_SECONDS = {"g": 0.3, "h": 0.05, "k": 0.1}
@@ -64,7 +69,7 @@
     registry = _Registry()
     registry.duty = Duty(holder="h", fence=5)
     promoter = Promoter(
-        SimpleNamespace(name="i1", primacy=primacy),
+        SimpleNamespace(name="i1", primacy=primacy, evacuation=Evacuations()),
         registry,
         None,
         None,
@@ -111,3 +116,49 @@
         nursery.start_soon(call, "k", _record("d2"), late_by * 1.5)
     assert duties.fences == sorted(duties.fences)
     assert duties.fences[-1] == 6
+
+
+@pytest.mark.parametrize(
+    ("domains", "pending", "is_due"),
+    [
+        ((), (), True),
+        (("a",), (), True),
+        (("a", "b"), (), False),
+        # The effect of a call must be recorded in any case.
+        (("a", "b"), ("d2",), True),
+    ],
+)
+async def test_a_stalled_promotion_waits_while_all_domains_are_evacuated(
+    domains, pending, is_due, autojump_clock, monkeypatch
+):
+    """Each attempt would write a step with a higher epoch, and then fail."""
+    logged = []
+    monkeypatch.setattr(
+        _promoter, "log_event", lambda event, **fields: logged.append(event)
+    )
+    fleet = Fleet("i1", "a", Metrics(), Features(5.0))
+    for name, domain in (("d1", "a"), ("d2", "b")):
+        fleet.set_endpoint(
+            Endpoint(
+                name=name,
+                group="g",
+                address=Address("10.0.0.1", 1),
+                failure_domain=domain,
+                slots=4,
+                leaving=False,
+                says_primary=False,
+                started=1,
+            )
+        )
+    fleet.set_record("g", _record(*pending))
+    now = trio.current_time()
+    fleet.evacuation.apply(EvacuationSet(1, 1, domains), now, current_at=now)
+    promoter = Promoter(
+        fleet, _Registry(), *[None] * 5, Metrics(), drain_seconds=7.0
+    )
+    promoter._cause = lambda group: Cause.STALLED
+    for _ in range(20):
+        found = promoter._is_due("g")
+        await trio.sleep(0.1)
+    assert found is is_due
+    assert logged == ["promotion without candidates"] * (not is_due)
