Send no session values in a transaction that may not be used

Cause: a transaction is open, and so ended at the hard stop, only once its BEGIN is answered. One whose BEGIN was answered past the hard stop, or that waited for tokens until then, still sent the statements that set values and prepare; only the caller's statement was held back. Change: the transaction is examined before these statements as well, with the same refusal. Measured: the new test fails on the code before (the values are sent) and passes; tests/test_proxy_transactions.py, test_proxy_cold.py and test_proxy_busy.py pass.

--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -165,6 +165,12 @@
                         Target(tx.pool, None, bool(tx.epoch)),
                         tx.link.count_setup(caller.session.values, run.shape),
                     )
+                # Its beginning or the wait for tokens may have lasted beyond
+                # the hard stop of the endpoint's domain.
+                if not self._is_usable(tx):
+                    raise LagoonstairError(
+                        ErrorKind.UNAVAILABLE, REPLACED_MESSAGE
+                    )
                 prepared_name = await tx.link.apply_session(
                     caller.session.values, run.shape
                 )
--- a/tests/test_proxy_transactions.py
+++ b/tests/test_proxy_transactions.py
@@ -7,6 +7,7 @@
 from lagoonstair._types import Position
 from lagoonstair.evacuation import EvacuationSet
 from lagoonstair.features import Features
+from lagoonstair.proxy._link import Link
 from lagoonstair.proxy._metrics import Metrics
 from lagoonstair.proxy._targets import Caller, TargetSelector
 from lagoonstair.proxy._transactions import Transaction, TransactionManager
@@ -118,3 +119,40 @@
             assert transactions.abandon_stopped() == 1
         assert results[0].code is ErrorCode.ABORTED
         assert fleet.pools["d1"].unreachable_since is None
+
+
+async def test_no_values_follow_a_begin_that_lasted_beyond_the_hard_stop(
+    monkeypatch,
+):
+    """The transaction is not open before the answer, so nothing ends it."""
+    begin, sent = Link.run_internal, []
+
+    async with one_endpoint(Features(5.0)) as (fleet, _):
+
+        async def run_internal(link, *args):
+            reply = await begin(link, *args)
+            now = trio.current_time()
+            fleet.evacuation.apply(
+                EvacuationSet(1, 1, ("a",)), now, current_at=now - 5.0
+            )
+            return reply
+
+        async def apply_session(link, values, shape):
+            sent.append(values)
+            return ""
+
+        monkeypatch.setattr(Link, "run_internal", run_internal)
+        monkeypatch.setattr(Link, "apply_session", apply_session)
+        transactions = TransactionManager(
+            fleet, TargetSelector(fleet, Metrics())
+        )
+        caller = Caller(workspace="w", session=Session())
+        caller.session.values.update(zone="high")
+        tx = Transaction(
+            route=ROUTE, read_only=False, began=trio.current_time()
+        )
+        write = Run(True, "WRITE a 1", autocommit=False)
+        refused = await transactions.run(caller, tx, write, "q1")
+        assert refused.code is ErrorCode.BUSY
+        assert not sent
+        assert not transactions._open
