--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -165,6 +165,12 @@
                         Target(tx.pool, None, bool(tx.epoch)),
                         tx.link.count_setup(caller.session.values, run.shape),
                     )
+                # Its beginning or the wait for tokens may have lasted beyond
+                # the hard stop of the endpoint's domain.
+                if not self._is_usable(tx):
+                    raise LagoonstairError(
+                        ErrorKind.UNAVAILABLE, REPLACED_MESSAGE
+                    )
                 prepared_name = await tx.link.apply_session(
                     caller.session.values, run.shape
                 )
@@ -472,7 +478,10 @@
             try:
                 reply = await tx.link.run(request_id, text, expected)
             except LinkError as exc:
-                tx.pool.record_link_error(started_at, exc)
+                # One that is closed at the hard stop does not show that the
+                # endpoint is out of reach, and no probe would refute it.
+                if not self._is_stopped(tx):
+                    tx.pool.record_link_error(started_at, exc)
                 raise
             except trio.Cancelled:
                 if trio.current_time() >= deadline:
