Bound the amounts of the rates of cold endpoints

Cause: cold_per_s is any finite number. Above 1e302 it has no finite number of micro-tokens, and the OverflowError ended the application of all rates, also those of the workspaces. Below 1e-6 it is 0 micro-tokens, and the estimate of the wait divided by it.

Change: cold_rate keeps the rate between one micro-token and 1e9 requests a second, and the burst at most at 1e9.

--- a/src/lagoonstair/cold/_rate.py
+++ b/src/lagoonstair/cold/_rate.py
@@ -8,6 +8,15 @@
 MIN_BURST = 1.0
 """Least burst, in requests: a bucket below one token admits nothing."""
 
+MIN_RATE = 1e-6
+"""Least rate, in requests a second: one micro-token, the unit of the limits. At
+a rate of 0, no time until a token could be told."""
+
+MAX_AMOUNT = 1e9
+"""Greatest rate and burst, in requests; more is no limit. Far larger amounts
+have no finite number of micro-tokens, and the rates of all workspaces are
+applied together with these."""
+
 
 class ColdRate(NamedTuple):
     """A rate and the burst on top of it.
@@ -35,8 +44,9 @@
     """
     if group.cold_rate <= 0:
         return None
-    bound = group.cold_rate * limits.excess + limits.slack
-    return ColdRate(group.cold_rate, max(MIN_BURST, bound - group.cold_rate))
+    rate = min(max(MIN_RATE, group.cold_rate), MAX_AMOUNT)
+    rest = rate * limits.excess + limits.slack - rate
+    return ColdRate(rate, min(max(MIN_BURST, rest), MAX_AMOUNT))
 
 
 def share_key(endpoint: Endpoint) -> str:
--- a/tests/test_cold_decisions.py
+++ b/tests/test_cold_decisions.py
@@ -1,5 +1,6 @@
 """Decisions about endpoints that have just started."""
 
+import dataclasses
 import math
 
 import msgspec
@@ -16,6 +17,7 @@
     share_key,
 )
 from lagoonstair.features import ColdLimits
+from lagoonstair.limits import Limiter, LimitSettings, WorkspaceLimit
 from lagoonstair.platform import discovery, operator
 from lagoonstair.routing import Endpoint, GroupConfig
 from proxy_fleet import config
@@ -74,6 +76,21 @@
     assert cold_rate(group, ColdLimits(excess, slack)) == expected
 
 
+# Guards against: an amount that ends the application of all workspaces' rates,
+# or a statement of which the wait can't be told.
+@pytest.mark.parametrize("rate", [1e-9, 1e303, 1.7e308])
+def test_extreme_amounts_can_be_applied_as_limits(rate):
+    group = dataclasses.replace(GROUP, cold_rate=rate)
+    found = cold_rate(group, ColdLimits(1.5, 5))
+    limit = WorkspaceLimit.from_config(
+        rate=found.rate, burst=found.burst, holders=("a", "b")
+    )
+    limiter = Limiter("a", "run", LimitSettings())
+    limiter.apply(1.0, 1, {"k": limit})
+    effects = limiter.request(1.0, "k", 1, fresh=True)
+    assert all(math.isfinite(e.retry_after) for e in effects)
+
+
 # Guards against: an entry that is lost because of its cold time.
 @pytest.mark.parametrize(
     ("raw", "left"),
