Check home regions again after waits

Cause: the home of a session is chosen, then opened, which takes a round trip or more. A configuration applied meanwhile could exclude the home; the check of open sessions runs only when a configuration is applied, so the session stayed there. A statement of an open transaction was checked before it waited for a slot, but not after.

--- a/src/lagoonstair/proxy/_relays.py
+++ b/src/lagoonstair/proxy/_relays.py
@@ -167,6 +167,13 @@
                     is_refused = True
                     continue
                 session = await self._open(name, caller, start)
+                if allowed_domains() != allowed:
+                    # A configuration that was applied meanwhile may exclude
+                    # this home and those that follow.
+                    if session is not None:
+                        session.close()
+                    is_refused = False
+                    break
                 if session is None:
                     continue
                 if route is None or not self._is_moved(name, session, route):
@@ -174,7 +181,7 @@
                 is_refused = True
             if route is not None and is_refused:
                 return await self._open_unmoved(
-                    workspace, caller, start, route, allowed
+                    workspace, caller, start, route, allowed_domains
                 )
             if trio.current_time() + HOME_SEARCH_PAUSE_SECONDS > give_up_at:
                 return None
@@ -232,7 +239,7 @@
         caller: trio.SocketStream,
         start: bytes,
         route: Route,
-        allowed: frozenset[str] | None,
+        allowed_domains: Callable[[], frozenset[str] | None],
     ) -> tuple[str, RelayedSession | None] | Failure:
         """Opens a session for which no home reaches the primary.
 
@@ -246,12 +253,17 @@
         )
         if route.consistency is Consistency.PRIMARY:
             return failure
+        allowed = allowed_domains()
         for name in self.candidates(workspace, allowed):
             if name == self._fleet.name:
                 return name, None
             session = await self._open(
                 name, caller, start, port_step=UNMOVED_PORT_STEP
             )
+            if allowed_domains() != allowed:
+                if session is not None:
+                    session.close()
+                return failure
             if session is not None:
                 return name, session
         return failure
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -464,6 +464,8 @@
             # The primary's proof may have expired during the waits.
             if not self._is_usable(tx):
                 raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED_MESSAGE)
+            if not self._targets.permits(caller, tx.route, tx.pool):
+                raise LagoonstairError(ErrorKind.UNAVAILABLE, ELSEWHERE_MESSAGE)
             started_at = trio.current_time()
             tx.is_committing = text == "COMMIT"
             expected = (
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -21,13 +21,17 @@
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._front import CallerServer
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._region_filter import ELSEWHERE_FAILURE
+from lagoonstair.proxy._region_filter import (
+    ELSEWHERE_FAILURE,
+    ELSEWHERE_MESSAGE,
+)
 from lagoonstair.proxy._relays import HomeRouter
 from lagoonstair.proxy._targets import Caller, Target, TargetSelector
+from lagoonstair.proxy._transactions import Transaction, TransactionManager
 from lagoonstair.regions import RegionMap, allowed_regions
 from lagoonstair.routing import Endpoint
-from lagoonstair.statements import Session
-from proxy_fleet import config
+from lagoonstair.statements import Run, Session, Success
+from proxy_fleet import ROUTE, config, one_endpoint
 
 REGIONS = {"e1": "east", "e2": "east", "w1": "west"}
 
@@ -238,3 +242,48 @@
     front._connections[1] = connection
     fleet.set_config(decoded(regions, version=2))
     assert calls == (["idle", "answered"] if ended else [])
+
+
+# Guards against: a session that stays at a home outside its home regions since
+# the configuration that excludes it was applied while it was being opened.
+async def test_a_home_that_is_excluded_while_it_answers_is_left(monkeypatch):
+    fleet = Fleet("i1", "e1", Metrics())
+    fleet.places = PLACES
+    fleet.homes = HomeAssignment(PLACES, max_connections=40, workspaces=999)
+    router = HomeRouter(fleet, Metrics(), lambda name: None, None)
+    allowed = frozenset({"e2"})
+    opened, closed = [], []
+
+    async def open_home(name, caller, start):
+        nonlocal allowed
+        opened.append(name)
+        allowed = frozenset({"w1"})
+        return SimpleNamespace(close=lambda: closed.append(name))
+
+    monkeypatch.setattr(router, "_open", open_home)
+    name, _ = await router.open_session(
+        "w1", None, b"", lambda: True, allowed_domains=lambda: allowed
+    )
+    assert opened[0] == "i2"
+    assert closed == ["i2"]
+    assert PLACES[name].failure_domain == "w1"
+
+
+# Guards against: a statement that waits for a slot while a configuration is
+# applied that excludes its transaction's endpoint.
+async def test_a_transaction_is_not_continued_elsewhere_after_a_wait():
+    async with one_endpoint() as (fleet, database):
+        targets = TargetSelector(fleet, Metrics())
+        manager = TransactionManager(fleet, targets)
+        caller = Caller(workspace="w", session=Session())
+        tx = Transaction(
+            route=ROUTE, read_only=False, began=trio.current_time()
+        )
+        write = Run(True, "WRITE a 1", autocommit=False)
+        done = await manager.run(caller, tx, write, "q1")
+        assert isinstance(done, Success)
+        answers = iter([True, False])
+        targets.permits = lambda *_: next(answers, False)
+        refused = await manager.run(caller, tx, write, "q2")
+        assert ELSEWHERE_MESSAGE in refused.message
+        assert "q2" not in database.received_ids
