Replace the kept entry of an endpoint that has become warm

Cause: entries that differ only in cold_left_ms are equal, and an equal entry replaced the kept one only while it was cold. The last cold entry was therefore given to instances that start later. They took the endpoint for a cold one for as long as that entry says, without a share of its rate, and refused what only it can run.

Change: a warm entry replaces a cold one that is kept.

--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -109,6 +109,9 @@
         self._unreadable_config = b""
         self._entries: dict[str, bytes] = {}
         self._unreadable: set[str] = set()
+        # The entries that say that their endpoint is cold. A warm one replaces
+        # such an entry although it is equal, since a new instance reads it.
+        self._cold_entries: set[str] = set()
         self._checksum = 0
         self._ages: dict[str, tuple[int, int]] = {}
         self._restored_at = float("-inf")
@@ -370,8 +373,16 @@
             # The copy's entry is older than the known one.
             return name in self._fleet.endpoints
         self._ages[name] = age
-        if self._fleet.endpoints.get(name) != endpoint or endpoint.cold_left:
+        if (
+            self._fleet.endpoints.get(name) != endpoint
+            or endpoint.cold_left
+            or name in self._cold_entries
+        ):
             self._entries[name] = value
+            if endpoint.cold_left:
+                self._cold_entries.add(name)
+            else:
+                self._cold_entries.discard(name)
         self._entries.setdefault(name, value)
         self._fleet.set_endpoint(endpoint)
         return True
@@ -385,6 +396,7 @@
             log_event("endpoint entry unreadable", endpoint=printable)
 
     def _update_checksum(self) -> None:
+        self._cold_entries &= self._entries.keys()
         fields = sorted(
             repr(_checksum_fields(self._fleet.endpoints[name]))
             for name in self._entries
--- a/tests/test_proxy_cold.py
+++ b/tests/test_proxy_cold.py
@@ -1,6 +1,7 @@
 """Statements to endpoints that have just started, with small fakes."""
 
 import dataclasses
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -10,18 +11,19 @@
 from lagoonstair.cold import ColdReport
 from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.features import ColdLimits, Features
+from lagoonstair.platform import discovery
 from lagoonstair.proxy import _cold
 from lagoonstair.proxy._cold_gate import COLD_MESSAGE, ColdGate
 from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._tables import Update
+from lagoonstair.proxy._tables import KnownVersions, Tables, Update
 from lagoonstair.proxy._targets import Caller, TargetSelector
 from lagoonstair.proxy._transactions import Transaction, TransactionManager
 from lagoonstair.routing import Consistency, Endpoint
 from lagoonstair.statements import ErrorCode, Run, Session, Success
 from proxy_fleet import ROUTE, one_endpoint
-from test_cold_decisions import GROUP, endpoint
+from test_cold_decisions import GROUP, endpoint, entry
 
 READ = Run(False, "READ a", autocommit=True)
 WRITE = Run(True, "WRITE a 1", autocommit=False)
@@ -271,3 +273,22 @@
     other.set_endpoint(endpoint(started=2))
     other.cold.apply_reports(other.endpoints, [ColdReport("d1", 1, 9, 5.0)])
     assert not other.cold.is_cold(endpoint(started=2))
+
+
+# Guards against: a new instance that reads the last cold entry of an endpoint
+# that is warm, and refuses its statements for as long as that entry says.
+async def test_a_new_instance_is_not_sent_the_entry_of_an_ended_cold_time():
+    tables = Tables(
+        Fleet("i1", "a", Metrics()),
+        SimpleNamespace(
+            version=0, era=0, changes_since=lambda era, version: ()
+        ),
+        Metrics(),
+    )
+    for number, left in enumerate((5000, 4000, 0, 0)):
+        value = entry(cold_left_ms=left, seq_no=number)
+        tables.apply_endpoint_change("d1", value)
+        sent = dict(tables.update_for(KnownVersions(0, 0, 0)).endpoints)
+        assert discovery.decode_endpoint("d1", sent["d1"]).cold_left == (
+            left / 1000
+        )
