Keep odd rates of a workspace from other workspaces' rates

Cause: rate_per_s and burst of a workspace are any finite numbers. Above 1e302 they have no finite number of micro-tokens, and the OverflowError ended the application of the rates of all workspaces. With a rate of 0, or below 1e-6, the estimate of a wait divided by zero, which ended the session with an internal error.

Change: the decoder uses at most 1e9 of each, and the estimate counts at least one micro-token a second.

--- a/src/lagoonstair/limits/_limiter.py
+++ b/src/lagoonstair/limits/_limiter.py
@@ -319,7 +319,8 @@
         have = self.available(now, workspace)
         have += sum(self._estimate_remaining(now, queue, limit).values())
         missing = tokens * MICROS_PER_TOKEN - have
-        return max(0, missing) / limit.rate
+        # A workspace's rate can be 0.
+        return max(0, missing) / max(1, limit.rate)
 
     def _can_arrive(
         self, now: float, workspace: str, limit: WorkspaceLimit, tokens: int
--- a/src/lagoonstair/platform/operator.py
+++ b/src/lagoonstair/platform/operator.py
@@ -40,6 +40,10 @@
 """The consistency of reads by the name that a route's configuration uses."""
 
 
+MAX_AMOUNT = 1e9
+"""Greatest rate and burst that is used; more is no limit. Far larger amounts
+have no finite number of millionths, in which all rates are computed."""
+
 UNREADABLE_REGION = ""
 """Stands for home regions that can't be read; no failure domain is in it."""
 
@@ -139,8 +143,8 @@
             workspaces={
                 row.name: Workspace(
                     name=row.name,
-                    rate=row.rate_per_s,
-                    burst=row.burst,
+                    rate=min(row.rate_per_s, MAX_AMOUNT),
+                    burst=min(row.burst, MAX_AMOUNT),
                     home_regions=_regions(row.home_regions, row.name, faults),
                 )
                 for row in tenants
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,10 +16,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
+from lagoonstair.homes import HomeAssignment, InstanceResources
+from lagoonstair.peers import HandlerRegistry
 from lagoonstair.platform import discovery, operator
 from lagoonstair.platform.store import _decode_row, _WireRow
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._metrics import Metrics
+from lagoonstair.proxy._quota import Quota, Tolerance
 from lagoonstair.proxy._tables import KnownVersions, Tables
 from proxy_fleet import ANSWER_SECONDS, config, proxy_fleet
 
@@ -265,6 +269,33 @@
     assert list(decoded.workspaces) == ["w2"]
 
 
+# Guards against: a workspace whose amounts end the application of the rates of
+# all workspaces, or the session of each operation that waits.
+@pytest.mark.parametrize("amount", [0, 1e-9, 1e303, 1.7e308])
+async def test_an_odd_rate_costs_no_other_workspace_its_own(amount):
+    cfg = config()
+    cfg["tenants"][0] |= {"rate_per_s": amount, "burst": amount}
+    decoded = operator.decode_config(msgspec.json.encode(cfg))
+    quota = Quota(
+        "i1",
+        None,
+        HandlerRegistry(),
+        lambda name: None,
+        lambda: True,
+        Tolerance(10.0, 0.1, 5.0),
+        SimpleNamespace(round_trip=lambda name: 0.0, note_ask=None),
+    )
+    homes = HomeAssignment(
+        {"i1": InstanceResources("a")}, max_connections=40, workspaces=2
+    )
+    quota.apply(decoded, homes, resumed=True)
+    await quota.admit("w2")
+    if amount < 1:
+        with pytest.raises(LagoonstairError) as caught:
+            await quota.admit("w1")
+        assert caught.value.kind is ErrorKind.RATE_LIMITED
+
+
 async def test_an_odd_configuration_leaves_the_one_before_in_force():
     """It does not count as known, so the age of the knowledge tells of it."""
     fleet = Fleet("i1", "a", Metrics())
