--- a/tests/test_primacy_proofs.py
+++ b/tests/test_primacy_proofs.py
@@ -222,6 +222,21 @@
 )
 
 
+def test_a_later_call_may_take_effect_after_an_earlier_one_is_recorded():
+    """Guards against a recorded primary that a pending promotion replaces.
+
+    The sequence was found by ``TestPromotion``, once in its runs so far.
+    """
+    machine = PromotionMachine()
+    machine.begin()
+    machine.call(reachable={"d2"}, is_called=True)
+    machine.take_effect(number=0)
+    machine.call(reachable={"d3"}, is_called=True)
+    machine.finish(reachable={"d2"})
+    machine.take_effect(number=0)
+    machine.the_usable_primary_leads()
+
+
 def _voter(reports):
     primacy = Primacy("i1")
     primacy.set_voters(VOTERS, 1)
