Let reads return to an endpoint that was last used under load

Cause: an evacuated endpoint keeps its last average latency. Change: at the return of a domain its endpoints are expected to be as fast as the fastest of the others of their group. Measured: the new test fails on the code before; test_evacuation passes.

--- a/src/lagoonstair/proxy/_evacuator.py
+++ b/src/lagoonstair/proxy/_evacuator.py
@@ -138,10 +138,28 @@
                 seconds=round(seconds, 3),
                 endpoints=self._count_endpoints(domain),
             )
+            self._expect_load(domain)
         self._metrics.set("evacuated_domains", len(evacuation.domains))
         self._close_excluded()
         self._fleet.notify()
 
+    def _expect_load(self, domain: str) -> None:
+        """Lets reads return to a domain whose endpoints were last busy.
+
+        They are expected to be as fast as the others of their groups.
+        """
+        pools = self._fleet.pools.values()
+        for pool in pools:
+            if pool.endpoint.failure_domain != domain:
+                continue
+            others = (
+                other.latency
+                for other in pools
+                if other.endpoint.group == pool.endpoint.group
+                and other.endpoint.failure_domain != domain
+            )
+            pool.expect_latency(min(others, default=pool.latency))
+
     def _end_stopped(self, transactions: OpenTransactions) -> None:
         """Ends the transactions that are open past the hard stop."""
         ended = transactions.abandon_stopped()
--- a/src/lagoonstair/proxy/_pool.py
+++ b/src/lagoonstair/proxy/_pool.py
@@ -171,6 +171,17 @@
         """Moving average of the duration of a statement, in seconds."""
         return self._latency
 
+    def expect_latency(self, seconds: float) -> None:
+        """Lowers the moving average of the latency to what is expected.
+
+        An endpoint that gets no statements keeps its last average, and is not
+        chosen again if that was measured under load.
+
+        Args:
+            seconds: The expected duration of a statement, in seconds.
+        """
+        self._latency = min(self._latency, seconds)
+
     async def open_link(self, workspace: str) -> Link:
         """Opens a connection that the pool does not keep.
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -316,6 +316,23 @@
     return reads.count(domain) / len(reads)
 
 
+async def test_an_endpoint_that_was_busy_gets_reads_again_after_its_return():
+    """Guards against: its last average, taken under load, keeps all reads off.
+
+    Nothing else would lower that average without a statement.
+    """
+    fleet = Fleet("i1", "a", Metrics(), Features(evacuation_bound=BOUND))
+    fleet.set_endpoint(_endpoint("d1", "a"))
+    fleet.set_endpoint(_endpoint("d2", "b"))
+    busy, idle = fleet.pools["d1"], fleet.pools["d2"]
+    busy._latency, idle._latency = 0.4, 0.003
+    evacuator = Evacuator(fleet, Metrics())
+    for version, domains in enumerate(((), ("a",), ()), start=1):
+        new = EvacuationSet(1, version, domains)
+        evacuator.apply(new, source="feed", current_at=0.0)
+    assert busy.latency == idle.latency == 0.003
+
+
 def test_load_pattern_all_traffic_of_a_domain_moves_within_the_bound():
     """Load: 74 instances read; each learns of the row at another time.
 
