Notice a recorded primary that does not lead

Cause: whether a primary is replaced depended on its reach, its entry, its shutdown and its failure domain, not on whether it leads. A leader of a newer term was looked for in stalled promotions only; an ordinary one called it, which changes nothing, and waited for a newer term for good.

Voters now compare the entries with the record and, where they disagree for two checks, ask those endpoints. A leader of a newer term, or a recorded primary that says for 0.8 s that it is a replica, is the new cause "superseded": the record is corrected after the usual release, and the platform is called only if nobody leads. Each promotion also records a leader of a newer term that it meets among its candidates. Entries alone replace nothing, and without a disagreement nothing is asked.

--- a/src/lagoonstair/cli/_explain.py
+++ b/src/lagoonstair/cli/_explain.py
@@ -32,6 +32,8 @@
     "promotion sent": "group",
     "promotion put off": "group",
     "promotion without candidates": "group",
+    "promoted endpoint may be replaced": "group",
+    "recorded primary does not lead": "group",
     "endpoint gone": "group",
     "endpoint limit lowered": "endpoint",
     "failure domain evacuated": "domain",
--- a/src/lagoonstair/primacy/__init__.py
+++ b/src/lagoonstair/primacy/__init__.py
@@ -1,5 +1,6 @@
 """Decides which endpoint is a group's primary and when it may be used."""
 
+from lagoonstair.primacy._audit import RecordAudit, suspected_endpoints
 from lagoonstair.primacy._cause import (
     Cause,
     PrimaryView,
@@ -9,6 +10,7 @@
 from lagoonstair.primacy._pending import (
     PromotionOutcome,
     choose_target,
+    confirmed_primary,
     promoted_endpoint,
     record_call,
     unrecorded_primary,
@@ -40,11 +42,14 @@
     "Primacy",
     "PrimaryView",
     "PromotionOutcome",
+    "RecordAudit",
     "choose_target",
+    "confirmed_primary",
     "promoted_endpoint",
     "promotion_cause",
     "promotion_delay",
     "record_call",
+    "suspected_endpoints",
     "unrecorded_primary",
     "unresolved_promotions",
     "withdraw_call",
--- a/src/lagoonstair/primacy/_cause.py
+++ b/src/lagoonstair/primacy/_cause.py
@@ -36,6 +36,8 @@
         LEAVING: The primary has announced its shutdown.
         EVACUATED: The primary's failure domain is evacuated, and an endpoint
             elsewhere can become primary.
+        SUPERSEDED: The recorded primary does not lead, by the endpoints' own
+            answers.
         STALLED: An earlier promotion of the group has not finished.
         UNKNOWN: The group has no record yet, and exactly one endpoint claims
             to be its primary.
@@ -45,6 +47,7 @@
     GONE = "gone"
     LEAVING = "leaving"
     EVACUATED = "evacuated"
+    SUPERSEDED = "superseded"
     STALLED = "stalled"
     UNKNOWN = "unknown"
 
--- a/src/lagoonstair/primacy/_pending.py
+++ b/src/lagoonstair/primacy/_pending.py
@@ -266,3 +266,22 @@
     if leader is None or terms[leader] <= record.term:
         return None
     return leader
+
+
+def confirmed_primary(
+    record: GroupRecord, terms: Mapping[str, int]
+) -> str | None:
+    """Returns the endpoint that leads, whether it is recorded or not.
+
+    Args:
+        record: The record of a group, without pending promotions.
+        terms: The term of each endpoint that regards itself as the primary.
+
+    Returns:
+        The name of the one with the newest term, or ``None`` if the newest is
+        older than the recorded one or its leader is unknown.
+    """
+    leader = unrecorded_primary(record, terms)
+    if leader is None and terms.get(record.primary, -1) >= record.term:
+        return record.primary
+    return leader
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -40,6 +40,7 @@
 from lagoonstair.proxy._reconciler import Reconciler
 from lagoonstair.proxy._registry import Registry
 from lagoonstair.proxy._relays import UNMOVED_PORT_STEP, HomeRouter
+from lagoonstair.proxy._role_checker import RoleChecker
 from lagoonstair.proxy._settings import (
     InstanceSettings,
     SettingsError,
@@ -201,6 +202,8 @@
             commands = EndpointCommands(self._fleet)
             prober = Prober(self._fleet, gossip, commands)
             nursery.start_soon(supervise, "prober", prober.run)
+            roles = RoleChecker(self._fleet, commands)
+            nursery.start_soon(supervise, "role checks", roles.run)
             if self._fleet.evacuation.is_enabled:
                 nursery.start_soon(
                     supervise,
--- a/src/lagoonstair/proxy/_fleet.py
+++ b/src/lagoonstair/proxy/_fleet.py
@@ -14,7 +14,12 @@
     HomeAssignment,
     InstanceResources,
 )
-from lagoonstair.primacy import GroupRecord, GroupReport, Primacy
+from lagoonstair.primacy import (
+    GroupRecord,
+    GroupReport,
+    Primacy,
+    RecordAudit,
+)
 from lagoonstair.proxy._admission import Admission, EndpointAdmission
 from lagoonstair.proxy._cold import ColdEndpoints
 from lagoonstair.proxy._departures import Departures, SynchronousReplicas
@@ -77,6 +82,7 @@
         features: The optional features that the settings call for.
         region_filter: Where the requests with home regions may run.
         cold: The endpoints that have just started.
+        audits: What the endpoints' answers say about the groups' records.
         evacuation: The evacuated failure domains.
         distances: The measured distances to the other regions.
         supervisor: Contains unexpected exceptions.
@@ -93,6 +99,7 @@
         self.features = features or Features()
         self.region_filter = RegionFilter(self.features.regions, metrics)
         self.cold = ColdEndpoints(self.features.cold_limits, metrics)
+        self.audits: dict[str, RecordAudit] = {}
         self.evacuation = Evacuations(self.features.evacuation_bound)
         self._changed = trio.Event()
         self._histories: dict[str, PositionHistory] = {}
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -27,7 +27,7 @@
 from lagoonstair.proxy._gossip import ALIVE_SECONDS, Gossip
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._orders import EndpointCommands
+from lagoonstair.proxy._orders import EndpointCommands, led_terms
 from lagoonstair.proxy._pool import EndpointPool
 from lagoonstair.proxy._promotion_effects import PromotionEffects
 from lagoonstair.proxy._registry import Registry, UnreconciledError
@@ -64,6 +64,10 @@
 """Time (s) for which transactions on a reachable primary may continue once its
 replacement has started. On an unreachable primary they are aborted at once."""
 
+REEXAMINING_CAUSES = (Cause.STALLED, Cause.SUPERSEDED)
+"""Causes that leave open which endpoint leads. The recorded primary may be the
+one, or be promoted again."""
+
 POLL_SECONDS = 0.04
 """Interval (s) between checks of which instances have released the primary."""
 
@@ -228,6 +232,9 @@
             return None
         if now - self._started_at < PROOF_SECONDS * CLOCK_MARGIN:
             return None
+        audit = self._fleet.audits.get(group)
+        if audit is not None and audit.is_contradicted(record):
+            return Cause.SUPERSEDED
         return promotion_cause(
             self._primary_view(group, record),
             max_wait=self._max_handover_wait,
@@ -338,7 +345,7 @@
         primacy = self._fleet.primacy
         record = primacy.records[group]
         candidates = self._candidates(group, record, cause)
-        if not candidates and cause is not Cause.STALLED:
+        if not candidates and cause not in REEXAMINING_CAUSES:
             log_event("promotion without candidates", group=group)
             await trio.sleep(CHECK_PERIOD_SECONDS * 5)
             return
@@ -424,7 +431,10 @@
             pool
             for pool in self._fleet.group_pools(group)
             if is_candidate(self._fleet, pool)
-            and (pool.endpoint.name != record.primary or cause is Cause.STALLED)
+            and (
+                pool.endpoint.name != record.primary
+                or cause in REEXAMINING_CAUSES
+            )
         ]
 
     async def _wait_released(self, group: str, epoch: int) -> bool:
@@ -487,12 +497,18 @@
             return
         pending = outcome.pending
         if (
-            cause is Cause.STALLED
+            cause in REEXAMINING_CAUSES
             and not pending
-            and await self._effects.find_unrecorded(group, record)
+            and await self._effects.find_unrecorded(group, record, cause)
+        ):
+            return
+        received, terms, led = await self._find_logs(group, record, cause)
+        if (
+            not pending
+            and record.term
+            and await self._effects.end_unrecorded(group, record, led)
         ):
             return
-        received, terms = await self._find_logs(group, record, cause)
         target = choose_target(
             received,
             previous=record.primary,
@@ -537,6 +553,7 @@
         return CompleteLogs(
             {name: status.received for name, status in statuses.items()},
             tuple(status.term for status in statuses.values()),
+            led_terms(statuses),
         )
 
     async def _call(
--- a/src/lagoonstair/proxy/_promotion_effects.py
+++ b/src/lagoonstair/proxy/_promotion_effects.py
@@ -4,9 +4,11 @@
 
 from lagoonstair.platform.store import StoreError
 from lagoonstair.primacy import (
+    Cause,
     GroupRecord,
     PendingPromotion,
     PromotionOutcome,
+    confirmed_primary,
     promoted_endpoint,
     unrecorded_primary,
     unresolved_promotions,
@@ -102,7 +104,9 @@
                 pending=[promotion.endpoint for promotion in outcome.pending],
             )
 
-    async def find_unrecorded(self, group: str, record: GroupRecord) -> bool:
+    async def find_unrecorded(
+        self, group: str, record: GroupRecord, cause: Cause
+    ) -> bool:
         """Records the primary that a promotion with a lost record has made.
 
         Returns:
@@ -110,7 +114,34 @@
         """
         names = [pool.endpoint.name for pool in self._fleet.group_pools(group)]
         terms = await self._commands.led_terms(names)
-        leader = unrecorded_primary(record, terms)
+        if cause is not Cause.SUPERSEDED:
+            return await self.end_unrecorded(group, record, terms)
+        # If the recorded primary leads after all, it stays.
+        leader = confirmed_primary(record, terms)
+        if leader is not None:
+            await self._end_promotion(group, record, leader, terms)
+        return leader is not None
+
+    async def end_unrecorded(
+        self, group: str, record: GroupRecord, terms: dict[str, int]
+    ) -> bool:
+        """Records the endpoint that leads a newer term than the recorded one.
+
+        Args:
+            group: The name of the group.
+            record: Its record, without pending promotions.
+            terms: The term of each endpoint that regards itself as the
+                primary.
+
+        Returns:
+            Whether there is one.
+        """
+        registered = {
+            name: term
+            for name, term in terms.items()
+            if name in self._fleet.endpoints
+        }
+        leader = unrecorded_primary(record, registered)
         if leader is None:
             return False
         log_event(
--- a/src/lagoonstair/proxy/_surveyor.py
+++ b/src/lagoonstair/proxy/_surveyor.py
@@ -10,7 +10,7 @@
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._orders import EndpointCommands
+from lagoonstair.proxy._orders import EndpointCommands, led_terms
 from lagoonstair.proxy._pool import EndpointPool
 
 SURVEY_SECONDS = 1.5
@@ -25,10 +25,12 @@
         received: The end of the received log, by name, of each endpoint that
             holds every acknowledged commit and may be promoted.
         terms: The newest term that each endpoint knows.
+        led_terms: The term of each endpoint that regards itself as primary.
     """
 
     received: dict[str, Position]
     terms: tuple[int, ...]
+    led_terms: dict[str, int]
 
 
 class LogSurveyor:
@@ -77,7 +79,9 @@
             self._report_incomplete(group, record, statuses)
         chosen = {name: complete[name] for name in complete.keys() & names}
         terms = tuple(status.term for status in statuses.values())
-        return CompleteLogs(chosen or self._registered(complete), terms)
+        return CompleteLogs(
+            chosen or self._registered(complete), terms, led_terms(statuses)
+        )
 
     def _witnesses(self, group: str) -> list[EndpointPool]:
         """Returns the endpoints to ask, also those that are not registered.
