Reset a promotion call that got no answer

A call that timed out closed its socket, and the system goes on sending what a cut link holds up: the call could arrive after a later one, with a lower fencing token, and take effect last.

Such a connection is now reset, which discards what is not delivered. The test sees the end of the connection as the platform does: it fails on the code before (an orderly end) and passes now (a reset).

--- a/src/lagoonstair/platform/duties.py
+++ b/src/lagoonstair/platform/duties.py
@@ -50,7 +50,9 @@
         """Asks the platform to make an endpoint the group's next primary.
 
         Each of these rare calls has a connection of its own: an idle one may
-        have broken unnoticed, and a call without an answer costs seconds.
+        have broken unnoticed, and a call without an answer costs seconds. If no
+        answer comes, the connection is reset, so that a call that is held up on
+        the way does not arrive after a later one.
 
         Args:
             group: The name of the group.
@@ -71,8 +73,10 @@
                     answer = await conn.call(
                         "POST", "/promotion", body, headers=headers
                     )
-                finally:
-                    conn.close()
+                except trio.Cancelled:
+                    conn.reset()
+                    raise
+                conn.close()
         except NotSentError:
             return PromoteAnswer.REFUSED
         except (HttpError, trio.TooSlowError):
--- a/src/lagoonstair/wire/_http_client.py
+++ b/src/lagoonstair/wire/_http_client.py
@@ -1,7 +1,10 @@
 """HTTP/1.1 client connection on trio."""
 
+import contextlib
 import os
 import select
+import socket
+import struct
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
@@ -167,6 +170,14 @@
         self._is_free = False
         self._stream.socket.close()
 
+    def reset(self) -> None:
+        """Closes the socket and discards what has not been delivered yet."""
+        linger = struct.pack("ii", 1, 0)
+        with contextlib.suppress(OSError):
+            # Fails if the socket has been closed already.
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close()
+
     async def _send(self, message: bytes) -> None:
         """Sends a request.
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -26,6 +26,7 @@
 from lagoonstair.standins.statements._store import StoreFault
 from lagoonstair.wire import ClientResponse
 from proxy_fleet import config
+from raw_servers import read_request, start_raw
 
 HOST = "127.0.0.1"
 ENTRY = {
@@ -137,6 +138,26 @@
     assert answer is PromoteAnswer.REFUSED
 
 
+async def test_a_promotion_call_without_an_answer_is_reset():
+    """Guards against a call that arrives after one with a higher token."""
+    was_reset = trio.Event()
+
+    async def script(stream):
+        await read_request(stream)
+        try:
+            await stream.receive_some()
+        except trio.BrokenResourceError:
+            was_reset.set()
+
+    async with trio.open_nursery() as nursery:
+        duties = Duties(await start_raw(nursery, script))
+        answer = await duties.promote("g", "d1", holder="i1", fence=7)
+        assert answer is PromoteAnswer.UNKNOWN
+        with trio.fail_after(5):
+            await was_reset.wait()
+        nursery.cancel_scope.cancel()
+
+
 def test_an_entry_is_decoded_into_an_endpoint():
     endpoint = discovery.decode_endpoint("i-7", msgspec.json.encode(ENTRY))
     assert endpoint.group == "g"
