Compare the entries with the records in one pass

A single pass now compares each endpoint's entry with the record of its group and keeps only what disagrees, of endpoints in reach that are not excluded.

--- a/src/lagoonstair/primacy/__init__.py
+++ b/src/lagoonstair/primacy/__init__.py
@@ -1,6 +1,6 @@
 """Decides which endpoint is a group's primary and when it may be used."""
 
-from lagoonstair.primacy._audit import RecordAudit, suspected_endpoints
+from lagoonstair.primacy._audit import RecordAudit, contradicts_record
 from lagoonstair.primacy._cause import (
     Cause,
     PrimaryView,
@@ -45,11 +45,11 @@
     "RecordAudit",
     "choose_target",
     "confirmed_primary",
+    "contradicts_record",
     "promoted_endpoint",
     "promotion_cause",
     "promotion_delay",
     "record_call",
-    "suspected_endpoints",
     "unrecorded_primary",
     "unresolved_promotions",
     "withdraw_call",
--- a/src/lagoonstair/primacy/_audit.py
+++ b/src/lagoonstair/primacy/_audit.py
@@ -9,8 +9,6 @@
 term than the recorded one, or, from the recorded primary, that it is a replica.
 """
 
-from collections.abc import Mapping
-
 from lagoonstair.primacy._record import GroupRecord
 
 REPLICA_SECONDS = 0.8
@@ -18,23 +16,17 @@
 exceeds the time between a promotion and its record."""
 
 
-def suspected_endpoints(
-    record: GroupRecord, says_primary: Mapping[str, bool]
-) -> tuple[str, ...]:
-    """Returns the endpoints whose entries contradict a record, sorted.
+def contradicts_record(
+    record: GroupRecord, name: str, *, says_primary: bool
+) -> bool:
+    """Returns whether an endpoint's entry contradicts its group's record.
 
     Args:
-        record: The record of a group.
-        says_primary: Whether each registered endpoint of the group regards
-            itself as the primary, by name.
+        record: The record of the endpoint's group.
+        name: The endpoint.
+        says_primary: Whether it regards itself as the primary, by its entry.
     """
-    return tuple(
-        sorted(
-            name
-            for name, claims in says_primary.items()
-            if claims is not (name == record.primary)
-        )
-    )
+    return says_primary is not (name == record.primary)
 
 
 class RecordAudit:
--- a/src/lagoonstair/proxy/_role_checker.py
+++ b/src/lagoonstair/proxy/_role_checker.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from lagoonstair.primacy import GroupRecord, RecordAudit, suspected_endpoints
+from lagoonstair.primacy import RecordAudit, contradicts_record
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._orders import EndpointCommands
@@ -39,12 +39,7 @@
         """Returns the endpoints to ask, by group."""
         now = trio.current_time()
         previous = self._suspects
-        claims = self._claims()
-        self._suspects = {
-            group: (record.epoch, names)
-            for group, record in self._settled_records().items()
-            if (names := suspected_endpoints(record, claims.get(group, {})))
-        }
+        self._suspects = self._find_suspects()
         return {
             group: suspects[1]
             for group, suspects in self._suspects.items()
@@ -52,23 +47,30 @@
             and now >= self._next_query.get(group, 0.0)
         }
 
-    def _settled_records(self) -> dict[str, GroupRecord]:
-        """Returns the records of the groups without an open promotion."""
-        primacy = self._fleet.primacy
-        return {
-            group: record
-            for group, record in primacy.records.items()
-            if not record.promoting and primacy.epoch(group) == record.epoch
-        }
+    def _find_suspects(self) -> dict[str, tuple[int, tuple[str, ...]]]:
+        """Returns the endpoints whose entries contradict a settled record.
 
-    def _claims(self) -> dict[str, dict[str, bool]]:
-        """Returns which endpoints in reach claim to be primary, by group."""
-        claims: dict[str, dict[str, bool]] = {}
+        Returns:
+            The record's epoch and the names, by group.
+        """
+        suspects: dict[str, tuple[int, tuple[str, ...]]] = {}
+        records = self._fleet.primacy.records
         for name, pool in self._fleet.pools.items():
-            if pool.unreachable_since is None:
-                of_group = claims.setdefault(pool.endpoint.group, {})
-                of_group[name] = pool.endpoint.says_primary
-        return claims
+            group = pool.endpoint.group
+            record = records.get(group)
+            if (
+                record is not None
+                and contradicts_record(
+                    record, name, says_primary=pool.endpoint.says_primary
+                )
+                and not record.promoting
+                and self._fleet.primacy.epoch(group) == record.epoch
+                and pool.unreachable_since is None
+                and not self._fleet.is_excluded(pool)
+            ):
+                _, names = suspects.get(group, (0, ()))
+                suspects[group] = (record.epoch, (*names, name))
+        return suspects
 
     async def _check_contained(
         self, group: str, names: tuple[str, ...]
--- a/tests/test_recorded_primary.py
+++ b/tests/test_recorded_primary.py
@@ -7,7 +7,7 @@
     GroupRecord,
     RecordAudit,
     confirmed_primary,
-    suspected_endpoints,
+    contradicts_record,
 )
 from lagoonstair.primacy._audit import REPLICA_SECONDS
 from proxy_fleet import proxy_fleet
@@ -84,17 +84,20 @@
 
 
 @pytest.mark.parametrize(
-    ("claims", "suspects"),
+    ("name", "says_primary", "is_contradicted"),
     [
-        ({"d1": True, "d2": False}, ()),
-        ({"d1": False, "d2": False}, ("d1",)),
-        ({"d1": True, "d2": True}, ("d2",)),
-        ({"d2": True}, ("d2",)),
+        ("d1", True, False),
+        ("d1", False, True),
+        ("d2", False, False),
+        ("d2", True, True),
     ],
 )
-def test_entries_that_contradict_the_record_are_suspected(claims, suspects):
-    """Guards against status queries where the entries agree."""
-    assert suspected_endpoints(RECORD, claims) == suspects
+def test_an_entry_contradicts_a_record_of_another_primary(
+    name, says_primary, is_contradicted
+):
+    """Guards against status queries where entry and record agree."""
+    found = contradicts_record(RECORD, name, says_primary=says_primary)
+    assert found is is_contradicted
 
 
 @pytest.mark.parametrize(
