Inject exceptions into the observed effects of promotions

The test now injects there, into the decision on the effects as well, and into the role checks among the tasks that must survive an exception.

--- a/tests/test_proxy_supervisor.py
+++ b/tests/test_proxy_supervisor.py
@@ -28,11 +28,13 @@
 from lagoonstair.proxy._pool import EndpointPool
 from lagoonstair.proxy._prober import Prober
 from lagoonstair.proxy._promoter import Promoter
+from lagoonstair.proxy._promotion_effects import PromotionEffects
 from lagoonstair.proxy._reaper import Reaper
 from lagoonstair.proxy._reconciler import Reconciler
 from lagoonstair.proxy._registry import Registry
 from lagoonstair.proxy._relay import RelayedSession
 from lagoonstair.proxy._relays import HomeRouter
+from lagoonstair.proxy._role_checker import RoleChecker
 from lagoonstair.proxy._settings import parse_settings
 from lagoonstair.proxy._supervisor import MAX_RESTART_SECONDS, Supervisor
 from lagoonstair.proxy._tables import Tables
@@ -65,6 +67,7 @@
     (Prober, "_suspected_primaries"),
     (Promoter, "_release_primary"),
     (Promoter, "_is_due"),
+    (RoleChecker, "_find_suspects"),
     (Reaper, "_deny_suspicion"),
     (CallerServer, "_execute"),
     (Link, "_exchange"),
@@ -215,12 +218,18 @@
 
 
 @pytest.mark.parametrize(
-    "method", ["_unresolved", "_candidates", "_wait_released"]
+    ("owner", "method"),
+    [
+        (PromotionEffects, "unresolved"),
+        (PromotionEffects, "_conclude"),
+        (Promoter, "_candidates"),
+        (Promoter, "_wait_released"),
+    ],
 )
 async def test_a_promotion_that_fails_unexpectedly_is_run_again(
-    tmp_path, monkeypatch, method
+    tmp_path, monkeypatch, owner, method
 ):
-    injector = _Injector(monkeypatch, Promoter, method)
+    injector = _Injector(monkeypatch, owner, method)
     async with (
         proxy_fleet(tmp_path, instances=1) as fleet,
         # Its name sorts first, so it is the one that promotes.
