Keep the seats of voters over a restart

What callers saw: after a rolling restart and the loss of one instance no primary was replaced any more.

Cause: each stopping voter resigned though it was back within seconds, and took a new seat only after a majority had known all rows of instances for 2.1 s. Any change of any row began that wait again, so under one restart a second nobody took a seat. The loss of one of the last voters then ended all promotions.

Why it works: a stopped voter marks its row once no proof counts it any more. Back under its name it clears the mark and counts at once. Until then others may give its seat up, for which no majority is needed, but do so only for the majority, for the next in line, or after 8 s. The wait before an addition restarts only with an addition or the removal of a silent voter.

--- a/src/lagoonstair/primacy/__init__.py
+++ b/src/lagoonstair/primacy/__init__.py
@@ -28,11 +28,13 @@
     GroupReport,
     PendingPromotion,
 )
+from lagoonstair.primacy._seats import AdditionWait, Seat, seats_to_give_up
 from lagoonstair.primacy._survey import LogSurvey
 
 __all__ = [
     "CLOCK_MARGIN",
     "PROOF_SECONDS",
+    "AdditionWait",
     "Cause",
     "Duty",
     "GroupRecord",
@@ -43,6 +45,7 @@
     "PrimaryView",
     "PromotionOutcome",
     "RecordAudit",
+    "Seat",
     "choose_target",
     "confirmed_primary",
     "contradicts_record",
@@ -50,6 +53,7 @@
     "promotion_cause",
     "promotion_delay",
     "record_call",
+    "seats_to_give_up",
     "unrecorded_primary",
     "unresolved_promotions",
     "withdraw_call",
--- a/src/lagoonstair/primacy/_primacy.py
+++ b/src/lagoonstair/primacy/_primacy.py
@@ -24,14 +24,14 @@
 after the removal therefore share a voter as well.
 
 A voter that stops stands down first: its reports count in no majority from then
-on. It resigns once all proofs that counted them have expired. Whoever then
-knows of the resignation also knows every promotion recorded before it. A
-majority before any number of resignations therefore shares a voter with one
-after them.
+on. Its seat may be given up once all proofs that counted them have expired, by
+itself or by others (``_seats``). Whoever then knows that it was given up also
+knows every promotion recorded before. A majority before any number of seats was
+given up therefore shares a voter with one after that.
 
 Voters are added one at a time: the next one only after a majority of the
-voters has known the present set for longer than a proof holds. No proof that
-still holds then comes from an older set.
+voters has known of the last addition for longer than a proof holds. No proof
+that still holds then comes from the voters before it.
 
 The same proof shows that the known set of registered instances is current.
 """
@@ -234,8 +234,7 @@
             now: The current time, in seconds.
             within: Greatest age in seconds of the answered request.
         """
-        responsive = self.responsive_voters(now, within) | self._own_vote()
-        return len(responsive) * 2 > len(self.voters)
+        return len(self.present_voters(now, within)) * 2 > len(self.voters)
 
     def is_majority(self, names: Iterable[str], now: float) -> bool:
         """Returns whether instances include a majority of the present voters.
@@ -249,16 +248,31 @@
         """
         if self._has_newer_members():
             return False
-        present = self.responsive_voters(now, PROOF_SECONDS) | self._own_vote()
+        present = self.present_voters(now, PROOF_SECONDS)
         return len(present.intersection(names)) * 2 > len(self.voters)
 
-    def is_known_to_majority(self) -> bool:
-        """Returns whether a majority of the voters knows the instances."""
+    def present_voters(self, now: float, within: float) -> set[str]:
+        """Returns the voters that respond, with this instance if it votes.
+
+        Args:
+            now: The current time, in seconds.
+            within: Greatest age in seconds of the answered request.
+        """
+        return self.responsive_voters(now, within) | self._own_vote()
+
+    def is_known_to_majority(self, version: int) -> bool:
+        """Returns whether a majority of the voters knows the instances.
+
+        Args:
+            version: The store version of the set of instances to know.
+        """
         knowing = {
             member
             for member, report in self._reports.items()
-            if report.members_version >= self.members_version
-        } | {self._name}
+            if report.members_version >= version
+        }
+        if self.members_version >= version:
+            knowing.add(self._name)
         return len(knowing & self.voters) * 2 > len(self.voters)
 
     def note_promotion(self, group: str, epoch: int) -> None:
--- a/src/lagoonstair/proxy/_daemon.py
+++ b/src/lagoonstair/proxy/_daemon.py
@@ -76,8 +76,8 @@
 EXIT_MARGIN_SECONDS = 0.7
 """Remainder (s) of the grace period in which the process exits."""
 
-RESIGN_SECONDS = 0.5
-"""Time (s) after draining for a resignation that is still under way. The store
+STAND_DOWN_SECONDS = 0.5
+"""Time (s) after draining to stand down if that is still under way. The store
 takes 8 ms."""
 
 CUT_SECONDS = 0.3
@@ -281,17 +281,17 @@
                     )
                 log_event("ready", members=len(self._registry.members))
                 await stop.wait()
-                resigned = trio.Event()
-                nursery.start_soon(self._resign, reaper, resigned)
+                stood_down = trio.Event()
+                nursery.start_soon(self._stand_down, reaper, stood_down)
                 deadline = trio.current_time() + settings.grace_s
                 await self._drain(front, accepting)
                 with trio.move_on_at(
                     min(
-                        trio.current_time() + RESIGN_SECONDS,
+                        trio.current_time() + STAND_DOWN_SECONDS,
                         deadline - EXIT_MARGIN_SECONDS,
                     )
                 ):
-                    await resigned.wait()
+                    await stood_down.wait()
                 callers.cancel_scope.cancel()
             nursery.cancel_scope.cancel()
         self._stopped.set()
@@ -323,10 +323,10 @@
             self._accept, front.serve_unmoved, listeners, callers
         )
 
-    async def _resign(self, reaper: Reaper, resigned: trio.Event) -> None:
-        with self._fleet.supervisor.contain("resignation"):
-            await reaper.resign()
-        resigned.set()
+    async def _stand_down(self, reaper: Reaper, done: trio.Event) -> None:
+        with self._fleet.supervisor.contain("standing down"):
+            await reaper.stand_down()
+        done.set()
 
     async def _listen(self) -> list[trio.SocketListener]:
         host, port = parse_address(self._settings.listen.entry)
--- a/src/lagoonstair/proxy/_reaper.py
+++ b/src/lagoonstair/proxy/_reaper.py
@@ -1,17 +1,28 @@
 """Maintains the line of voters and removes instances that are gone."""
 
+from collections.abc import Sequence
+
 import msgspec
 import trio
 
 from lagoonstair.platform.store import StoreError
-from lagoonstair.primacy import CLOCK_MARGIN, PROOF_SECONDS
+from lagoonstair.primacy import (
+    CLOCK_MARGIN,
+    PROOF_SECONDS,
+    AdditionWait,
+    seats_to_give_up,
+)
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._follower import Follower
-from lagoonstair.proxy._gossip import ROUND_PERIOD_SECONDS, Gossip
+from lagoonstair.proxy._gossip import (
+    ALIVE_SECONDS,
+    ROUND_PERIOD_SECONDS,
+    Gossip,
+)
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._quota import MEMBERSHIP_FRESHNESS_SECONDS
-from lagoonstair.proxy._registry import Registry
-from lagoonstair.proxy._registry_rows import MEMBER_PREFIX
+from lagoonstair.proxy._registry import VOTER_COUNT, Registry
+from lagoonstair.proxy._registry_rows import MEMBER_PREFIX, line_of_voters
 from lagoonstair.proxy._settings import InstanceSettings
 
 SILENT_ROUNDS = 8
@@ -40,8 +51,8 @@
     current since then, because a majority of the voters knows the suspicion,
     which is newer than what that instance knows.
 
-    An instance without a seat takes the next one in line. It also resigns its
-    own when its process stops.
+    An instance without a seat takes the next one in line. When its process
+    stops, others may give up its seat on its behalf.
     """
 
     def __init__(
@@ -55,12 +66,15 @@
         self._registry = registry
         self._follower = follower
         self._gossip = gossip
-        self._agreed: tuple[int, float] | None = None
+        self._addition_wait = AdditionWait()
+        self._stood_down_at: dict[str, float] = {}
+        self._blocked_since: float | None = None
 
-    async def resign(self) -> None:
-        """Gives up this instance's seat while its process stops.
+    async def stand_down(self) -> None:
+        """Stops counting in majorities while this instance's process stops.
 
-        The seat is kept if the store is away, or if another instance has an
+        Its seat is left to the others, or passes to the next one in line. It
+        is kept for good if the store is away, or if another instance has an
         older build, which would go on counting it.
         """
         name = self._fleet.name
@@ -84,7 +98,10 @@
         await trio.sleep_until(started_at + PROOF_SECONDS * CLOCK_MARGIN)
         try:
             await self._follower.read_registry()
-            if await self._registry.resign(name):
+            if self._registry.can_keep_seat(name):
+                if await self._registry.stand_down(name):
+                    log_event("seat left to others")
+            elif await self._registry.resign(name):
                 log_event("seat resigned")
         except StoreError as exc:
             log_event("seat kept", cause=str(exc))
@@ -99,6 +116,7 @@
                     await self._registry.register(settings)
                     log_event("registered again")
                 await self._deny_suspicion(name)
+                await self._give_up_seats()
                 await self._seek_seat(name)
                 if self._is_responsible(name):
                     await self._check_members(name)
@@ -112,29 +130,69 @@
             await self._registry.write({MEMBER_PREFIX + name: cleared})
             log_event("suspicion denied")
 
+    async def _give_up_seats(self) -> None:
+        """Gives up the seats of stopped voters that block the others."""
+        now = trio.current_time()
+        self._stood_down_at = {
+            name: self._stood_down_at.get(name, now)
+            for name in self._registry.stood_down()
+        }
+        primacy = self._fleet.primacy
+        present = sorted(primacy.present_voters(now, ALIVE_SECONDS))
+        names: tuple[str, ...] = ()
+        if not primacy.stands_down and self._gossip.all_can_resign():
+            names = seats_to_give_up(
+                line_of_voters(self._registry.members),
+                present=present,
+                stood_down={
+                    name: now - since
+                    for name, since in self._stood_down_at.items()
+                },
+                voter_count=VOTER_COUNT,
+            )
+        if not names:
+            self._blocked_since = None
+            return
+        if self._blocked_since is None:
+            self._blocked_since = now
+        if now - self._blocked_since < self._turn(present):
+            return
+        if await self._registry.give_up_seats(names):
+            log_event(
+                "seats given up",
+                peers=names,
+                present=present,
+                voters=len(primacy.voters),
+            )
+
+    def _turn(self, present: Sequence[str]) -> float:
+        """Returns after how long, in seconds, this instance gives up seats.
+
+        The responding voters take turns, as the first may not reach the store.
+        """
+        if self._fleet.name not in present:
+            return len(present) * ROUND_PERIOD_SECONDS
+        return present.index(self._fleet.name) * ROUND_PERIOD_SECONDS
+
     async def _seek_seat(self, name: str) -> None:
         """Takes a seat if this instance has none and it is safe now."""
         primacy = self._fleet.primacy
         if primacy.stands_down or not self._registry.lacks_seat(name):
-            self._agreed = None
+            self._addition_wait.reset()
             return
-        if self._registry.seeks_voters(name) and self._must_wait(
-            primacy.members_version
+        if self._registry.seeks_voters(name) and not (
+            self._addition_wait.is_over(
+                self._registry.voter_seats(),
+                members=self._registry.members,
+                version=self._registry.members_version,
+                is_known=primacy.is_known_to_majority,
+                now=trio.current_time(),
+            )
         ):
             return
         if await self._registry.take_seat(name, self._follower.store_now):
             log_event("seat taken")
 
-    def _must_wait(self, version: int) -> bool:
-        """Returns whether a proof from older voters may still hold."""
-        now = trio.current_time()
-        if not self._fleet.primacy.is_known_to_majority():
-            self._agreed = None
-            return True
-        if self._agreed is None or self._agreed[0] != version:
-            self._agreed = version, now
-        return now - self._agreed[1] <= PROOF_SECONDS * CLOCK_MARGIN
-
     def _is_responsible(self, name: str) -> bool:
         now = trio.current_time()
         primacy = self._fleet.primacy
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -23,7 +23,7 @@
     StoredRow,
     StoreError,
 )
-from lagoonstair.primacy import Duty, GroupRecord
+from lagoonstair.primacy import Duty, GroupRecord, Seat
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._reconcile import RegistryRows, reconcile
 from lagoonstair.proxy._registry_rows import (
@@ -204,6 +204,20 @@
         """Returns the first instances in the line of voters, in its order."""
         return tuple(line_of_voters(self.members)[:VOTER_COUNT])
 
+    def voter_seats(self) -> frozenset[Seat]:
+        """Returns the seats of the voters."""
+        return frozenset(
+            Seat(name, self.members[name].place) for name in self.voters()
+        )
+
+    def stood_down(self) -> frozenset[str]:
+        """Returns the instances whose seats any instance may give up."""
+        return frozenset(
+            name
+            for name, member in self.members.items()
+            if member.stops and member.stood_down and not member.resigned
+        )
+
     def lacks_seat(self, name: str) -> bool:
         """Returns whether a registered instance is not in line as a voter."""
         member = self.members.get(name)
@@ -221,6 +235,19 @@
         """Returns whether every instance registered with a build that can."""
         return all(member.can_resign for member in self.members.values())
 
+    def can_keep_seat(self, name: str) -> bool:
+        """Returns whether a stopping instance leaves its seat to the others.
+
+        It gives the seat up itself if the next one in line takes it over, or
+        if another instance has a build that would not.
+        """
+        line = line_of_voters(self.members)
+        return len(line) <= VOTER_COUNT and all(
+            member.gives_up
+            for other, member in self.members.items()
+            if other != name
+        )
+
     def apply(self, row: StoredRow) -> None:
         """Applies a row if it is newer than the known one."""
         if row.version <= self._versions.get(row.key, 0):
@@ -309,8 +336,8 @@
     async def announce_stop(self, name: str) -> bool:
         """Marks an instance as stopping.
 
-        A process that starts under its name clears the mark, so that a
-        resignation that is still under way changes nothing.
+        A process that starts under its name clears the mark, so that a write
+        on its condition that is still under way changes nothing.
 
         Returns:
             Whether it was marked; its row may have changed in the store.
@@ -320,6 +347,20 @@
         """
         return await self._put_member(name, stops=True)
 
+    async def stand_down(self, name: str) -> bool:
+        """Lets others give up the seat of an instance marked as stopping.
+
+        Returns:
+            Whether it was marked and the row has not changed in the store.
+
+        Raises:
+            StoreError: The store did not answer or refused the call.
+        """
+        member = self.members.get(name)
+        if member is None or not member.stops:
+            return False
+        return await self._put_member(name, stood_down=True)
+
     async def resign(self, name: str) -> bool:
         """Gives up the place of an instance that is marked as stopping.
 
@@ -334,6 +375,26 @@
             return False
         return await self._put_member(name, resigned=True)
 
+    async def give_up_seats(self, names: Iterable[str]) -> bool:
+        """Gives up the seats of instances that have stood down.
+
+        Args:
+            names: The instances; those that hold no such seat are left out.
+
+        Returns:
+            Whether it was done; none was given up if a row has changed.
+
+        Raises:
+            StoreError: The store did not answer or refused the call.
+        """
+        values: dict[str, RowValue] = {
+            MEMBER_PREFIX + name: msgspec.structs.replace(
+                self.members[name], resigned=True
+            )
+            for name in sorted(self.stood_down().intersection(names))
+        }
+        return bool(values) and await self.write(values) is not None
+
     async def take_seat(self, name: str, now: float) -> bool:
         """Puts an instance at the end of the line of voters.
 
@@ -348,8 +409,7 @@
             StoreError: The store did not answer or refused the call.
         """
         places = [
-            self.members[other].seated or self.members[other].since
-            for other in line_of_voters(self.members)
+            self.members[other].place for other in line_of_voters(self.members)
         ]
         if self.seats is not None:
             places.append(self.seats.newest)
@@ -570,12 +630,13 @@
                 capacity=settings.capacity,
                 resigned=not is_founder and self.all_can_resign(),
                 can_resign=True,
+                gives_up=True,
             )
             if known is not None:
                 # A new address changes no majority.
                 missing[key] = msgspec.structs.replace(
                     missing[key],
-                    seated=known.seated or known.since,
+                    seated=known.place,
                     resigned=known.resigned,
                 )
         else:
@@ -583,7 +644,9 @@
                 known,
                 capacity=settings.capacity,
                 stops=False,
+                stood_down=False,
                 can_resign=True,
+                gives_up=True,
             )
             if current != known:
                 missing[key] = current
--- a/src/lagoonstair/proxy/_registry_rows.py
+++ b/src/lagoonstair/proxy/_registry_rows.py
@@ -69,8 +69,11 @@
         seated: When it took its place in the line of voters, in seconds on the
             store's clock; 0 if that was when it registered.
         stops: Whether its process is stopping and may resign.
+        stood_down: Whether, while it stops, no proof counts it any more, so
+            that any instance may give up its seat.
         resigned: Whether it has no place in the line of voters.
         can_resign: Whether its build knows resignations.
+        gives_up: Whether its build gives up the seats of stopped instances.
     """
 
     host: str
@@ -81,8 +84,10 @@
     suspected: float = 0.0
     seated: float = 0.0
     stops: bool = False
+    stood_down: bool = False
     resigned: bool = False
     can_resign: bool = False
+    gives_up: bool = False
 
     def __post_init__(self) -> None:
         parse_host(self.host)
@@ -92,6 +97,11 @@
         """Address at which other instances call it."""
         return Address(self.host, self.port)
 
+    @property
+    def place(self) -> float:
+        """Its place in the line of voters, in seconds on the store's clock."""
+        return self.seated or self.since
+
 
 class Seats(msgspec.Struct, frozen=True, kw_only=True):
     """The row that each instance changes when it takes a seat.
@@ -141,7 +151,7 @@
     """Returns the instances that vote or will, in the order of their places."""
     return sorted(
         (name for name, member in members.items() if not member.resigned),
-        key=lambda name: (members[name].seated or members[name].since, name),
+        key=lambda name: (members[name].place, name),
     )
 
 
--- a/tests/test_primacy_seats.py
+++ b/tests/test_primacy_seats.py
@@ -15,8 +15,10 @@
 from lagoonstair.primacy import (
     CLOCK_MARGIN,
     PROOF_SECONDS,
+    AdditionWait,
     GroupRecord,
     Primacy,
+    Seat,
 )
 from lagoonstair.proxy._registry_rows import Member, line_of_voters
 from soak import examples
@@ -33,14 +35,16 @@
 ANSWERED = 0.7
 LATE = 0.3
 """Probabilities, for each step: of another partition, of the answer of an
-instance that is not cut off, and of a resignation that comes late."""
+instance that is not cut off, and of a write that comes late."""
 
 STEPS = (
     *("wait",) * 5,
     *("ask",) * 6,
     *("finish",) * 3,
     *("read",) * 3,
-    *("resign",) * 3,
+    *("resign",) * 2,
+    *("stand_down",) * 3,
+    *("give_up",) * 2,
     *("stop", "end", "start", "seat", "seat", "begin", "begin"),
     *("announce", "late", "record", "record"),
 )
@@ -59,7 +63,7 @@
         self.members = {}
         self.seats_version = 0
         self.stopping_since = None
-        self.agreed = None
+        self.addition_wait = AdditionWait()
 
     def read(self, store):
         self.version = store.version
@@ -123,8 +127,8 @@
     resign_wait = WAIT_SECONDS
     """Time (s) between a stop and the resignation."""
 
-    seat_wait = WAIT_SECONDS
-    """Time (s) for which a majority knows the voters before one is added."""
+    waits_for_additions = True
+    """Whether a majority must know the last addition before the next one."""
 
     clears_mark = True
     """Whether a start changes the row of an instance that was stopping."""
@@ -143,7 +147,7 @@
         for name in NAMES:
             self.nodes[name] = node = Node(name)
             node.read(self.store)
-        self.late_resignations = []
+        self.late_writes = []
         self.promotion = None
         self.number = 1
 
@@ -189,6 +193,24 @@
 
     def resign(self, name, is_late):
         """A stopping instance resigns, maybe with a write that comes late."""
+        self._write_stopped(name, is_late, resigned=True)
+
+    def stand_down(self, name, is_late):
+        """A stopping instance lets others give up its seat."""
+        self._write_stopped(name, is_late, stood_down=True)
+
+    def give_up(self, name):
+        """An instance gives up the seats of those that have stood down."""
+        node = self.nodes.get(name)
+        if node is None:
+            return
+        for other, member in [*node.members.items()]:
+            if not (member.stops and member.stood_down) or member.resigned:
+                continue
+            if self.store.members[other] == member:
+                self.store.put_member(other, replace(member, resigned=True))
+
+    def _write_stopped(self, name, is_late, **changes):
         node = self.nodes.get(name)
         if node is None or node.stopping_since is None:
             return
@@ -197,20 +219,20 @@
         node.read(self.store)
         if not node.members[name].stops or node.members[name].resigned:
             return
-        write = name, self.store.row_versions[name]
+        write = name, self.store.row_versions[name], changes
         if is_late:
-            self.late_resignations.append(write)
+            self.late_writes.append(write)
         else:
-            self._apply_resignation(*write)
+            self._apply_write(*write)
 
-    def apply_late_resignation(self):
-        if self.late_resignations:
-            self._apply_resignation(*self.late_resignations.pop(0))
+    def apply_late_write(self):
+        if self.late_writes:
+            self._apply_write(*self.late_writes.pop(0))
 
-    def _apply_resignation(self, name, version):
+    def _apply_write(self, name, version, changes):
         if self.store.row_versions[name] == version:
             member = self.store.members[name]
-            self.store.put_member(name, replace(member, resigned=True))
+            self.store.put_member(name, replace(member, **changes))
 
     def end(self, name):
         """A process ends, after a stop or by a crash."""
@@ -224,7 +246,9 @@
             return
         member = self.store.members[name]
         if member.stops and self.clears_mark:
-            self.store.put_member(name, replace(member, stops=False))
+            self.store.put_member(
+                name, replace(member, stops=False, stood_down=False)
+            )
         self.nodes[name] = node = Node(name)
         node.read(self.store)
         node.primacy.note_store_read(self.now)
@@ -249,15 +273,16 @@
         self.store.seats_version = self.store.version
 
     def _must_wait(self, node):
-        version = node.primacy.members_version
-        if self.seat_wait is None:
+        if not self.waits_for_additions:
             return False
-        if not node.primacy.is_known_to_majority():
-            node.agreed = None
-            return True
-        if node.agreed is None or node.agreed[0] != version:
-            node.agreed = version, self.now
-        return self.now - node.agreed[1] <= self.seat_wait
+        voters = line_of_voters(node.members)[:SEATS]
+        return not node.addition_wait.is_over(
+            frozenset(Seat(name, node.members[name].place) for name in voters),
+            members=node.members,
+            version=node.primacy.members_version,
+            is_known=node.primacy.is_known_to_majority,
+            now=self.now,
+        )
 
     def begin(self, name):
         node = self.nodes.get(name)
@@ -347,7 +372,11 @@
     resign = rule(name=st.sampled_from(NAMES), is_late=st.booleans())(
         World.resign
     )
-    apply_late_resignation = rule()(World.apply_late_resignation)
+    stand_down = rule(name=st.sampled_from(NAMES), is_late=st.booleans())(
+        World.stand_down
+    )
+    give_up = rule(name=st.sampled_from(NAMES))(World.give_up)
+    apply_late_write = rule()(World.apply_late_write)
     end = rule(name=st.sampled_from(NAMES))(World.end)
     start = rule(name=st.sampled_from(NAMES))(World.start)
     take_seat = rule(name=st.sampled_from(NAMES))(World.take_seat)
@@ -387,7 +416,7 @@
             case "end":
                 world.end(name)
             case "late":
-                world.apply_late_resignation()
+                world.apply_late_write()
             case "announce" if world.promotion is not None:
                 promoter = world.promotion["name"]
                 side = cut if promoter in cut else set(NAMES) - cut
@@ -400,6 +429,10 @@
                 world.read_store(name)
             case "resign":
                 world.resign(name, rng.random() < LATE)
+            case "stand_down":
+                world.stand_down(name, rng.random() < LATE)
+            case "give_up":
+                world.give_up(name)
             case "start":
                 world.start(name)
             case "seat":
@@ -422,8 +455,8 @@
     ("wait", 2.2),
     ("resign", "i1", True),
     ("resign", "i2", True),
-    ("apply_late_resignation",),
-    ("apply_late_resignation",),
+    ("apply_late_write",),
+    ("apply_late_write",),
     ("begin", "i3"),
     ("record",),
     ("finish",),
@@ -509,8 +542,8 @@
     ("start", "i1"),
     ("start", "i2"),
     ("read_store", "i1"),
-    ("apply_late_resignation",),
-    ("apply_late_resignation",),
+    ("apply_late_write",),
+    ("apply_late_write",),
     ("begin", "i3"),
     ("record",),
     ("finish",),
@@ -520,6 +553,19 @@
 )
 
 
+def _given_up_by_others(steps):
+    """Replaces resignations; an instance that does not vote gives seats up."""
+    for step in steps:
+        match step:
+            case ("resign", name, is_late):
+                yield "stand_down", name, is_late
+            case _:
+                yield step
+        if step[0] in ("resign", "apply_late_write"):
+            yield "read_store", "i6"
+            yield "give_up", "i6"
+
+
 def _play(world, steps):
     for name, *args in steps:
         getattr(world, name)(*args)
@@ -532,15 +578,17 @@
         ({"stands_down": False}, 3, OLD_VOTERS_PROVE),
         ({"resign_wait": 0.0}, 4, VOTER_LEAVES_A_PROMOTER_AT_ONCE),
         ({"checks_presence": False}, 4, VOTER_LEAVES_A_SLOW_PROMOTER),
-        ({"seat_wait": None}, 3, SEATS_AWAY_FROM_THE_LAST_VOTER),
+        ({"waits_for_additions": False}, 3, SEATS_AWAY_FROM_THE_LAST_VOTER),
         ({"serializes": False}, 3, SEATS_TAKEN_TOGETHER),
         ({"clears_mark": False}, 3, RESIGNED_AFTER_A_RESTART),
     ],
     ids=lambda value: next(iter(value)) if isinstance(value, dict) else "",
 )
+@pytest.mark.parametrize("by_others", [False, True])
 def test_each_step_of_leaving_and_taking_seats_is_needed(
-    weakened, seated, steps
+    weakened, seated, steps, by_others
 ):
+    steps = [*_given_up_by_others(steps)] if by_others else steps
     _play(World(seated), steps)
     with pytest.raises(AssertionError, match=r"i[0-9]"):
         _play(type("Weakened", (World,), weakened)(seated), steps)
--- a/tests/test_proxy_seats.py
+++ b/tests/test_proxy_seats.py
@@ -19,6 +19,10 @@
 GRACE_SECONDS = 6
 """Time in seconds within which a process that stops must end."""
 
+ROLL_GAP_SECONDS = 1.3
+"""Time in seconds between the stops of a rolling restart, which is less than
+the time that a restart takes."""
+
 SEAT_SECONDS = 40
 """Time limit in seconds in which several instances take seats one by one."""
 
@@ -39,6 +43,11 @@
     primary.crash()
 
 
+async def _restart(fleet, name):
+    await _leave(fleet, [name])
+    await fleet.start_instance(name)
+
+
 async def _is_served(fleet, name, instance):
     caller = await fleet.caller(instance=instance)
     answer = []
@@ -116,3 +125,32 @@
         await fleet.until(
             lambda: fleet.group.primary is not old, PROMOTION_SECONDS
         )
+
+
+# A rolling restart left one or two voters; the loss of one ended all
+# promotions for good.
+@pytest.mark.parametrize("lost_after", [0, 6], ids=["first", "last"])
+async def test_a_loss_in_a_rolling_restart_leaves_a_majority(
+    tmp_path, lost_after
+):
+    async with (
+        proxy_fleet(tmp_path, instances=INSTANCES) as fleet,
+        trio.open_nursery() as nursery,
+    ):
+        names = [f"i{number + 1}" for number in range(INSTANCES)]
+        lost = names.pop()
+        for number, name in enumerate([*names, None]):
+            if number == lost_after:
+                fleet.signal(lost, signal.SIGKILL)
+            if name is not None:
+                nursery.start_soon(_restart, fleet, name)
+                await trio.sleep(ROLL_GAP_SECONDS)
+        old = fleet.group.primary
+        _withdraw(fleet, old)
+        await fleet.until(
+            lambda: fleet.group.primary is not old, PROMOTION_SECONDS
+        )
+        for name in names:
+            await fleet.wait_ready(name)
+            await _is_served(fleet, f"q-{name}", name)
+        assert len(_seated(fleet)) > INSTANCES // 2
