Count voters that begin to stop in promotions

Cause: from SIGTERM on a voter did not count, but its seat could be given up only 2.1 s later. Three or four instances at a time blocked the others.

Why it works: a promoter counts a voter that stands down only while its seat certainly is not given up, which the voter says with its report. Who learns that the seat was given up knows the recorded promotion; proofs never count the voter, and a majority of the others still meets the rest of the promoter's majority.

--- a/src/lagoonstair/primacy/_primacy.py
+++ b/src/lagoonstair/primacy/_primacy.py
@@ -29,6 +29,10 @@
 knows every promotion recorded before. A majority before any number of seats was
 given up therefore shares a voter with one after that.
 
+A promoter also counts a voter that stands down, as long as its seat certainly
+has not been given up. The proofs that may have missed the promotion don't count
+that voter, and more than half of the others are not needed to meet them.
+
 Voters are added one at a time: the next one only after a majority of the
 voters has known of the last addition for longer than a proof holds. No proof
 that still holds then comes from the voters before it.
@@ -58,12 +62,15 @@
     Attributes:
         asked_at: When the report was requested, in seconds.
         members_version: Store version at which the peer knows the instances.
-        stands_down: Whether the peer no longer counts in a majority.
+        stands_down: Whether no proof may count the peer.
+        seat_held_until: Until when its seat certainly is not given up, in
+            seconds, if it stands down.
     """
 
     asked_at: float
     members_version: int
     stands_down: bool
+    seat_held_until: float
 
 
 class Primacy:
@@ -76,7 +83,9 @@
         voters: The instances whose reports form a majority.
         members_version: The store version of the set of registered instances.
         store_read_at: When the newest answer of the store was requested.
-        stands_down: Whether this instance no longer counts in a majority.
+        stands_down: Whether no proof may count this instance.
+        seat_held_until: Until when its seat certainly is not given up, in
+            seconds, if it stands down.
     """
 
     def __init__(self, name: str) -> None:
@@ -91,6 +100,7 @@
         self.members_version = 0
         self.store_read_at = float("-inf")
         self.stands_down = False
+        self.seat_held_until = float("-inf")
 
     def apply(self, group: str, record: GroupRecord) -> bool:
         """Applies a record from the store.
@@ -129,6 +139,7 @@
         epochs: Mapping[str, int],
         proof_age: float,
         stands_down: bool = False,
+        seat_held_for: float = 0.0,
     ) -> None:
         """Applies the report of a peer.
 
@@ -139,12 +150,14 @@
                 instances.
             epochs: The newest epoch that the peer knows, by group.
             proof_age: The age of the peer's own proof, in seconds.
-            stands_down: Whether the peer no longer counts in a majority.
+            stands_down: Whether no proof may count the peer.
+            seat_held_for: For how long, in seconds, its seat certainly is not
+                given up, if it stands down.
         """
         for group, epoch in epochs.items():
             self._raise_epoch(group, epoch)
         self._reports[member] = _PeerReport(
-            asked_at, members_version, stands_down
+            asked_at, members_version, stands_down, asked_at + seat_held_for
         )
         has_newer_members = members_version > self.members_version
         if not has_newer_members and not any(map(self._is_behind, epochs)):
@@ -234,13 +247,14 @@
             now: The current time, in seconds.
             within: Greatest age in seconds of the answered request.
         """
-        return len(self.present_voters(now, within)) * 2 > len(self.voters)
+        responsive = self.responsive_voters(now, within) | self._own_vote()
+        return len(responsive) * 2 > len(self.voters)
 
     def is_majority(self, names: Iterable[str], now: float) -> bool:
         """Returns whether instances include a majority of the present voters.
 
-        A voter counts while it cannot have resigned since its last report. No
-        voter may know a newer set of instances.
+        A voter counts while its seat cannot have been given up since its last
+        report. No voter may know a newer set of instances.
 
         Args:
             names: The names of the instances.
@@ -251,14 +265,37 @@
         present = self.present_voters(now, PROOF_SECONDS)
         return len(present.intersection(names)) * 2 > len(self.voters)
 
-    def present_voters(self, now: float, within: float) -> set[str]:
-        """Returns the voters that respond, with this instance if it votes.
+    def can_promote(self, now: float, within: float) -> bool:
+        """Returns whether the voters that respond can release a primary.
 
         Args:
             now: The current time, in seconds.
             within: Greatest age in seconds of the answered request.
         """
-        return self.responsive_voters(now, within) | self._own_vote()
+        present = self.present_voters(now, within)
+        return len(present) * 2 > len(self.voters)
+
+    def present_voters(self, now: float, within: float) -> set[str]:
+        """Returns the voters that respond and certainly hold their seats.
+
+        Unlike in a proof, those that have begun to stand down count.
+
+        Args:
+            now: The current time, in seconds.
+            within: Greatest age in seconds of the answered request; at most
+                ``PROOF_SECONDS``.
+        """
+        return (
+            self.responsive_voters(now, within)
+            | {
+                member
+                for member, report in self._reports.items()
+                if member in self.voters
+                and report.stands_down
+                and now < report.seat_held_until
+            }
+            | self._own_vote()
+        )
 
     def is_known_to_majority(self, version: int) -> bool:
         """Returns whether a majority of the voters knows the instances.
--- a/src/lagoonstair/proxy/_gossip.py
+++ b/src/lagoonstair/proxy/_gossip.py
@@ -91,8 +91,10 @@
             is current.
         group_reports: The sender's report on each group.
         update: The store data that the requester lacks.
-        stands_down: Whether the sender no longer counts in a majority;
-            ``None`` from builds that do not know resignations.
+        stands_down: Whether no proof may count the sender; ``None`` from
+            builds that do not know resignations.
+        seat_held_for: For how long, in seconds, the sender's seat certainly is
+            not given up, if it stands down.
     """
 
     members_version: int
@@ -100,6 +102,7 @@
     group_reports: tuple[GroupReport, ...]
     update: Update
     stands_down: bool | None = None
+    seat_held_for: float = 0.0
 
 
 class Gossip:
@@ -389,6 +392,7 @@
             epochs=epochs_of(reply.group_reports),
             proof_age=reply.proof_age,
             stands_down=bool(reply.stands_down),
+            seat_held_for=reply.seat_held_for,
         )
         self._fleet.apply_group_reports(reply.group_reports, asked_at)
 
@@ -411,6 +415,7 @@
             group_reports=tuple(self._fleet.group_reports()),
             update=self._tables.update_for(ask.known_versions),
             stands_down=primacy.stands_down,
+            seat_held_for=max(0.0, primacy.seat_held_until - now),
         )
 
     def _suspected_groups(self) -> tuple[str, ...]:
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -222,7 +222,7 @@
         record = primacy.records.get(group)
         if record is None:
             return Cause.UNKNOWN if self._claimed_primary(group) else None
-        if not primacy.has_majority(now, ALIVE_SECONDS):
+        if not primacy.can_promote(now, ALIVE_SECONDS):
             return None
         if record.promoting or primacy.epoch(group) > record.epoch:
             changed_at = self._changed_at.get(group, (0, now))[1]
--- a/src/lagoonstair/proxy/_reaper.py
+++ b/src/lagoonstair/proxy/_reaper.py
@@ -85,6 +85,8 @@
             return
         started_at = trio.current_time()
         primacy.stands_down = True
+        # The margin covers the drift of the clock of whoever counts on it.
+        primacy.seat_held_until = started_at + PROOF_SECONDS
         try:
             is_announced = await self._registry.announce_stop(name)
         except StoreError as exc:
--- a/tests/test_primacy_seats.py
+++ b/tests/test_primacy_seats.py
@@ -127,6 +127,9 @@
     resign_wait = WAIT_SECONDS
     """Time (s) between a stop and the resignation."""
 
+    seat_held_seconds = PROOF_SECONDS
+    """Time (s) for which a promoter counts an instance that stands down."""
+
     waits_for_additions = True
     """Whether a majority must know the last addition before the next one."""
 
@@ -177,6 +180,7 @@
                 epochs={GROUP: peer.primacy.epoch(GROUP)},
                 proof_age=min(self.now - peer.primacy.proved_at(self.now), 1e6),
                 stands_down=peer.primacy.stands_down,
+                seat_held_for=max(0.0, peer.primacy.seat_held_until - self.now),
             )
         self.now += delay
 
@@ -187,6 +191,7 @@
             return
         node.stopping_since = self.now
         node.primacy.stands_down = self.stands_down
+        node.primacy.seat_held_until = self.now + self.seat_held_seconds
         member = self.store.members[name]
         if is_marked and not member.resigned:
             self.store.put_member(name, replace(member, stops=True))
@@ -531,6 +536,22 @@
     ("wait", 2.2),
     ("finish",),
 )
+SEATS_GIVEN_UP_BEFORE_THE_RECORD = (
+    ("begin", "i1"),
+    ("stop", "i2", True),
+    ("stop", "i3", True),
+    ("wait", 2.2),
+    ("announce", {"i2", "i3"}),
+    ("resign", "i2", False),
+    ("resign", "i3", False),
+    ("read_store", "i4"),
+    ("read_store", "i5"),
+    ("record",),
+    ("finish",),
+    ("wait", 2.2),
+    ("ask", "i4", {"i5"}, 0.0, False),
+    ("finish",),
+)
 RESIGNED_AFTER_A_RESTART = (
     ("stop", "i1", True),
     ("stop", "i2", True),
@@ -580,6 +601,11 @@
         ({"checks_presence": False}, 4, VOTER_LEAVES_A_SLOW_PROMOTER),
         ({"waits_for_additions": False}, 3, SEATS_AWAY_FROM_THE_LAST_VOTER),
         ({"serializes": False}, 3, SEATS_TAKEN_TOGETHER),
+        (
+            {"seat_held_seconds": 2 * PROOF_SECONDS},
+            5,
+            SEATS_GIVEN_UP_BEFORE_THE_RECORD,
+        ),
         ({"clears_mark": False}, 3, RESIGNED_AFTER_A_RESTART),
     ],
     ids=lambda value: next(iter(value)) if isinstance(value, dict) else "",
--- a/tests/test_seat_decisions.py
+++ b/tests/test_seat_decisions.py
@@ -21,6 +21,12 @@
 
 WAIT_SECONDS = PROOF_SECONDS * CLOCK_MARGIN
 
+DRAIN_SECONDS = 7.0
+"""Time (s) for which a draining primary may get requests (``drain_ms``)."""
+
+PROMOTION_SECONDS = 3.5
+"""Longest duration (s) of a promotion beside an unresponsive instance."""
+
 REMOVAL_SECONDS = 16.0
 """Time (s) after which a majority removes a silent instance."""
 
@@ -125,6 +131,7 @@
         }
         self.processes = {name: _Process(name) for name in names}
         self.lost_since = {}
+        self.blocked = self.longest_blocked = 0.0
         self.events = []
         order = rng.sample(names, len(names))
         lost = [] if lost_at is None else rng.sample(names, losses)
@@ -152,7 +159,9 @@
         self.members[name] = replace(self.members[name], **changes)
 
     def _stop(self, name):
-        self.processes[name].primacy.stands_down = True
+        primacy = self.processes[name].primacy
+        primacy.stands_down = True
+        primacy.seat_held_until = self.now + PROOF_SECONDS
         self._put(name, stops=True)
 
     def _stand_down(self, name):
@@ -184,6 +193,9 @@
             for name in [*self.processes]:
                 self._run_round(self.processes[name])
             self._remove_lost()
+            is_blocked = not self.can_promote()
+            self.blocked = is_blocked * (self.blocked + ROUND_PERIOD_SECONDS)
+            self.longest_blocked = max(self.longest_blocked, self.blocked)
 
     def voters(self):
         return line_of_voters(self.members)[:VOTER_COUNT]
@@ -193,7 +205,7 @@
         return any(
             name in self.voters()
             and not process.primacy.stands_down
-            and process.primacy.has_majority(self.now, ALIVE_SECONDS)
+            and process.primacy.can_promote(self.now, ALIVE_SECONDS)
             for name, process in self.processes.items()
         )
 
@@ -210,6 +222,9 @@
                     epochs={},
                     proof_age=0.0,
                     stands_down=peer.primacy.stands_down,
+                    seat_held_for=max(
+                        0.0, peer.primacy.seat_held_until - self.now
+                    ),
                 )
         self._give_up_seats(process)
         self._seek_seat(process)
@@ -272,7 +287,7 @@
 @pytest.mark.parametrize("gap", [0.0, 0.3, 1.0, 1.3, 2.6])
 @pytest.mark.parametrize(
     ("lost_at", "losses"),
-    [(None, 0), (0.0, 1), (0.5, 1), (0.9, 1), (1.2, 1)],
+    [(None, 0), (0.0, 1), (0.5, 1), (0.9, 1), (1.2, 1), (0.0, 3), (0.7, 3)],
 )
 def test_a_roll_leaves_a_majority_and_all_seats(gap, lost_at, losses):
     """Losses beside a rolling restart ended all promotions for good."""
@@ -284,6 +299,16 @@
         assert {*roll.voters()} == roll.processes.keys(), seed
 
 
+@pytest.mark.parametrize("gap", [1.0, 1.3, 2.6])
+@pytest.mark.parametrize("lost_at", [None, 0.0, 0.5, 0.9, 1.2])
+def test_a_primary_is_replaced_in_time_during_a_roll(gap, lost_at):
+    """A draining primary got requests until the end of a rolling restart."""
+    for seed in range(examples(SEEDS)):
+        roll = _roll(Roll, seed, gap=gap, lost_at=lost_at)
+        roll.run(roll.ends_at + ROUND_PERIOD_SECONDS * 2)
+        assert roll.longest_blocked <= DRAIN_SECONDS - PROMOTION_SECONDS, seed
+
+
 def test_a_roll_without_kept_seats_loses_the_majority():
     """Shows that the simulated restarts are hard enough."""
     resigning = type("Resigning", (Roll,), {"keeps_seats": False})
