End the open transaction of a withdrawn key

What callers saw: a client whose key was withdrawn went on in its open transaction.

Cause: the key was checked only where an operation begins and while a session is idle. Nothing looked at it inside a transaction, or after the waits between that check and the send, and a session relayed to a home without the configuration went on there until it was idle.

Why it works: each text is checked against the present configuration after its last wait and directly before it is sent. An idle transaction is rolled back when the configuration arrives, a running one after the answer that its client is owed. The entry instance takes a relayed session back from its home. A removed route does not count, since it acts from the next transaction onward.

--- a/src/lagoonstair/platform/tracking.py
+++ b/src/lagoonstair/platform/tracking.py
@@ -92,6 +92,12 @@
         """Removes the oldest unanswered message, which was not passed on."""
         self._take_request()
 
+    def take_unanswered(self) -> bytes:
+        """Removes and returns the caller's data that is not answered."""
+        first, self.first = self.first, None
+        whole = b"" if first is None else first + lines.LINE_END
+        return whole + self._requests.take_remaining()
+
     def feed_answer(self, chunk: bytes) -> int:
         """Tracks data of the serving side.
 
--- a/src/lagoonstair/proxy/_conversation.py
+++ b/src/lagoonstair/proxy/_conversation.py
@@ -39,6 +39,9 @@
         is_movable: Whether another instance relays the session here and may
             open it at another home.
         home: The name of that instance.
+        is_detached: Whether this instance has taken the session back from its
+            home, so that what the caller has set is lost and the session only
+            goes on until its transaction has ended.
     """
 
     stream: trio.SocketStream
@@ -53,6 +56,7 @@
     relayed: RelayedSession | None = None
     is_movable: bool = False
     home: str = ""
+    is_detached: bool = False
 
     @property
     def is_idle(self) -> bool:
--- a/src/lagoonstair/proxy/_entry.py
+++ b/src/lagoonstair/proxy/_entry.py
@@ -15,7 +15,7 @@
 from lagoonstair.proxy._relays import HomeRouter
 from lagoonstair.proxy._throttle import EntryThrottle
 from lagoonstair.routing import Route
-from lagoonstair.statements import ErrorCode, Failure
+from lagoonstair.statements import ErrorCode, Failure, TransactionState
 
 NO_HOME_MESSAGE = "no home is in reach"
 
@@ -56,6 +56,7 @@
         connection: CallerConnection,
         authorize: Authorize,
         run_session: Callable[[CallerConnection], Awaitable[None]],
+        resume_session: Callable[[CallerConnection], Awaitable[None]],
         allowed_domains: AllowedDomains = lambda: None,
     ) -> None:
         """Serves an authorized session until it ends.
@@ -64,6 +65,7 @@
             connection: The caller's connection, from which START was read.
             authorize: Checks the session against the configuration.
             run_session: Runs a session whose home is this instance.
+            resume_session: Goes on with a session taken back from its home.
             allowed_domains: Returns the failure domains that its home may be
                 in; ``None`` for all.
         """
@@ -110,6 +112,9 @@
             await run_session(connection)
             return
         await self._relay(connection, connection.relayed, home_name)
+        if connection.relayed.is_detached:
+            _take_back(connection, connection.relayed)
+            await resume_session(connection)
 
     def _isolation_refusal(
         self, workspace: str, allowed: frozenset[str] | None
@@ -217,6 +222,18 @@
         )
 
 
+def _take_back(connection: CallerConnection, relayed: RelayedSession) -> None:
+    """Makes a session that has left its home one of this instance.
+
+    Its transaction was rolled back with the connection to the home.
+    """
+    connection.relayed = None
+    connection.is_detached = True
+    connection.splitter.feed(relayed.take_unanswered())
+    if relayed.state is not TransactionState.IDLE:
+        connection.session.state = TransactionState.FAILED
+
+
 def statement_kind(query: lines.Query) -> str:
     """Returns the kind of a statement, for logs and metrics."""
     return type(query.statement).__name__.lower()
--- a/src/lagoonstair/proxy/_executor.py
+++ b/src/lagoonstair/proxy/_executor.py
@@ -136,6 +136,8 @@
                 return result
             failure = result
             self._metrics.count("attempts_failed", code=failure.code.value)
+            if failure.code is ErrorCode.NO_AUTH:
+                break
             if is_busy(sent, failure):
                 failure = BUSY_FAILURE
                 if not is_last and route.consistency is not Consistency.PRIMARY:
@@ -212,6 +214,7 @@
                         prepared_name = await link.apply_session(
                             caller.session.values, run.shape
                         )
+                        self._targets.check_key(caller, route)
                         if not self._targets.may_use(caller, route, target):
                             return DeliveryStatus.NOT_SENT, NOT_CURRENT_FAILURE
                         text = lines.run_text(run, prepared_name)
@@ -278,16 +281,21 @@
     ) -> bool:
         """Takes a cold endpoint's tokens; returns whether it is still usable.
 
+        The caller's key must not have been withdrawn during the waits.
+
         It is examined again after the wait for tokens, because the session's
         values are sent next.
 
         Raises:
-            LagoonstairError: There are no tokens; nothing may be sent.
+            LagoonstairError: There are no tokens, or the key was withdrawn;
+                nothing may be sent.
         """
+        self._targets.check_key(caller, route)
         if not self._targets.may_use(caller, route, target):
             return False
         if not self._targets.is_cold(target.pool):
             return True
         setup = link.count_setup(caller.session.values, run.shape)
         await self._targets.admit_cold(target, 1 + setup)
+        self._targets.check_key(caller, route)
         return self._targets.may_use(caller, route, target)
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -23,9 +23,9 @@
 from lagoonstair.proxy._relays import HomeRouter
 from lagoonstair.proxy._retries import refusal_failure
 from lagoonstair.proxy._sockets import is_readable
-from lagoonstair.proxy._targets import Caller
+from lagoonstair.proxy._targets import WITHDRAWN_MESSAGE, Caller
 from lagoonstair.proxy._transactions import Transaction, TransactionManager
-from lagoonstair.routing import Route, RoutingConfig
+from lagoonstair.routing import Route
 from lagoonstair.statements import (
     Begin,
     EndTransaction,
@@ -251,14 +251,19 @@
             connection,
             self._authorize,
             self._run_session,
+            self._answer_statements,
             lambda: self._allowed_domains(connection),
         )
 
     async def _run_session(self, connection: CallerConnection) -> None:
-        """Answers a session's statements until it ends."""
+        """Greets a caller and serves its session until it ends."""
         await connection.stream.send_all(
             lines.encode_ready(TransactionState.IDLE)
         )
+        await self._answer_statements(connection)
+
+    async def _answer_statements(self, connection: CallerConnection) -> None:
+        """Answers a session's statements until it ends."""
         while not (self.draining and connection.is_idle):
             line = await self._next_line(connection)
             if line is None:
@@ -318,10 +323,12 @@
         if workspace is None:
             if not route.allows_anonymous:
                 return Failure(ErrorCode.NO_AUTH, "unknown key")
-            workspace = _public_workspace(config)
+            workspace = config.public_workspace
         if connection.caller is None:
             connection.caller = Caller(
-                workspace=workspace, session=connection.session
+                workspace=workspace,
+                session=connection.session,
+                key=connection.key,
             )
         elif connection.caller.workspace != workspace:
             return Failure(
@@ -367,7 +374,8 @@
         ends = (
             isinstance(result, Failure) and result.code in SESSION_ENDING_CODES
         )
-        return not ends
+        # A failed transaction is ended by its caller first.
+        return not (ends and state is TransactionState.IDLE)
 
     async def _refuse_query(
         self, connection: CallerConnection, query: lines.Query
@@ -387,6 +395,8 @@
     ) -> Result:
         """Runs a statement, or answers it from the session's state."""
         session = connection.session
+        if self._is_withdrawn(connection) or connection.is_detached:
+            return self._deny(connection, query)
         step = session.step(query.statement)
         match step:
             case LocalResult(result):
@@ -398,6 +408,51 @@
             case Run():
                 return await self._run_statement(connection, query, step)
 
+    def _is_withdrawn(self, connection: CallerConnection) -> bool:
+        """Returns whether a session's key was withdrawn.
+
+        An open transaction keeps the route under which it began, so a removed
+        or changed route does not count.
+        """
+        config = self._fleet.config
+        if config is None or connection.caller is None:
+            return False
+        route = config.routes.get(connection.database)
+        if connection.tx is not None:
+            route = connection.tx.route
+        return not config.permits_key(
+            connection.key,
+            connection.caller.workspace,
+            allows_anonymous=route is None or route.allows_anonymous,
+        )
+
+    def _deny(self, connection: CallerConnection, query: lines.Query) -> Result:
+        """Answers a statement whose key was withdrawn, also for a while."""
+        self._end_withdrawn(connection)
+        failure = Failure(ErrorCode.NO_AUTH, WITHDRAWN_MESSAGE)
+        if not self._is_withdrawn(connection):
+            failure = Failure(ErrorCode.ABORTED, WITHDRAWN_MESSAGE)
+        return connection.session.deny(query.statement, failure)
+
+    def _end_withdrawn(self, connection: CallerConnection) -> bool:
+        """Rolls back the open transaction of a key that was withdrawn.
+
+        Returns:
+            Whether there was one.
+        """
+        if connection.tx is None or not self._is_withdrawn(connection):
+            return False
+        self._transactions.abandon(connection.tx)
+        connection.tx = None
+        connection.session.mark_failed()
+        self._metrics.count("withdrawn_transactions_ended")
+        log_event(
+            "transaction of withdrawn key ended",
+            database=connection.database,
+            workspace=connection.caller and connection.caller.workspace,
+        )
+        return True
+
     async def _open_transaction(
         self, connection: CallerConnection, read_only: bool
     ) -> Result:
@@ -479,13 +534,13 @@
             if self.refusing and not is_readable(connection.stream):
                 return None
             # The key may have been withdrawn while a statement ran.
-            if connection.is_idle and isinstance(
-                self._authorize(connection), Failure
+            self._end_withdrawn(connection)
+            if connection.is_idle and (
+                connection.is_detached
+                or isinstance(self._authorize(connection), Failure)
             ):
                 return None
-            seconds = float("inf")
-            if connection.tx is not None and self._fleet.config is not None:
-                seconds = self._fleet.config.transaction_idle
+            seconds = self._idle_limit(connection)
             with trio.move_on_after(seconds) as scope:
                 connection.wait_scope = scope
                 try:
@@ -494,10 +549,25 @@
                         return None
                 finally:
                     connection.wait_scope = None
-            if line is None and not self._end_idle_transaction(connection):
+            if line is None and not (
+                self._end_withdrawn(connection)
+                or self._end_idle_transaction(connection)
+            ):
                 return None
         return line
 
+    def _idle_limit(self, connection: CallerConnection) -> float:
+        """Returns for how long, in seconds, a session may wait for a line."""
+        config = self._fleet.config
+        is_limited = (
+            connection.tx is not None
+            or connection.is_detached
+            or self._is_withdrawn(connection)
+        )
+        if config is None or not is_limited:
+            return float("inf")
+        return config.transaction_idle
+
     def _end_idle_transaction(self, connection: CallerConnection) -> bool:
         """Ends an idle transaction.
 
@@ -516,17 +586,24 @@
     def _close_unauthorized(self) -> None:
         """Closes sessions whose key or route was removed, once they are idle.
 
-        A relayed session is closed here too, because its home may be cut off
-        from the configuration.
+        The open transaction of a key that was withdrawn is rolled back, as
+        soon as no statement of it runs. A relayed session is handled here too,
+        because its home may be cut off from the configuration.
         """
         for connection in [*self._connections.values()]:
             if connection.caller is None:
                 continue
+            if connection.tx is not None and self._is_withdrawn(connection):
+                if connection.wait_scope is not None:
+                    connection.wait_scope.cancel()
+                continue
             if not isinstance(self._authorize(connection), Failure):
                 self._leave_disallowed_home(connection)
                 continue
             if connection.relayed is not None:
                 connection.relayed.cancel_when_idle()
+                if self._is_withdrawn(connection):
+                    connection.relayed.detach_when_answered()
             elif connection.wait_scope is not None and connection.is_idle:
                 connection.wait_scope.cancel()
 
@@ -603,8 +680,3 @@
             config_version=0 if config is None else config.version,
             rate=0.0 if workspace is None else workspace.rate,
         )
-
-
-def _public_workspace(config: RoutingConfig) -> str:
-    """Returns the workspace that callers without a key run under."""
-    return next(iter(config.workspaces), "")
--- a/src/lagoonstair/proxy/_relay.py
+++ b/src/lagoonstair/proxy/_relay.py
@@ -90,6 +90,7 @@
         waiting_since: Since when the caller has waited for the home's next
             answer, in seconds; outdated if it does not wait.
         is_cut: Whether this instance ended it, not the home.
+        is_detached: Whether this instance took the caller's session back.
     """
 
     def __init__(
@@ -106,9 +107,11 @@
         self._scope = trio.CancelScope()
         self._ends_when_idle = False
         self._ends_when_answered = False
+        self._detaches_when_answered = False
         self._is_refused = False
         self._gate: OperationGate | None = None
         self.is_cut = False
+        self.is_detached = False
         self.waiting_since = 0.0
 
     @classmethod
@@ -218,6 +221,24 @@
         if not self.has_outstanding and not is_readable(self._caller):
             self.cancel()
 
+    def detach_when_answered(self) -> None:
+        """Leaves the home as soon as no answer is outstanding.
+
+        The home then rolls an open transaction back. The caller's connection
+        stays open, and nothing more of it reaches the home.
+        """
+        self._detaches_when_answered = True
+        if not self.has_outstanding:
+            self._detach()
+
+    def _detach(self) -> None:
+        self.is_detached = True
+        self.cancel()
+
+    def take_unanswered(self) -> bytes:
+        """Removes and returns the caller's data that is not answered."""
+        return self._tracker.take_unanswered()
+
     def close(self) -> None:
         """Closes the connection to the home without relaying anything."""
         self._home.socket.close()
@@ -274,7 +295,8 @@
         Returns:
             The failure to send to the caller if the home was lost while the
             caller waited for an answer. ``None`` if a part of the answer was
-            already sent, as nothing can follow that.
+            already sent, as nothing can follow that, or if the session goes on
+            here.
         """
         try:
             with self._scope:
@@ -286,6 +308,8 @@
                     nursery.cancel_scope.cancel()
         finally:
             self._home.socket.close()
+        if self.is_detached:
+            return None
         if (
             not self._tracker.has_unanswered
             or self._has_caller_left
@@ -370,6 +394,8 @@
                 self.cancel()
             if self._ends_when_answered and not self.has_outstanding:
                 self.cancel()
+            if self._detaches_when_answered and not self.has_outstanding:
+                self._detach()
         return chunk
 
     async def _forward_to_caller(self) -> None:
@@ -392,6 +418,9 @@
                 return
             if self._ends_when_answered and not self.has_outstanding:
                 return
+            if self._detaches_when_answered and not self.has_outstanding:
+                self.is_detached = True
+                return
             try:
                 chunk = await self._home.receive_some(READ_BYTES)
             except (OSError, trio.BrokenResourceError):
--- a/src/lagoonstair/proxy/_retries.py
+++ b/src/lagoonstair/proxy/_retries.py
@@ -6,7 +6,7 @@
 import itertools
 from collections.abc import Callable, Iterator
 
-from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.statements import ErrorCode, Failure
 
 FIRST_BACKOFF_SECONDS = 0.02
@@ -57,8 +57,11 @@
         exc: The refusal; the statement has not run.
 
     Returns:
-        A busy error whose message tells when to retry.
+        A busy error whose message tells when to retry, unless the caller's key
+        was withdrawn.
     """
+    if exc.kind is ErrorKind.UNAUTHENTICATED:
+        return Failure(ErrorCode.NO_AUTH, exc.message)
     seconds = exc.retry_after or DEFAULT_RETRY_AFTER_SECONDS
     hint = f"retry_after_ms={int(seconds * 1000)}"
     return Failure(ErrorCode.BUSY, f"{exc.message}; {hint}")
--- a/src/lagoonstair/proxy/_targets.py
+++ b/src/lagoonstair/proxy/_targets.py
@@ -8,7 +8,7 @@
 import trio
 
 from lagoonstair._types import Position
-from lagoonstair.exceptions import LagoonstairError
+from lagoonstair.exceptions import ErrorKind, LagoonstairError
 from lagoonstair.proxy._cold_gate import ColdGate
 from lagoonstair.proxy._evacuator import (
     excluded_endpoints,
@@ -56,6 +56,8 @@
 
 EVACUATED_MESSAGE = "the failure domain of the primary is evacuated"
 
+WITHDRAWN_MESSAGE = "the key was withdrawn"
+
 CONFIRMED_LATE_MESSAGE = "the primary may have been replaced meanwhile"
 
 
@@ -66,11 +68,14 @@
     Attributes:
         workspace: The workspace that the caller belongs to.
         session: The values and prepared statements of the caller's session.
+        key: The key that the session was opened with; ``None`` if it is not
+            checked.
         writes: The session's acknowledged writes.
     """
 
     workspace: str
     session: Session
+    key: str | None = None
     writes: SessionWrites = field(default_factory=SessionWrites)
 
 
@@ -185,6 +190,29 @@
             return False
         return True
 
+    def check_key(self, caller: Caller, route: Route) -> None:
+        """Checks that the caller's key has not been withdrawn.
+
+        Called directly before anything is sent on the caller's behalf, because
+        the configuration may have changed during the waits before that.
+
+        Args:
+            caller: The caller.
+            route: The route under which its operation began.
+
+        Raises:
+            LagoonstairError: It has been withdrawn; nothing may be sent.
+        """
+        config = self._fleet.config
+        if caller.key is None or config is None:
+            return
+        if not config.permits_key(
+            caller.key,
+            caller.workspace,
+            allows_anonymous=route.allows_anonymous,
+        ):
+            raise LagoonstairError(ErrorKind.UNAUTHENTICATED, WITHDRAWN_MESSAGE)
+
     def permits(self, caller: Caller, route: Route, pool: EndpointPool) -> bool:
         """Returns whether home regions let a caller's requests run there."""
         return self._fleet.region_filter.permits(
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -165,6 +165,7 @@
                         Target(tx.pool, None, bool(tx.epoch)),
                         tx.link.count_setup(caller.session.values, run.shape),
                     )
+                self._targets.check_key(caller, tx.route)
                 # Its beginning or the wait for tokens may have lasted beyond
                 # the hard stop of the endpoint's domain.
                 if not self._is_usable(tx):
@@ -246,7 +247,9 @@
             failure = Failure(ErrorCode.IN_DOUBT, str(exc))
         except LagoonstairError as exc:
             sent = DeliveryStatus.NOT_SENT
-            failure = Failure(ErrorCode.ABORTED, exc.message)
+            failure = refusal_failure(exc)
+            if failure.code is not ErrorCode.NO_AUTH:
+                failure = Failure(ErrorCode.ABORTED, exc.message)
         self.abandon(tx)
         return failure_for_caller(work, sent, failure)
 
@@ -358,6 +361,8 @@
             failure = refusal
             if target.waits and is_cold_refusal(failure):
                 return failure
+            if failure.code is ErrorCode.NO_AUTH:
+                return failure
             if trio.current_time() >= deadline - MIN_STATEMENT_SECONDS:
                 break
             if target.is_primary:
@@ -415,6 +420,7 @@
         try:
             with trio.move_on_at(deadline):
                 await self._targets.admit_cold(target)
+                self._targets.check_key(caller, route)
                 if not self._targets.may_begin(caller, route, target):
                     pool.release(link)
                     return Failure(ErrorCode.BUSY, NO_PRIMARY_MESSAGE)
@@ -458,7 +464,7 @@
         Raises:
             LinkError: The connection failed, so the statement may have run.
             LagoonstairError: The statement was not sent: no slot will be free
-                in time, or the primary was replaced.
+                in time, the primary was replaced, or the key was withdrawn.
         """
         assert tx.link is not None
         assert tx.pool is not None
@@ -467,6 +473,7 @@
             await self._targets.admit_cold(
                 Target(tx.pool, None, bool(tx.epoch))
             )
+            self._targets.check_key(caller, tx.route)
             # The primary's proof may have expired during the waits.
             if not self._is_usable(tx):
                 raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED_MESSAGE)
--- a/src/lagoonstair/routing/_model.py
+++ b/src/lagoonstair/routing/_model.py
@@ -116,6 +116,26 @@
     transaction_idle: float
     faults: tuple[str, ...] = ()
 
+    @property
+    def public_workspace(self) -> str:
+        """The workspace that callers without a key run under."""
+        return next(iter(self.workspaces), "")
+
+    def permits_key(
+        self, key: str, workspace: str, *, allows_anonymous: bool
+    ) -> bool:
+        """Returns whether a key still stands for a session's workspace.
+
+        Args:
+            key: The key that the session was opened with.
+            workspace: The workspace that the session runs under.
+            allows_anonymous: Whether its route allows callers without a key.
+        """
+        holder = self.keys.get(key)
+        if holder is None and allows_anonymous:
+            holder = self.public_workspace
+        return holder == workspace
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Endpoint:
--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -285,6 +285,11 @@
             return Position(self.term, 0)
         return Position(self.log[-1].term, self.log[-1].number)
 
+    @property
+    def open_connections(self) -> int:
+        """The number of connections that are open now."""
+        return len(self._open)
+
     @property
     def received(self) -> Position:
         """The position of the last commit that it has received."""
--- a/src/lagoonstair/statements/_session.py
+++ b/src/lagoonstair/statements/_session.py
@@ -160,6 +160,29 @@
                     return step.result
         return Failure(ErrorCode.ABORTED, message)
 
+    def deny(self, statement: Statement | None, failure: Failure) -> Result:
+        """Returns the answer to a statement that its caller may not run.
+
+        The end of a transaction is answered in any state, so that the caller
+        gets out of it.
+
+        Args:
+            statement: The statement; ``None`` is an unparsable one.
+            failure: The reason. The open transaction, if any, must have been
+                rolled back.
+        """
+        match self.state, statement:
+            case (TransactionState.IDLE, _):
+                return failure
+            case (_, Rollback()):
+                self.mark_ended()
+                return Success()
+            case (_, Commit()):
+                self.mark_ended()
+            case _:
+                self.mark_failed()
+        return failure
+
     def mark_opened(self) -> None:
         """Records that a transaction was opened."""
         self.state = TransactionState.OPEN
