Send the session's values before a COMMIT

Cause: the values were sent with each read and write in a transaction; the commit took another way to the connection.

Why it works: all texts of a client in a transaction go through one place, which sends the values first and takes the tokens for them.

--- a/src/lagoonstair/platform/lines.py
+++ b/src/lagoonstair/platform/lines.py
@@ -72,6 +72,7 @@
 
 STATUS = "STATUS"
 RESET = "RESET"
+COMMIT = "COMMIT"
 ROLLBACK = "ROLLBACK"
 
 
--- a/src/lagoonstair/proxy/_retries.py
+++ b/src/lagoonstair/proxy/_retries.py
@@ -18,9 +18,9 @@
 empties a full queue."""
 
 
-TOO_LONG_FAILURE = Failure(
-    ErrorCode.TOO_LARGE, "the statement is too long to be sent on"
-)
+TOO_LONG_MESSAGE = "the statement is too long to be sent on"
+
+TOO_LONG_FAILURE = Failure(ErrorCode.TOO_LARGE, TOO_LONG_MESSAGE)
 
 BUSY_FAILURE = Failure(
     ErrorCode.BUSY,
@@ -57,11 +57,14 @@
         exc: The refusal; the statement has not run.
 
     Returns:
-        A busy error whose message tells when to retry, unless the caller's key
-        was withdrawn.
+        A busy error whose message tells when to retry, unless a retry can't
+        succeed.
     """
-    if exc.kind is ErrorKind.UNAUTHENTICATED:
-        return Failure(ErrorCode.NO_AUTH, exc.message)
+    match exc.kind:
+        case ErrorKind.UNAUTHENTICATED:
+            return Failure(ErrorCode.NO_AUTH, exc.message)
+        case ErrorKind.TOO_LARGE:
+            return Failure(ErrorCode.TOO_LARGE, exc.message)
     seconds = exc.retry_after or DEFAULT_RETRY_AFTER_SECONDS
     hint = f"retry_after_ms={int(seconds * 1000)}"
     return Failure(ErrorCode.BUSY, f"{exc.message}; {hint}")
--- a/src/lagoonstair/proxy/_transactions.py
+++ b/src/lagoonstair/proxy/_transactions.py
@@ -16,7 +16,7 @@
 from lagoonstair.proxy._region_filter import ELSEWHERE_MESSAGE
 from lagoonstair.proxy._retries import (
     BUSY_FAILURE,
-    TOO_LONG_FAILURE,
+    TOO_LONG_MESSAGE,
     backoff_delays,
     next_delay,
     refusal_failure,
@@ -76,7 +76,7 @@
         has_written: Whether a write succeeded.
         has_run: Whether any statement succeeded; until then it can move to
             another connection.
-        is_committing: Whether its commit has been sent.
+        is_committing: Whether its commit has been sent, or may have been.
     """
 
     route: Route
@@ -154,40 +154,12 @@
         failure = await self._ensure_link(caller, tx, deadline)
         if failure is not None:
             return DeliveryStatus.NOT_SENT, failure
-        assert tx.link is not None
-        sent = DeliveryStatus.NOT_SENT
-        failure = Failure(ErrorCode.ABORTED, "no slot was free in time")
+        sent = DeliveryStatus.UNANSWERED
+        failure = Failure(ErrorCode.ABORTED, "no answer in time")
         try:
             with trio.move_on_at(deadline):
-                assert tx.pool is not None
-                if self._targets.is_cold(tx.pool):
-                    await self._targets.admit_cold(
-                        Target(tx.pool, None, bool(tx.epoch)),
-                        tx.link.count_setup(caller.session.values, run.shape),
-                    )
-                self._targets.check_key(caller, tx.route)
-                # Its beginning or the wait for tokens may have lasted beyond
-                # the hard stop of the endpoint's domain.
-                if not self._is_usable(tx):
-                    raise LagoonstairError(
-                        ErrorKind.UNAVAILABLE, REPLACED_MESSAGE
-                    )
-                prepared_name = await tx.link.apply_session(
-                    caller.session.values, run.shape
-                )
-                text = lines.run_text(run, prepared_name)
-                if not lines.fits_query(request_id, text):
-                    self.abandon(tx)
-                    return sent, TOO_LONG_FAILURE
-                sent = DeliveryStatus.UNANSWERED
-                failure = Failure(ErrorCode.ABORTED, "no answer in time")
                 result = await self._exchange(
-                    caller,
-                    tx,
-                    request_id,
-                    text,
-                    deadline,
-                    WorkKind(tx.route.priority, run.writes),
+                    caller, tx, request_id, run, deadline
                 )
                 sent = DeliveryStatus.ANSWERED
                 if isinstance(result, Success):
@@ -218,19 +190,20 @@
 
         Returns:
             The answer to the caller; in doubt if the transaction has written
-            and the commit was sent but not confirmed.
+            and the commit was sent but not confirmed. If it was not sent,
+            nothing of the transaction is kept.
         """
         deadline = trio.current_time() + tx.route.timeout
         refusal = await self._ensure_link(caller, tx, deadline)
         if refusal is not None:
             return refusal
-        sent = DeliveryStatus.UNANSWERED
-        failure = Failure(ErrorCode.IN_DOUBT, "no answer in time")
+        sent = DeliveryStatus.NOT_SENT
+        failure = Failure(ErrorCode.ABORTED, "no answer in time")
         work = OperationKind.COMMIT if tx.has_written else OperationKind.READ
         try:
             with trio.move_on_at(deadline):
                 result = await self._exchange(
-                    caller, tx, request_id, "COMMIT", deadline
+                    caller, tx, request_id, None, deadline
                 )
                 if isinstance(result, Success):
                     self._release_link(tx)
@@ -244,12 +217,13 @@
                 sent = DeliveryStatus.ANSWERED
                 failure = result
         except LinkError as exc:
-            failure = Failure(ErrorCode.IN_DOUBT, str(exc))
+            failure = Failure(ErrorCode.ABORTED, str(exc))
         except LagoonstairError as exc:
-            sent = DeliveryStatus.NOT_SENT
             failure = refusal_failure(exc)
             if failure.code is not ErrorCode.NO_AUTH:
                 failure = Failure(ErrorCode.ABORTED, exc.message)
+        if tx.is_committing and sent is DeliveryStatus.NOT_SENT:
+            sent = DeliveryStatus.UNANSWERED
         self.abandon(tx)
         return failure_for_caller(work, sent, failure)
 
@@ -455,34 +429,54 @@
         caller: Caller,
         tx: Transaction,
         request_id: str,
-        text: str,
+        run: Run | None,
         deadline: float,
-        kind: WorkKind | None = None,
     ) -> Result:
         """Sends a statement on a transaction's connection.
 
+        Every text of a caller in a transaction is sent here, after the values
+        of its session.
+
+        Args:
+            caller: The caller that sent the statement.
+            tx: The transaction.
+            request_id: The caller's id of the statement.
+            run: The statement; ``None`` for the commit.
+            deadline: Time by which it must be answered, in seconds.
+
         Raises:
-            LinkError: The connection failed, so the statement may have run.
+            LinkError: The connection failed. The statement may have run; a
+                commit only if ``is_committing`` is set.
             LagoonstairError: The statement was not sent: no slot will be free
-                in time, the primary was replaced, or the key was withdrawn.
+                in time, the primary was replaced, the key was withdrawn, or it
+                is too long.
         """
         assert tx.link is not None
         assert tx.pool is not None
         work = work_of(tx.route, tx.began, in_transaction=True)
+        values = caller.session.values
+        shape = None if run is None else run.shape
         async with tx.pool.statement_slot(caller.workspace, deadline, work):
-            await self._targets.admit_cold(
-                Target(tx.pool, None, bool(tx.epoch))
+            if self._targets.is_cold(tx.pool):
+                await self._targets.admit_cold(
+                    Target(tx.pool, None, bool(tx.epoch)),
+                    1 + tx.link.count_setup(values, shape),
+                )
+            self._check_sendable(caller, tx)
+            prepared_name = await tx.link.apply_session(values, shape)
+            self._check_sendable(caller, tx)
+            text = (
+                lines.COMMIT
+                if run is None
+                else lines.run_text(run, prepared_name)
             )
-            self._targets.check_key(caller, tx.route)
-            # The primary's proof may have expired during the waits.
-            if not self._is_usable(tx):
-                raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED_MESSAGE)
-            if not self._targets.permits(caller, tx.route, tx.pool):
-                raise LagoonstairError(ErrorKind.UNAVAILABLE, ELSEWHERE_MESSAGE)
+            if not lines.fits_query(request_id, text):
+                raise LagoonstairError(ErrorKind.TOO_LARGE, TOO_LONG_MESSAGE)
             started_at = trio.current_time()
-            tx.is_committing = text == "COMMIT"
-            expected = (
-                Expected.COMMITTED if text == "COMMIT" else Expected.SIGNED
+            tx.is_committing = run is None
+            expected = Expected.COMMITTED if run is None else Expected.SIGNED
+            kind = (
+                None if run is None else WorkKind(tx.route.priority, run.writes)
             )
             try:
                 reply = await tx.link.run(request_id, text, expected)
@@ -499,7 +493,7 @@
             tx.pool.admission.record_result(kind, started_at, reply.result)
             commits_writes = (
                 tx.has_written
-                and text == "COMMIT"
+                and run is None
                 and isinstance(reply.result, Success)
             )
             self._targets.record_answer(
@@ -507,6 +501,20 @@
             )
             return reply.result
 
+    def _check_sendable(self, caller: Caller, tx: Transaction) -> None:
+        """Checks that a caller's text may be sent in a transaction now.
+
+        Raises:
+            LagoonstairError: It may not: the key was withdrawn, the primary's
+                proof has expired, or the endpoint's domain is not permitted.
+        """
+        assert tx.pool is not None
+        self._targets.check_key(caller, tx.route)
+        if not self._is_usable(tx):
+            raise LagoonstairError(ErrorKind.UNAVAILABLE, REPLACED_MESSAGE)
+        if not self._targets.permits(caller, tx.route, tx.pool):
+            raise LagoonstairError(ErrorKind.UNAVAILABLE, ELSEWHERE_MESSAGE)
+
     def _release_link(self, tx: Transaction) -> None:
         """Ends a transaction and returns its connection, if it has one."""
         if self._open.pop(id(tx), None) is None:
--- a/src/lagoonstair/standins/statements/_database.py
+++ b/src/lagoonstair/standins/statements/_database.py
@@ -225,6 +225,8 @@
         status_seconds: How long a status query waits for a slot, in seconds.
         busy_statuses: The number of the next status queries that are answered
             with BUSY.
+        refused_texts: The statements that are refused, by their text.
+        silent_texts: The statements that are never answered, by their text.
         omits_position: Whether its answers omit the log position.
         max_open_connections: The largest number of connections that were
             open at the same time.
@@ -265,6 +267,8 @@
         self.busy_statuses = 0
         self.status_seconds = 0.0
         self.statement_seconds = 0.0
+        self.refused_texts: set[str] = set()
+        self.silent_texts: set[str] = set()
         self.omits_position = False
         self.max_open_connections = 0
         self.superseded_commits: set[str] = set()
@@ -452,6 +456,8 @@
             elif request_id != "-":
                 self._db.received_ids.add(request_id)
                 await trio.sleep(self._db.statement_seconds)
+            if text in self._db.silent_texts:
+                await trio.sleep_forever()
             commits = len(self._db.log)
             answer = self._run_statement(request_id, text)
             if self._db.is_primary and len(self._db.log) > commits:
@@ -551,6 +557,8 @@
         db = self._db
         db._apply_due_events()
         db.statements.append((request_id, text))
+        if text in db.refused_texts:
+            return self._error("FAILED", db.name)
         parsed = parse_statement(text)
         if parsed.after is not None and db.position < parsed.after:
             return self._error("LAGGING", db.name)
--- a/tests/strict_callers.py
+++ b/tests/strict_callers.py
@@ -357,7 +357,7 @@
             yield f"PINNED {run} instead of {statement.prepared}"
     if run.text != expected:
         yield f"UNASKED {run} instead of {expected!r}"
-    if run.values != statement.values and not run.text.startswith("COMMIT"):
+    if run.values != statement.values:
         yield f"PINNED {run} instead of {statement.values}"
     if run.state != statement.state:
         yield f"PINNED {run} instead of state {statement.state}"
--- a/tests/test_proxy_transactions.py
+++ b/tests/test_proxy_transactions.py
@@ -1,5 +1,7 @@
 """Tests of transactions and writes whose primary is replaced meanwhile."""
 
+import dataclasses
+
 import pytest
 import trio
 import trio.testing
@@ -156,3 +158,110 @@
         assert refused.code is ErrorCode.BUSY
         assert not sent
         assert not transactions._open
+
+
+def _transaction(**changes):
+    return Transaction(
+        **{
+            "route": ROUTE,
+            "read_only": False,
+            "began": trio.current_time(),
+            **changes,
+        }
+    )
+
+
+def _values(database, request_id):
+    (values,) = [
+        run.values for run in database.runs if run.request_id == request_id
+    ]
+    return values
+
+
+READ = Run(False, "READ a", autocommit=False)
+
+WRITE = Run(True, "WRITE a 1", autocommit=False)
+
+
+# A commit ran without the values that its client had set since its last
+# statement, or with those of another client.
+@pytest.mark.parametrize("read_only", [False, True])
+@pytest.mark.parametrize("statement", [None, READ, WRITE])
+@pytest.mark.parametrize("busy", [0, 1])
+async def test_a_commit_runs_with_the_values_of_its_session(
+    read_only, statement, busy
+):
+    if read_only and statement is WRITE:
+        statement = READ
+    async with one_endpoint() as (fleet, database):
+        transactions = TransactionManager(
+            fleet, TargetSelector(fleet, Metrics())
+        )
+        # Leaves values on the connection that the next session does not have.
+        other = Caller(workspace="w", session=Session(values={"x": "1"}))
+        tx = _transaction()
+        await transactions.run(other, tx, WRITE, "o1")
+        other.session.values["y"] = "2"
+        assert isinstance(await transactions.commit(other, tx, "o2"), Success)
+        assert _values(database, "o2") == {"x": "1", "y": "2"}
+
+        caller = Caller(workspace="w", session=Session(values={"x": "3"}))
+        tx = _transaction(read_only=read_only)
+        if statement is not None:
+            database.busy_answers = busy
+            await transactions.run(caller, tx, statement, "q1")
+            assert _values(database, "q1") == {"x": "3"}
+            caller.session.values["z"] = "4"
+        done = await transactions.commit(caller, tx, "q2")
+        assert isinstance(done, Success)
+        assert _values(database, "q2") == caller.session.values
+        assert database.max_open_connections == 1
+
+
+# A commit that was not sent must not be reported as in doubt, nor must a value
+# that may not be set be taken for set.
+@pytest.mark.parametrize("fault", ["refused", "silent"])
+async def test_a_commit_whose_values_can_not_be_set_is_not_sent(fault):
+    async with one_endpoint() as (fleet, database):
+        transactions = TransactionManager(
+            fleet, TargetSelector(fleet, Metrics())
+        )
+        caller = Caller(workspace="w", session=Session())
+        route = dataclasses.replace(ROUTE, timeout=0.5)
+        tx = _transaction(route=route)
+        await transactions.run(caller, tx, WRITE, "q1")
+        caller.session.values["x"] = "1"
+        if fault == "refused":
+            database.refused_texts = {"SET x 1"}
+        else:
+            database.silent_texts = {"SET x 1"}
+        refused = await transactions.commit(caller, tx, "q2")
+        assert refused.code is ErrorCode.ABORTED
+        assert "q2" not in database.received_ids
+        assert database.log == []
+        database.refused_texts = database.silent_texts = set()
+        tx = _transaction()
+        done = await transactions.commit(caller, tx, "q3")
+        assert isinstance(done, Success)
+        assert _values(database, "q3") == {"x": "1"}
+        assert not fleet.primary_uses["g"]
+
+
+# The values that precede a commit exceeded the rate of a cold endpoint.
+async def test_the_values_before_a_commit_need_tokens_too():
+    async with one_endpoint() as (fleet, _):
+        targets = TargetSelector(fleet, Metrics())
+        transactions = TransactionManager(fleet, targets)
+        caller = Caller(workspace="w", session=Session())
+        tx = _transaction()
+        await transactions.run(caller, tx, WRITE, "q1")
+        caller.session.values.update(x="1", y="2")
+        taken = []
+
+        async def admit_cold(target, statements=1):
+            taken.append(statements)
+
+        targets.is_cold = lambda pool: True
+        targets.admit_cold = admit_cold
+        assert isinstance(await transactions.commit(caller, tx, "q2"), Success)
+        assert taken == [3]
