Move access checks, answer logging and registration rows out

What a session may do stands in _access.py, the log of answers in _answer_log.py, and the rows of a registration, free of I/O, in _registration.py and _registry_rows.py.

--- a/src/lagoonstair/primacy/_primacy.py
+++ b/src/lagoonstair/primacy/_primacy.py
@@ -30,8 +30,9 @@
 given up therefore shares a voter with one after that.
 
 A promoter also counts a voter that stands down, as long as its seat certainly
-has not been given up. The proofs that may have missed the promotion don't count
-that voter, and more than half of the others are not needed to meet them.
+has not been given up. A proof doesn't count that voter, so its majority lies
+among the others, and shares one of them with the promoter's. Whoever knows that
+the seat was given up later knows the promotion, which was recorded before.
 
 Voters are added one at a time: the next one only after a majority of the
 voters has known of the last addition for longer than a proof holds. No proof
--- a/src/lagoonstair/proxy/_front.py
+++ b/src/lagoonstair/proxy/_front.py
@@ -1,6 +1,5 @@
 """Server for callers' connections: sessions, authorization and logging."""
 
-import random
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -9,9 +8,11 @@
 from lagoonstair._faults import describe_exception
 from lagoonstair.exceptions import LagoonstairError
 from lagoonstair.platform import lines
+from lagoonstair.proxy._access import Access
 from lagoonstair.proxy._admission import refuse_unservable
+from lagoonstair.proxy._answer_log import AnswerLog
 from lagoonstair.proxy._conversation import CallerConnection
-from lagoonstair.proxy._entry import EntrySessions, statement_kind
+from lagoonstair.proxy._entry import EntrySessions
 from lagoonstair.proxy._executor import Executor
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._isolation import IsolationWatch
@@ -23,11 +24,10 @@
 from lagoonstair.proxy._relays import HomeRouter
 from lagoonstair.proxy._retries import refusal_failure
 from lagoonstair.proxy._sockets import is_readable
-from lagoonstair.proxy._targets import WITHDRAWN_MESSAGE, Caller
+from lagoonstair.proxy._targets import WITHDRAWN_MESSAGE
 from lagoonstair.proxy._transactions import Transaction, TransactionManager
 from lagoonstair.routing import Route
 from lagoonstair.statements import (
-    Begin,
     EndTransaction,
     ErrorCode,
     Failure,
@@ -47,9 +47,6 @@
 """Time in milliseconds after which unacknowledged data ends a caller's
 connection; longer than any network interruption that callers survive."""
 
-SUCCESS_LOG_RATIO = 1 / 64
-"""Fraction of the successful answers that are logged."""
-
 CALLER_DESCRIPTOR_SHARE = 0.9
 """Fraction of the file descriptors that callers may use; the rest is for
 connections to endpoints, other instances and the store."""
@@ -90,6 +87,9 @@
         self._transactions = transactions
         self._quota = quota
         self._metrics = metrics
+        self._access = Access(fleet)
+        self._authorize = self._access.authorize
+        self._answers = AnswerLog(fleet, metrics)
         self._entry = EntrySessions(fleet, metrics, router, isolation)
         sockets = max_descriptors - RESERVED_DESCRIPTORS
         self._max_connections = int(sockets * CALLER_DESCRIPTOR_SHARE)
@@ -252,7 +252,7 @@
             self._authorize,
             self._run_session,
             self._answer_statements,
-            lambda: self._allowed_domains(connection),
+            lambda: self._access.allowed_domains(connection),
         )
 
     async def _run_session(self, connection: CallerConnection) -> None:
@@ -307,35 +307,6 @@
             return True
         return False
 
-    def _authorize(self, connection: CallerConnection) -> Route | Failure:
-        """Checks a session against the current configuration.
-
-        Returns:
-            The session's route, or the failure to answer with.
-        """
-        config = self._fleet.config
-        if config is None:
-            return Failure(ErrorCode.BUSY, "no configuration yet")
-        route = config.routes.get(connection.database)
-        if route is None:
-            return Failure(ErrorCode.NO_DATABASE, "no route has this name")
-        workspace = config.keys.get(connection.key)
-        if workspace is None:
-            if not route.allows_anonymous:
-                return Failure(ErrorCode.NO_AUTH, "unknown key")
-            workspace = config.public_workspace
-        if connection.caller is None:
-            connection.caller = Caller(
-                workspace=workspace,
-                session=connection.session,
-                key=connection.key,
-            )
-        elif connection.caller.workspace != workspace:
-            return Failure(
-                ErrorCode.NO_AUTH, "the key has another workspace now"
-            )
-        return route
-
     async def _answer_query(
         self, connection: CallerConnection, query: lines.Query
     ) -> bool:
@@ -362,13 +333,13 @@
                 message=message,
             )
             await connection.send_final_result(failure, state)
-            self._log_answer(
+            self._answers.record(
                 connection, query, failure, trio.current_time() - started_at
             )
             return False
         state = connection.session.state
         await connection.stream.send_all(lines.encode_result(result, state))
-        self._log_answer(
+        self._answers.record(
             connection, query, result, trio.current_time() - started_at
         )
         ends = (
@@ -388,14 +359,14 @@
         result = connection.session.refuse(query.statement, SHUTDOWN_MESSAGE)
         state = connection.session.state
         await connection.stream.send_all(lines.encode_result(result, state))
-        self._log_answer(connection, query, result, 0.0)
+        self._answers.record(connection, query, result, 0.0)
 
     async def _execute(
         self, connection: CallerConnection, query: lines.Query
     ) -> Result:
         """Runs a statement, or answers it from the session's state."""
         session = connection.session
-        if self._is_withdrawn(connection) or connection.is_detached:
+        if self._access.is_withdrawn(connection) or connection.is_detached:
             return self._deny(connection, query)
         step = session.step(query.statement)
         match step:
@@ -408,29 +379,11 @@
             case Run():
                 return await self._run_statement(connection, query, step)
 
-    def _is_withdrawn(self, connection: CallerConnection) -> bool:
-        """Returns whether a session's key was withdrawn.
-
-        An open transaction keeps the route under which it began, so a removed
-        or changed route does not count.
-        """
-        config = self._fleet.config
-        if config is None or connection.caller is None:
-            return False
-        route = config.routes.get(connection.database)
-        if connection.tx is not None:
-            route = connection.tx.route
-        return not config.permits_key(
-            connection.key,
-            connection.caller.workspace,
-            allows_anonymous=route is None or route.allows_anonymous,
-        )
-
     def _deny(self, connection: CallerConnection, query: lines.Query) -> Result:
         """Answers a statement whose key was withdrawn, also for a while."""
         self._end_withdrawn(connection)
         failure = Failure(ErrorCode.NO_AUTH, WITHDRAWN_MESSAGE)
-        if not self._is_withdrawn(connection):
+        if not self._access.is_withdrawn(connection):
             failure = Failure(ErrorCode.ABORTED, WITHDRAWN_MESSAGE)
         return connection.session.deny(query.statement, failure)
 
@@ -440,7 +393,7 @@
         Returns:
             Whether there was one.
         """
-        if connection.tx is None or not self._is_withdrawn(connection):
+        if connection.tx is None or not self._access.is_withdrawn(connection):
             return False
         self._transactions.abandon(connection.tx)
         connection.tx = None
@@ -562,7 +515,7 @@
         is_limited = (
             connection.tx is not None
             or connection.is_detached
-            or self._is_withdrawn(connection)
+            or self._access.is_withdrawn(connection)
         )
         if config is None or not is_limited:
             return float("inf")
@@ -593,7 +546,9 @@
         for connection in [*self._connections.values()]:
             if connection.caller is None:
                 continue
-            if connection.tx is not None and self._is_withdrawn(connection):
+            if connection.tx is not None and self._access.is_withdrawn(
+                connection
+            ):
                 if connection.wait_scope is not None:
                     connection.wait_scope.cancel()
                 continue
@@ -602,81 +557,21 @@
                 continue
             if connection.relayed is not None:
                 connection.relayed.cancel_when_idle()
-                if self._is_withdrawn(connection):
+                if self._access.is_withdrawn(connection):
                     connection.relayed.detach_when_answered()
             elif connection.wait_scope is not None and connection.is_idle:
                 connection.wait_scope.cancel()
 
-    def _allowed_domains(
-        self, connection: CallerConnection
-    ) -> frozenset[str] | None:
-        """Returns the failure domains in which a session may run."""
-        route = self._authorize(connection)
-        if isinstance(route, Failure) or connection.caller is None:
-            return None
-        return self._fleet.region_filter.domains(
-            route, connection.caller.workspace
-        )
-
     def _leave_disallowed_home(self, connection: CallerConnection) -> None:
         """Ends a relayed session if its home is not in a home region.
 
         What the caller sends must not reach it any more, so an open
         transaction is rolled back.
         """
-        allowed = self._allowed_domains(connection)
+        allowed = self._access.allowed_domains(connection)
         place = self._fleet.places.get(connection.home)
         if connection.relayed is None or allowed is None or place is None:
             return
         if place.failure_domain not in allowed:
             connection.relayed.cancel_when_idle()
             connection.relayed.cancel_when_answered()
-
-    def _log_answer(
-        self,
-        connection: CallerConnection,
-        query: lines.Query,
-        result: Result,
-        seconds: float,
-    ) -> None:
-        """Counts a statement, and logs it if it failed or is sampled."""
-        kind = statement_kind(query)
-        assert connection.caller is not None
-        match result:
-            case Success():
-                self._metrics.count("statements", outcome="done")
-                code = "done"
-                message = ""
-            case Failure():
-                code = result.code.value
-                message = result.message
-                self._metrics.count("statements", outcome=code)
-        self._metrics.observe("statement", seconds, kind=kind)
-        if code == "done" and (
-            isinstance(query.statement, Begin)
-            or random.random() > SUCCESS_LOG_RATIO
-        ):
-            return
-        config = self._fleet.config
-        route = (
-            None if config is None else config.routes.get(connection.database)
-        )
-        workspace = (
-            None
-            if config is None
-            else config.workspaces.get(connection.caller.workspace)
-        )
-        log_event(
-            "statement answered",
-            request=query.request_id,
-            group="" if route is None else route.group,
-            kind=kind,
-            outcome=code,
-            cause=message,
-            database=connection.database,
-            workspace=connection.caller.workspace,
-            seconds=round(seconds, 4),
-            state=connection.session.state.value,
-            config_version=0 if config is None else config.version,
-            rate=0.0 if workspace is None else workspace.rate,
-        )
--- a/src/lagoonstair/proxy/_reaper.py
+++ b/src/lagoonstair/proxy/_reaper.py
@@ -22,7 +22,13 @@
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._quota import MEMBERSHIP_FRESHNESS_SECONDS
 from lagoonstair.proxy._registry import VOTER_COUNT, Registry
-from lagoonstair.proxy._registry_rows import MEMBER_PREFIX, line_of_voters
+from lagoonstair.proxy._registry_rows import (
+    MEMBER_PREFIX,
+    all_can_resign,
+    can_leave_seat,
+    line_of_voters,
+    stood_down,
+)
 from lagoonstair.proxy._settings import InstanceSettings
 
 SILENT_ROUNDS = 8
@@ -79,9 +85,7 @@
         """
         name = self._fleet.name
         primacy = self._fleet.primacy
-        if self._registry.lacks_seat(name) or not (
-            self._registry.all_can_resign() and self._gossip.all_can_resign()
-        ):
+        if self._registry.lacks_seat(name) or not self._all_can_resign():
             return
         started_at = trio.current_time()
         primacy.stands_down = True
@@ -100,11 +104,14 @@
         await trio.sleep_until(started_at + PROOF_SECONDS * CLOCK_MARGIN)
         try:
             await self._follower.read_registry()
-            if self._registry.can_keep_seat(name):
-                if await self._registry.stand_down(name):
-                    log_event("seat left to others")
-            elif await self._registry.resign(name):
-                log_event("seat resigned")
+            members = self._registry.members
+            # The next one in line takes a seat over at once.
+            has_next = len(line_of_voters(members)) > VOTER_COUNT
+            if has_next or not can_leave_seat(members, name):
+                if await self._registry.resign(name):
+                    log_event("seat resigned")
+            elif await self._registry.stand_down(name):
+                log_event("seat left to others")
         except StoreError as exc:
             log_event("seat kept", cause=str(exc))
 
@@ -137,12 +144,12 @@
         now = trio.current_time()
         self._stood_down_at = {
             name: self._stood_down_at.get(name, now)
-            for name in self._registry.stood_down()
+            for name in stood_down(self._registry.members)
         }
         primacy = self._fleet.primacy
         present = sorted(primacy.present_voters(now, ALIVE_SECONDS))
         names: tuple[str, ...] = ()
-        if not primacy.stands_down and self._gossip.all_can_resign():
+        if not primacy.stands_down and self._all_can_resign():
             names = seats_to_give_up(
                 line_of_voters(self._registry.members),
                 present=present,
@@ -167,6 +174,13 @@
                 voters=len(primacy.voters),
             )
 
+    def _all_can_resign(self) -> bool:
+        """Returns whether no instance has a build without resignations."""
+        return (
+            all_can_resign(self._registry.members)
+            and self._gossip.all_can_resign()
+        )
+
     def _turn(self, present: Sequence[str]) -> float:
         """Returns after how long, in seconds, this instance gives up seats.
 
--- a/src/lagoonstair/proxy/_registry.py
+++ b/src/lagoonstair/proxy/_registry.py
@@ -6,7 +6,6 @@
 
 import math
 import random
-import secrets
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -26,8 +25,11 @@
 from lagoonstair.primacy import Duty, GroupRecord, Seat
 from lagoonstair.proxy._log import log_event
 from lagoonstair.proxy._reconcile import RegistryRows, reconcile
+from lagoonstair.proxy._registration import (
+    FOUNDING_WINDOW_SECONDS,
+    registration_rows,
+)
 from lagoonstair.proxy._registry_rows import (
-    FOUNDING_KEY,
     GROUP_PREFIX,
     MEMBER_PREFIX,
     SEATS_KEY,
@@ -41,12 +43,10 @@
     decode_row,
     era_key,
     line_of_voters,
+    stood_down,
 )
 from lagoonstair.proxy._settings import InstanceSettings
 
-SECRET_BYTES = 16
-"""Length (bytes) of the secret that the instances share."""
-
 RETRY_SECONDS = 0.2
 """Greatest interval (s) between attempts to register; a transaction takes
 8 ms."""
@@ -56,11 +56,6 @@
 three simultaneous failures, and their mutual traffic does not grow with the
 number of instances."""
 
-FOUNDING_WINDOW_SECONDS = 15.0
-"""Time (s) after the founding within which newly registered instances hold
-their shares at once. Until then, the system does not serve yet or has only just
-started to."""
-
 RECONCILE_SECONDS = 3.0
 """Time (s) for which a newly started instance leaves it to the others, which
 know what was lost, to reconcile a restored registry."""
@@ -210,14 +205,6 @@
             Seat(name, self.members[name].place) for name in self.voters()
         )
 
-    def stood_down(self) -> frozenset[str]:
-        """Returns the instances whose seats any instance may give up."""
-        return frozenset(
-            name
-            for name, member in self.members.items()
-            if member.stops and member.stood_down and not member.resigned
-        )
-
     def lacks_seat(self, name: str) -> bool:
         """Returns whether a registered instance is not in line as a voter."""
         member = self.members.get(name)
@@ -231,23 +218,6 @@
         length = len(line_of_voters(self.members))
         return self.lacks_seat(name) and 0 < length < VOTER_COUNT
 
-    def all_can_resign(self) -> bool:
-        """Returns whether every instance registered with a build that can."""
-        return all(member.can_resign for member in self.members.values())
-
-    def can_keep_seat(self, name: str) -> bool:
-        """Returns whether a stopping instance leaves its seat to the others.
-
-        It gives the seat up itself if the next one in line takes it over, or
-        if another instance has a build that would not.
-        """
-        line = line_of_voters(self.members)
-        return len(line) <= VOTER_COUNT and all(
-            member.gives_up
-            for other, member in self.members.items()
-            if other != name
-        )
-
     def apply(self, row: StoredRow) -> None:
         """Applies a row if it is newer than the known one."""
         if row.version <= self._versions.get(row.key, 0):
@@ -345,7 +315,7 @@
         Raises:
             StoreError: The store did not answer or refused the call.
         """
-        return await self._put_member(name, stops=True)
+        return await self._put_member(name, None, stops=True)
 
     async def stand_down(self, name: str) -> bool:
         """Lets others give up the seat of an instance marked as stopping.
@@ -356,10 +326,7 @@
         Raises:
             StoreError: The store did not answer or refused the call.
         """
-        member = self.members.get(name)
-        if member is None or not member.stops:
-            return False
-        return await self._put_member(name, stood_down=True)
+        return await self._put_stopped(name, stood_down=True)
 
     async def resign(self, name: str) -> bool:
         """Gives up the place of an instance that is marked as stopping.
@@ -370,10 +337,14 @@
         Raises:
             StoreError: The store did not answer or refused the call.
         """
+        return await self._put_stopped(name, resigned=True)
+
+    async def _put_stopped(self, name: str, **changes: bool) -> bool:
+        """Changes the row of an instance that is marked as stopping."""
         member = self.members.get(name)
         if member is None or not member.stops:
             return False
-        return await self._put_member(name, resigned=True)
+        return await self._put_member(name, None, **changes)
 
     async def give_up_seats(self, names: Iterable[str]) -> bool:
         """Gives up the seats of instances that have stood down.
@@ -391,7 +362,7 @@
             MEMBER_PREFIX + name: msgspec.structs.replace(
                 self.members[name], resigned=True
             )
-            for name in sorted(self.stood_down().intersection(names))
+            for name in sorted(stood_down(self.members).intersection(names))
         }
         return bool(values) and await self.write(values) is not None
 
@@ -417,7 +388,7 @@
         place = max(now, math.nextafter(max(places, default=0.0), math.inf))
         return await self._put_member(
             name,
-            others={SEATS_KEY: Seats(newest=place)},
+            {SEATS_KEY: Seats(newest=place)},
             resigned=False,
             seated=place,
         )
@@ -425,8 +396,8 @@
     async def _put_member(
         self,
         name: str,
-        *,
-        others: Mapping[str, RowValue] | None = None,
+        others: Mapping[str, RowValue] | None,
+        /,
         **changes: bool | float,
     ) -> bool:
         """Changes an instance's row if it has not changed in the store.
@@ -564,7 +535,13 @@
                 # empty.
                 is_usable = settings.first_start or self.era or rows.rows
                 if is_usable and self.load(rows):
-                    missing = self._missing_rows(settings, rows.now)
+                    missing = registration_rows(
+                        settings,
+                        members=self.members,
+                        founding=self.founding,
+                        era=self.era,
+                        now=rows.now,
+                    )
                     if not missing:
                         return rows
                     await self.write(missing)
@@ -608,50 +585,6 @@
         is_founder = member.since - self.founding.at < FOUNDING_WINDOW_SECONDS
         return is_founder or now - member.since > settled
 
-    def _missing_rows(
-        self, settings: InstanceSettings, now: float
-    ) -> dict[str, RowValue]:
-        missing: dict[str, RowValue] = {}
-        if self.founding is None:
-            secret = secrets.token_hex(SECRET_BYTES)
-            missing[FOUNDING_KEY] = Founding(secret=secret, at=now)
-            missing[era_key(self.era)] = Era(at=now)
-        key = MEMBER_PREFIX + settings.instance
-        known = self.members.get(settings.instance)
-        is_founder = self.founding is None or (
-            now - self.founding.at < FOUNDING_WINDOW_SECONDS
-        )
-        if known is None or known.address != settings.peer_address:
-            missing[key] = Member(
-                host=settings.host,
-                port=settings.peer_ports[0],
-                failure_domain=settings.failure_domain,
-                since=now,
-                capacity=settings.capacity,
-                resigned=not is_founder and self.all_can_resign(),
-                can_resign=True,
-                gives_up=True,
-            )
-            if known is not None:
-                # A new address changes no majority.
-                missing[key] = msgspec.structs.replace(
-                    missing[key],
-                    seated=known.place,
-                    resigned=known.resigned,
-                )
-        else:
-            current = msgspec.structs.replace(
-                known,
-                capacity=settings.capacity,
-                stops=False,
-                stood_down=False,
-                can_resign=True,
-                gives_up=True,
-            )
-            if current != known:
-                missing[key] = current
-        return missing
-
 
 def _decode_mark(era: int, value: bytes | None) -> Era | None:
     """Decodes the row that marks the registry as complete in a history."""
--- a/src/lagoonstair/proxy/_registry_rows.py
+++ b/src/lagoonstair/proxy/_registry_rows.py
@@ -155,6 +155,27 @@
     )
 
 
+def stood_down(members: Mapping[str, Member]) -> frozenset[str]:
+    """Returns the instances whose seats any instance may give up."""
+    return frozenset(
+        name
+        for name, member in members.items()
+        if member.stops and member.stood_down and not member.resigned
+    )
+
+
+def all_can_resign(members: Mapping[str, Member]) -> bool:
+    """Returns whether every instance registered with a build that can."""
+    return all(member.can_resign for member in members.values())
+
+
+def can_leave_seat(members: Mapping[str, Member], name: str) -> bool:
+    """Returns whether all others have builds that give up its seat for it."""
+    return all(
+        member.gives_up for other, member in members.items() if other != name
+    )
+
+
 def era_key(era: int) -> str:
     """Returns the key of a history's row."""
     return f"{ERA_PREFIX}{era}"
