Keep endpoint entries current while the first voters restart

What callers saw: beside a restart of all in turn, instances took a draining primary for a ready one for two more seconds.

Cause: the first two voters follow the endpoint entries; since voters keep their seats over a restart, nobody else took over before the entries were 2.5 s old. And a peer's entries replaced those that an instance had read itself, if the peer had asked the store later; but a feed may answer the earlier question with the newer entry.

Three cases of the two new tests of test_store_restore fail without the change.

Why it works: a voter that is marked as stopping counts no longer as a reader of the entries. Of one process of an endpoint, a peer's entry with a lower sequence number is older, whenever it was asked for, and is left out. What the store itself says is still taken as it is.

--- a/src/lagoonstair/proxy/_follower.py
+++ b/src/lagoonstair/proxy/_follower.py
@@ -383,7 +383,9 @@
 
     def _must_read_endpoints(self) -> bool:
         voters = self._registry.voters()
-        if self._fleet.name in voters[:ENDPOINT_READERS]:
+        members = self._registry.members
+        readers = [name for name in voters if not members[name].stops]
+        if self._fleet.name in readers[:ENDPOINT_READERS]:
             return True
         age = trio.current_time() - self._tables.endpoints_asked_at
         if self._fleet.name in voters:
--- a/src/lagoonstair/proxy/_tables.py
+++ b/src/lagoonstair/proxy/_tables.py
@@ -236,7 +236,7 @@
         if read_at > self.endpoints_asked_at:
             self.endpoints_asked_at = read_at
             if update.endpoints:
-                self.apply_endpoints(dict(update.endpoints))
+                self.apply_endpoints(dict(update.endpoints), is_relayed=True)
         if update.cold:
             fleet = self._fleet
             with fleet.supervisor.contain("cold endpoints", peer=name):
@@ -321,11 +321,19 @@
             )
         return True
 
-    def apply_endpoints(self, entries: dict[str, bytes]) -> None:
-        """Applies the complete set of endpoint entries."""
+    def apply_endpoints(
+        self, entries: dict[str, bytes], *, is_relayed: bool = False
+    ) -> None:
+        """Applies the complete set of endpoint entries.
+
+        Args:
+            entries: The entries by the endpoint's name.
+            is_relayed: Whether a peer sent them. It may have got some before
+                this instance got newer ones, although it asked later.
+        """
         present = set()
         for name, value in entries.items():
-            if self._apply_endpoint(name, value):
+            if self._apply_endpoint(name, value, is_relayed=is_relayed):
                 present.add(name)
         self._unreadable &= entries.keys()
         now = trio.current_time()
@@ -347,13 +355,15 @@
                 self._fleet.missing_since.setdefault(name, now)
         self._update_checksum()
 
-    def _apply_endpoint(self, name: str, value: bytes) -> bool:
+    def _apply_endpoint(
+        self, name: str, value: bytes, *, is_relayed: bool = False
+    ) -> bool:
         """Applies one endpoint's entry; returns whether it names one.
 
         An entry that cannot be used must not keep the others from being used.
         """
         try:
-            return self._use_entry(name, value)
+            return self._use_entry(name, value, is_relayed)
         except Exception as exc:
             if name not in self._unreadable:
                 self._fleet.supervisor.report(
@@ -362,15 +372,20 @@
             self._note_unreadable(name)
             return False
 
-    def _use_entry(self, name: str, value: bytes) -> bool:
+    def _use_entry(self, name: str, value: bytes, is_relayed: bool) -> bool:
         endpoint = discovery.decode_endpoint(name, value)
         if endpoint is None:
             self._note_unreadable(name)
             return False
         self._unreadable.discard(name)
         age = (endpoint.started, endpoint.sequence)
-        if self.awaits_rewrites and age < self._ages.get(name, age):
-            # The copy's entry is older than the known one.
+        known_age = self._ages.get(name, age)
+        is_same_process = endpoint.started == known_age[0]
+        if age < known_age and (
+            self.awaits_rewrites or (is_relayed and is_same_process)
+        ):
+            # The entry of a restored copy or of a peer is older than the known
+            # one.
             return name in self._fleet.endpoints
         self._ages[name] = age
         if (
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -9,12 +9,16 @@
 import msgspec
 import pytest
 import trio
+from msgspec.structs import replace
 
 from lagoonstair._types import Address
 from lagoonstair.platform.store import HistoryLostError, PutRow, Store
 from lagoonstair.proxy._fleet import Fleet
+from lagoonstair.proxy._follower import Follower
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._tables import REWRITE_SECONDS, Tables
+from lagoonstair.proxy._registry import Registry
+from lagoonstair.proxy._registry_rows import Member
+from lagoonstair.proxy._tables import EMPTY_UPDATE, REWRITE_SECONDS, Tables
 from lagoonstair.standins.statements import StoreStandin
 from lagoonstair.standins.statements._store import StoreFault
 from proxy_fleet import HOST, config, proxy_fleet
@@ -200,3 +204,52 @@
     await trio.sleep(REWRITE_SECONDS + 1)
     tables.apply_endpoints({"d1": _entry(seq_no=6, state="draining")})
     assert fleet.endpoints["d1"].leaving
+
+
+@pytest.mark.parametrize("born", [1000, 2000])
+async def test_a_peer_brings_back_no_older_entry(autojump_clock, born):
+    """A leaving primary was taken for a ready one again for two seconds.
+
+    The peer asked the store later, but got the answer before the entry changed.
+    """
+    fleet = Fleet("i1", "a", Metrics())
+    tables = Tables(fleet, Registry(None), Metrics())
+    tables.apply_endpoints({"d1": _entry(seq_no=5, state="draining")})
+    tables.endpoints_asked_at = trio.current_time()
+    await trio.sleep(1)
+    update = replace(
+        EMPTY_UPDATE,
+        endpoints=(("d1", _entry(seq_no=4, born=born)),),
+        endpoints_age=0.1,
+    )
+    tables.apply_update("i2", update, trio.current_time())
+    # Another process under the same name counts its entries anew.
+    assert fleet.endpoints["d1"].leaving is (born == 1000)
+    assert not fleet.missing_since
+
+
+@pytest.mark.parametrize("stopping", [(), ("i1",), ("i1", "i2")])
+async def test_voters_that_stop_leave_the_endpoint_entries_to_others(stopping):
+    """Nobody followed the entries while the first two voters restarted."""
+    members = {
+        name: Member(
+            host=HOST,
+            port=1,
+            failure_domain="a",
+            since=float(number),
+            stops=name in stopping,
+        )
+        for number, name in enumerate(["i1", "i2", "i3", "i4"])
+    }
+    registry = Registry(None)
+    registry.members = members
+    readers = set()
+    for name in members:
+        fleet = Fleet(name, "a", Metrics())
+        tables = Tables(fleet, registry, Metrics())
+        tables.endpoints_asked_at = trio.current_time()
+        follower = Follower(None, fleet, registry, tables, Metrics())
+        if follower._must_read_endpoints():
+            readers.add(name)
+    expected = [name for name in members if name not in stopping]
+    assert readers == {*expected[:2]}
