Count the time of a leaving primary also while nothing can be promoted

Cause: a handover may wait 3.15 s for unresponsive instances. The wait began only once an instance could promote, 2.1 s after its start and with a majority, so under one restart a second it was over when the primary's time was.

Why it works: the announcement is noted at each check, whatever else keeps the instance from promoting, so the handover begins with the first majority.

--- a/src/lagoonstair/primacy/__init__.py
+++ b/src/lagoonstair/primacy/__init__.py
@@ -7,6 +7,7 @@
     promotion_cause,
     promotion_delay,
 )
+from lagoonstair.primacy._leaving import LeavingSince
 from lagoonstair.primacy._pending import (
     PromotionOutcome,
     choose_target,
@@ -39,6 +40,7 @@
     "Duty",
     "GroupRecord",
     "GroupReport",
+    "LeavingSince",
     "LogSurvey",
     "PendingPromotion",
     "Primacy",
--- a/src/lagoonstair/proxy/_promoter.py
+++ b/src/lagoonstair/proxy/_promoter.py
@@ -13,6 +13,7 @@
     Cause,
     Duty,
     GroupRecord,
+    LeavingSince,
     PendingPromotion,
     PrimaryView,
     choose_target,
@@ -89,7 +90,7 @@
         drain_seconds: float,
     ) -> None:
         self._max_handover_wait = drain_seconds * HANDOVER_WAIT_FRACTION
-        self._leaving_since: dict[str, float] = {}
+        self._leaving = LeavingSince()
         self._backoff_until = 0.0
         self._fleet = fleet
         self._registry = registry
@@ -119,6 +120,7 @@
                 await trio.sleep(CHECK_PERIOD_SECONDS)
                 for group in self._groups():
                     try:
+                        self._note_leaving(group)
                         self._release_primary(group)
                         is_due = self._may_run(group) and self._is_due(group)
                     except Exception as exc:
@@ -261,7 +263,7 @@
                 report.unreachable_for for report in reports.values()
             ),
             missing_for=missing_for,
-            leaving_for=self._leaving_for(group, endpoint),
+            leaving_for=self._leaving.seconds(group, now),
             all_reachable=not any(
                 self._gossip.missed_rounds(member)
                 for member in self._registry.members
@@ -279,15 +281,13 @@
         # over all endpoints.
         return seconds if seconds and has_candidate(self._fleet, group) else 0.0
 
-    def _leaving_for(self, group: str, endpoint: Endpoint | None) -> float:
-        if endpoint is None or not endpoint.leaving:
-            self._leaving_since.pop(group, None)
-            return 0.0
-        now = trio.current_time()
-        since = self._leaving_since.setdefault(
-            group, now - CHECK_PERIOD_SECONDS
-        )
-        return now - since
+    def _note_leaving(self, group: str) -> None:
+        record = self._fleet.primacy.records.get(group)
+        name = "" if record is None else record.primary
+        endpoint = self._fleet.endpoints.get(name)
+        is_leaving = endpoint is not None and endpoint.leaving
+        noted_at = trio.current_time() - CHECK_PERIOD_SECONDS
+        self._leaving.note(group, noted_at, is_leaving=is_leaving)
 
     def _claimed_primary(self, group: str) -> str | None:
         names = [
--- a/tests/test_proxy_promoter.py
+++ b/tests/test_proxy_promoter.py
@@ -13,7 +13,7 @@
 from lagoonstair.proxy import _promoter
 from lagoonstair.proxy._fleet import Fleet
 from lagoonstair.proxy._metrics import Metrics
-from lagoonstair.proxy._promoter import Promoter
+from lagoonstair.proxy._promoter import HANDOVER_WAIT_FRACTION, Promoter
 from lagoonstair.routing import Endpoint
 
 WRITE_SECONDS = 0.01
@@ -49,6 +49,19 @@
         return PromoteAnswer.ACCEPTED
 
 
+def _endpoint(name, domain, *, leaving=False):
+    return Endpoint(
+        name=name,
+        group="g",
+        address=Address("10.0.0.1", 1),
+        failure_domain=domain,
+        slots=4,
+        leaving=leaving,
+        says_primary=False,
+        started=1,
+    )
+
+
 def _record(*endpoints):
     pending = (PendingPromotion(endpoint=e, started=1) for e in endpoints)
     return GroupRecord(epoch=2, primary="d1", pending=tuple(pending))
@@ -138,18 +151,7 @@
     )
     fleet = Fleet("i1", "a", Metrics(), Features(5.0))
     for name, domain in (("d1", "a"), ("d2", "b")):
-        fleet.set_endpoint(
-            Endpoint(
-                name=name,
-                group="g",
-                address=Address("10.0.0.1", 1),
-                failure_domain=domain,
-                slots=4,
-                leaving=False,
-                says_primary=False,
-                started=1,
-            )
-        )
+        fleet.set_endpoint(_endpoint(name, domain))
     fleet.set_record("g", _record(*pending))
     now = trio.current_time()
     fleet.evacuation.apply(EvacuationSet(1, 1, domains), now, current_at=now)
@@ -162,3 +164,57 @@
         await trio.sleep(0.1)
     assert found is is_due
     assert logged == ["promotion without candidates"] * (not is_due)
+
+
+class _RestartingPeers:
+    """Gossip with one instance that does not respond."""
+
+    def missed_rounds(self, name):
+        return int(name == "i3")
+
+    def peer_reports(self, group, within):
+        return {}
+
+
+@pytest.mark.parametrize("blocked_seconds", [0.0, 2.0, 6.0])
+async def test_a_primary_leaves_also_while_nothing_can_be_promoted(
+    blocked_seconds, autojump_clock
+):
+    """Under a rolling restart the handover waited anew at each majority."""
+    fleet = Fleet("i1", "a", Metrics())
+    fleet.set_endpoint(_endpoint("d1", "a", leaving=True))
+    fleet.set_record("g", GroupRecord(epoch=1, primary="d1"))
+    fleet.primacy.set_voters(["i1", "i2", "i3"], 1)
+    registry = _Registry()
+    registry.members = {"i1": None, "i2": None, "i3": None}
+    follower = SimpleNamespace(endpoints_age=0.0)
+    promoter = Promoter(
+        fleet,
+        registry,
+        follower,
+        _RestartingPeers(),
+        *[None] * 3,
+        Metrics(),
+        drain_seconds=7.0,
+    )
+    begun_at = []
+
+    async def note_promotion(group):
+        begun_at.append(trio.current_time())
+        await trio.sleep_forever()
+
+    promoter._run_promotion = note_promotion
+    started_at = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(promoter.run)
+        while not begun_at:
+            await trio.sleep(0.1)
+            now = trio.current_time()
+            if now - started_at >= blocked_seconds:
+                fleet.primacy.note_report(
+                    "i2", now, members_version=1, epochs={}, proof_age=0.0
+                )
+        nursery.cancel_scope.cancel()
+    wait = HANDOVER_WAIT_FRACTION * 7.0
+    latest = max(wait, blocked_seconds) + 1.0
+    assert wait - 0.5 <= begun_at[0] - started_at <= latest
